--- /dev/null
+++ b/include/gooseberryturn/config/settings.h
@@ -0,0 +1,74 @@
+#ifndef GOOSEBERRYTURN_CONFIG_SETTINGS_H_
+#define GOOSEBERRYTURN_CONFIG_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "gooseberryturn/config/reader.h"
+#include "gooseberryturn/core/endpoint.h"
+
+namespace gooseberryturn::config {
+
+/// \brief Settings that every program has.
+struct CommonSettings {
+  std::string host;         ///< Name of this host, unique in the fleet.
+  std::string data_centre;  ///< Data centre this host stands in.
+  std::string log_level;    ///< A log4cplus level name.
+  Endpoint http;            ///< Metrics, readiness and operators' API.
+};
+
+/// \brief Settings of gooseberryturn-entry.
+struct EntrySettings {
+  CommonSettings common;
+  Endpoint callers;               ///< Where callers connect.
+  std::vector<Endpoint> control;  ///< Link addresses of the control hosts.
+  std::int64_t max_connections = 0;
+  std::int64_t max_header_bytes = 0;
+  std::int64_t header_timeout_ms = 0;
+  std::int64_t write_timeout_ms = 0;
+  std::int64_t serve_without_control_s = 0;
+};
+
+/// \brief Settings of gooseberryturn-agent.
+struct AgentSettings {
+  CommonSettings common;
+  Endpoint link;          ///< Where entries and other agents connect.
+  Endpoint target;        ///< The engine or plain service on this host.
+  bool is_model = false;  ///< Whether the target is a model engine.
+  std::string service;
+  std::string fabric_domain;
+  std::vector<Endpoint> control;
+  std::int64_t serve_without_control_s = 0;
+};
+
+/// \brief One control host as every control host knows it.
+struct ControlPeer {
+  std::uint64_t id = 0;
+  Endpoint link;
+  Endpoint http;
+};
+
+/// \brief Settings of gooseberryturn-control.
+struct ControlSettings {
+  CommonSettings common;
+  std::uint64_t id = 0;  ///< Identity in the quorum; never reused.
+  std::string data_folder;
+  std::vector<ControlPeer> peers;  ///< The first quorum, this host included.
+  std::int64_t view_lease_ms = 0;
+  std::int64_t max_clock_drift_ms = 0;
+};
+
+/// \brief Parses and checks the settings of each program.
+/// \returns The settings, or every fault found in one pass.
+[[nodiscard]] tl::expected<EntrySettings, Faults> ParseEntrySettings(
+    const std::string& text);
+[[nodiscard]] tl::expected<AgentSettings, Faults> ParseAgentSettings(
+    const std::string& text);
+[[nodiscard]] tl::expected<ControlSettings, Faults> ParseControlSettings(
+    const std::string& text);
+
+}  // namespace gooseberryturn::config
+
+#endif  // GOOSEBERRYTURN_CONFIG_SETTINGS_H_
--- /dev/null
+++ b/include/gooseberryturn/control/versioned.h
@@ -0,0 +1,65 @@
+#ifndef GOOSEBERRYTURN_CONTROL_VERSIONED_H_
+#define GOOSEBERRYTURN_CONTROL_VERSIONED_H_
+
+#include <cstdint>
+#include <map>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+namespace gooseberryturn::control {
+
+/// \brief Named items that remember at which log index each last changed.
+///
+/// \details `Item` has a member `name`. Names that were removed stay known, so
+/// that a delta can name them.
+template <typename Item>
+struct Versioned {
+  struct Slot {
+    Item item;
+    std::uint64_t changed_at = 0;
+
+    MSGPACK_DEFINE(item, changed_at)
+  };
+
+  std::map<std::string, Slot> slots;
+  std::map<std::string, std::uint64_t> removed_at;
+
+  MSGPACK_DEFINE(slots, removed_at)
+
+  [[nodiscard]] const Item* Find(const std::string& name) const {
+    const auto found = this->slots.find(name);
+    return found == this->slots.end() ? nullptr : &found->second.item;
+  }
+  void Put(const Item& item, std::uint64_t index) {
+    this->slots[item.name] = {item, index};
+    this->removed_at.erase(item.name);
+  }
+  void Remove(const std::string& name, std::uint64_t index) {
+    if (this->slots.erase(name) > 0) {
+      this->removed_at[name] = index;
+    }
+  }
+  /// \brief Collects what changed after `from`.
+  void Since(std::uint64_t from, std::vector<Item>& changed,
+             std::vector<std::string>& removed) const {
+    for (const std::pair<const std::string, Slot>& entry : this->slots) {
+      if (entry.second.changed_at > from) {
+        changed.push_back(entry.second.item);
+      }
+    }
+    if (from == 0) {
+      return;
+    }
+    for (const std::pair<const std::string, std::uint64_t>& entry :
+         this->removed_at) {
+      if (entry.second > from) {
+        removed.push_back(entry.first);
+      }
+    }
+  }
+};
+
+}  // namespace gooseberryturn::control
+
+#endif  // GOOSEBERRYTURN_CONTROL_VERSIONED_H_
--- /dev/null
+++ b/include/gooseberryturn/core/error.h
@@ -0,0 +1,30 @@
+#ifndef GOOSEBERRYTURN_CORE_ERROR_H_
+#define GOOSEBERRYTURN_CORE_ERROR_H_
+
+#include <string>
+#include <tl/expected.hpp>
+
+#include "gooseberryturn/core/outcome.h"
+#include "gooseberryturn/core/reason.h"
+#include "gooseberryturn/core/step.h"
+
+namespace gooseberryturn {
+
+/// \brief A failure with the step and the peer at which it arose.
+struct Error {
+  Reason reason = Reason::kNone;
+  Step step = Step::kAccept;
+  Outcome outcome = Outcome::kNotRun;
+  std::string peer;
+  std::string message;
+};
+
+template <typename Value>
+using Result = tl::expected<Value, Error>;
+
+/// \brief One line for people: reason, outcome, step, peer and message.
+[[nodiscard]] std::string ToString(const Error& error);
+
+}  // namespace gooseberryturn
+
+#endif  // GOOSEBERRYTURN_CORE_ERROR_H_
--- /dev/null
+++ b/include/gooseberryturn/core/ring.h
@@ -0,0 +1,63 @@
+#ifndef GOOSEBERRYTURN_CORE_RING_H_
+#define GOOSEBERRYTURN_CORE_RING_H_
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+namespace gooseberryturn {
+
+/// \brief Bounded queue that joins two threads.
+///
+/// \details A full ring refuses at once and never blocks its writer, so that
+/// two duties that feed each other cannot deadlock.
+template <typename Item>
+class Ring {
+ public:
+  explicit Ring(std::size_t capacity) : capacity(capacity) {}
+
+  /// \brief Adds an item; false when the ring is full or closed.
+  [[nodiscard]] bool TryPush(Item item) {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (this->closed || this->items.size() >= this->capacity) {
+      return false;
+    }
+    this->items.push_back(std::move(item));
+    this->filled.notify_one();
+    return true;
+  }
+
+  /// \brief Waits for an item; nothing once the ring is closed and empty.
+  [[nodiscard]] std::optional<Item> Pop() {
+    std::unique_lock<std::mutex> guard(this->mutex);
+    this->filled.wait(guard,
+                      [this] { return this->closed || !this->items.empty(); });
+    if (this->items.empty()) {
+      return std::nullopt;
+    }
+    Item item = std::move(this->items.front());
+    this->items.pop_front();
+    return item;
+  }
+
+  /// \brief Refuses new items and wakes the reader.
+  void Close() {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->closed = true;
+    this->filled.notify_all();
+  }
+
+ private:
+  const std::size_t capacity;
+  std::mutex mutex;
+  std::condition_variable filled;
+  std::deque<Item> items;
+  bool closed = false;
+};
+
+}  // namespace gooseberryturn
+
+#endif  // GOOSEBERRYTURN_CORE_RING_H_
--- /dev/null
+++ b/include/gooseberryturn/core/stream_digest.h
@@ -0,0 +1,29 @@
+#ifndef GOOSEBERRYTURN_CORE_STREAM_DIGEST_H_
+#define GOOSEBERRYTURN_CORE_STREAM_DIGEST_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+struct XXH3_state_s;
+
+namespace gooseberryturn {
+
+/// \brief XXH3 digest of bytes that arrive in pieces.
+///
+/// \details Agrees with Digest of the whole.
+class StreamDigest {
+ public:
+  StreamDigest();
+
+  void Update(std::string_view bytes) noexcept;
+  /// \brief Digest of everything so far as 32 hexadecimal digits.
+  [[nodiscard]] std::string Hex() const;
+
+ private:
+  std::shared_ptr<XXH3_state_s> state;
+};
+
+}  // namespace gooseberryturn
+
+#endif  // GOOSEBERRYTURN_CORE_STREAM_DIGEST_H_
--- /dev/null
+++ b/include/gooseberryturn/core/time.h
@@ -0,0 +1,35 @@
+#ifndef GOOSEBERRYTURN_CORE_TIME_H_
+#define GOOSEBERRYTURN_CORE_TIME_H_
+
+#include <chrono>
+#include <cstdint>
+
+namespace gooseberryturn {
+
+/// \brief Monotonic clock that also counts the time a host was suspended.
+///
+/// \details Leases are compared against this clock only, and only within the
+/// process that read it. What crosses a link is remaining time, never an
+/// instant.
+struct Clock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<Clock>;
+  static constexpr bool is_steady = true;  // NOLINT: named by the standard
+
+  /// \brief Reads the clock.
+  [[nodiscard]] static time_point now() noexcept;
+};
+
+using TimePoint = Clock::time_point;
+using Duration = Clock::duration;
+using Milliseconds = std::chrono::milliseconds;
+
+/// \brief Whole milliseconds left until `deadline`, never negative.
+[[nodiscard]] std::int64_t RemainingMs(TimePoint deadline,
+                                       TimePoint now) noexcept;
+
+}  // namespace gooseberryturn
+
+#endif  // GOOSEBERRYTURN_CORE_TIME_H_
--- /dev/null
+++ b/include/gooseberryturn/lease/view_lease.h
@@ -0,0 +1,38 @@
+#ifndef GOOSEBERRYTURN_LEASE_VIEW_LEASE_H_
+#define GOOSEBERRYTURN_LEASE_VIEW_LEASE_H_
+
+#include <algorithm>
+
+#include "gooseberryturn/core/time.h"
+
+namespace gooseberryturn::lease {
+
+/// \brief The right of a process to act on the view it holds.
+///
+/// \details Counts from when the renewal was sent, so that it never outlives
+/// what control counts from when the renewal arrived.
+class ViewLease {
+ public:
+  /// \param grace How long to go on after the lease without control; zero
+  /// keeps the promise that a data centre taken out receives no new work.
+  explicit ViewLease(Duration grace) : grace(grace) {}
+
+  /// \brief Notes a granted renewal that was sent at `sent_at`.
+  void Renewed(TimePoint sent_at, Duration length) noexcept {
+    this->deadline = std::max(this->deadline, sent_at + length);
+    this->was_granted = true;
+  }
+  /// \brief True while new work may be taken.
+  [[nodiscard]] bool IsValid(TimePoint now) const noexcept {
+    return this->was_granted && now < this->deadline + this->grace;
+  }
+
+ private:
+  Duration grace;
+  TimePoint deadline;
+  bool was_granted = false;
+};
+
+}  // namespace gooseberryturn::lease
+
+#endif  // GOOSEBERRYTURN_LEASE_VIEW_LEASE_H_
--- /dev/null
+++ b/include/gooseberryturn/link/channel.h
@@ -0,0 +1,87 @@
+#ifndef GOOSEBERRYTURN_LINK_CHANNEL_H_
+#define GOOSEBERRYTURN_LINK_CHANNEL_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gooseberryturn/core/endpoint.h"
+#include "gooseberryturn/core/error.h"
+#include "gooseberryturn/core/time.h"
+#include "gooseberryturn/link/connection.h"
+#include "gooseberryturn/protocol/codec.h"
+
+namespace gooseberryturn::link {
+
+/// \brief Client side of the link to one peer; connects when it is needed.
+class Channel : public std::enable_shared_from_this<Channel> {
+ public:
+  using OnOpen = std::function<void(Result<std::shared_ptr<Stream>>)>;
+  using OnReply = std::function<void(Result<std::string>)>;
+
+  Channel(boost::asio::io_context& context, Endpoint peer);
+
+  /// \brief Opens a stream, after connecting when there is no connection.
+  ///
+  /// \details A failure is Outcome::kNotRun: nothing was sent.
+  void Open(const std::string& path, OnOpen on_open);
+  /// \brief Sends one message and waits for the one message of the reply.
+  ///
+  /// \details Outcome::kNotRun when nothing was sent or the peer refused it,
+  /// Outcome::kUnknown when the reply did not come before `deadline`.
+  void Call(const std::string& path, std::string message, TimePoint deadline,
+            OnReply on_reply);
+  /// \brief Closes the connection, if any.
+  void Close();
+
+  [[nodiscard]] const Endpoint& peer() const noexcept { return this->endpoint; }
+
+  static constexpr Duration kConnectLimit = std::chrono::milliseconds(1000);
+
+ private:
+  struct Waiting {
+    std::string path;
+    OnOpen on_open;
+  };
+
+  void Connect();
+  void Connected(boost::asio::ip::tcp::socket socket);
+  void Fail(const std::string& message);
+
+  boost::asio::io_context& context;
+  Endpoint endpoint;
+  std::shared_ptr<Connection> connection;
+  bool is_connecting = false;
+  std::vector<Waiting> waiting;
+};
+
+/// \brief The channels of a process, one for each peer.
+class ChannelPool {
+ public:
+  explicit ChannelPool(boost::asio::io_context& context) : context(context) {}
+
+  /// \brief Channel to `peer`, created on first use.
+  [[nodiscard]] std::shared_ptr<Channel> Get(const Endpoint& peer);
+  /// \brief Closes all channels.
+  void Close();
+
+ private:
+  boost::asio::io_context& context;
+  std::map<std::string, std::shared_ptr<Channel>> channels;
+};
+
+/// \brief Answers a stream with one message and ends it.
+template <typename Message>
+void Reply(Stream& stream, const Message& message) {
+  stream.Send(protocol::EncodeFrame(protocol::FrameType::kMessage,
+                                    protocol::Encode(message)));
+  stream.Finish();
+}
+
+}  // namespace gooseberryturn::link
+
+#endif  // GOOSEBERRYTURN_LINK_CHANNEL_H_
--- /dev/null
+++ b/include/gooseberryturn/link/connection.h
@@ -0,0 +1,93 @@
+#ifndef GOOSEBERRYTURN_LINK_CONNECTION_H_
+#define GOOSEBERRYTURN_LINK_CONNECTION_H_
+
+#include <nghttp2/nghttp2.h>
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "gooseberryturn/core/time.h"
+#include "gooseberryturn/link/stream.h"
+
+namespace gooseberryturn::link {
+
+/// \brief Side of a connection.
+enum class Side : std::uint8_t { kClient, kServer };
+
+/// \brief One HTTP/2 connection over TCP between two processes.
+///
+/// \details All calls and hooks run on the thread of the socket's executor.
+/// A connection that hears nothing for kSilenceLimit while streams are open
+/// is closed, so that a silently cut link is noticed.
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(boost::asio::ip::tcp::socket socket, Side side);
+  ~Connection();
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  /// \brief Called for each stream that the peer opens.
+  std::function<void(std::shared_ptr<Stream>)> on_stream;
+  /// \brief Called once when the connection is over.
+  std::function<void()> on_close;
+
+  /// \brief Starts reading; call it once after setting the hooks.
+  void Start();
+  /// \brief Opens a stream to the peer (client side only).
+  [[nodiscard]] std::shared_ptr<Stream> Open(const std::string& path);
+  /// \brief Announces that no further streams are taken.
+  void GoAway();
+  /// \brief Closes the socket; open streams end with kLost.
+  void Close();
+
+  [[nodiscard]] bool is_open() const noexcept { return this->opened; }
+  [[nodiscard]] bool is_going_away() const noexcept { return this->going_away; }
+  [[nodiscard]] std::size_t stream_count() const noexcept {
+    return this->streams.size();
+  }
+  [[nodiscard]] const std::string& peer() const noexcept {
+    return this->peer_name;
+  }
+
+  static constexpr std::int32_t kStreamWindowBytes = 32 * 1024;
+  static constexpr Duration kPingInterval = std::chrono::seconds(1);
+  static constexpr Duration kSilenceLimit = std::chrono::seconds(4);
+
+ private:
+  friend class Stream;
+  friend struct ConnectionCallbacks;
+
+  void Read();
+  void Flush();
+  void Write();
+  void Tick();
+  void Resume(Stream& stream);
+  void ConsumeWindow(Stream& stream, std::size_t bytes);
+  void Reset(Stream& stream, std::uint32_t code);
+  void CloseStream(std::int32_t id, CloseReason reason);
+  [[nodiscard]] std::shared_ptr<Stream> FindStream(std::int32_t id) const;
+
+  boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer timer;
+  Side side;
+  nghttp2_session* session = nullptr;
+  bool opened = true;
+  bool going_away = false;
+  bool is_writing = false;
+  bool is_in_callback = false;
+  TimePoint silence_deadline;
+  std::string peer_name;
+  std::map<std::int32_t, std::shared_ptr<Stream>> streams;
+  std::array<char, 32 * 1024> input;
+  std::string output;
+};
+
+}  // namespace gooseberryturn::link
+
+#endif  // GOOSEBERRYTURN_LINK_CONNECTION_H_
--- /dev/null
+++ b/include/gooseberryturn/link/stream.h
@@ -0,0 +1,95 @@
+#ifndef GOOSEBERRYTURN_LINK_STREAM_H_
+#define GOOSEBERRYTURN_LINK_STREAM_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "gooseberryturn/core/name_table.h"
+#include "gooseberryturn/protocol/frame.h"
+
+namespace gooseberryturn::link {
+
+class Connection;
+struct ConnectionCallbacks;
+
+/// \brief How a stream ended.
+enum class CloseReason : std::uint8_t {
+  kFinished,  ///< Both sides ended it in order.
+  kRefused,   ///< The peer certainly did not process it.
+  kCancelled,
+  kLost,  ///< The connection broke or the peer broke the protocol.
+};
+
+inline constexpr NameTable<CloseReason, 4> kCloseReasonNames = {
+    {"finished", "refused", "cancelled", "lost"}};
+
+/// \brief One HTTP/2 stream that carries frames in both directions.
+///
+/// \details Belongs to the thread of its connection. Hooks may be replaced at
+/// any time; on_close is called exactly once and is the last call.
+class Stream : public std::enable_shared_from_this<Stream> {
+ public:
+  Stream(std::weak_ptr<Connection> connection, std::string path);
+
+  /// \brief Called for each whole frame that arrives.
+  std::function<void(protocol::FrameType, std::string_view)> on_frame;
+  /// \brief Called when the peer has ended its side.
+  std::function<void()> on_peer_end;
+  /// \brief Called once when the stream is over.
+  std::function<void(CloseReason)> on_close;
+  /// \brief Called when unsent bytes fall below kLowWaterBytes.
+  std::function<void()> on_writable;
+
+  /// \brief Queues one encoded frame.
+  void Send(std::string frame);
+  /// \brief Ends this side once everything queued has left.
+  void Finish();
+  /// \brief Ends the stream at once and drops what is queued.
+  void Cancel();
+  /// \brief Ends the stream at once and vouches that it was not processed.
+  void Refuse();
+
+  /// \brief From now on received bytes count against the window until
+  /// Consume is called for them.
+  void HoldWindow() noexcept { this->is_window_held = true; }
+  /// \brief Gives `bytes` of receive window back to the peer.
+  void Consume(std::size_t bytes);
+
+  [[nodiscard]] const std::string& path() const noexcept {
+    return this->request_path;
+  }
+  /// \brief Bytes queued here and not yet taken by the connection.
+  [[nodiscard]] std::size_t unsent_bytes() const noexcept {
+    return this->unsent.size() - this->unsent_start;
+  }
+  [[nodiscard]] bool is_closed() const noexcept { return this->closed; }
+  /// \brief Address of the peer.
+  [[nodiscard]] std::string peer() const;
+
+  static constexpr std::size_t kLowWaterBytes = 8U * 1024U;
+  static constexpr std::size_t kHighWaterBytes = 16U * 1024U;
+
+ private:
+  friend class Connection;
+  friend struct ConnectionCallbacks;
+
+  std::weak_ptr<Connection> connection;
+  std::string request_path;
+  std::int32_t id = -1;
+  std::string unsent;
+  std::size_t unsent_start = 0;
+  bool is_finishing = false;
+  bool is_deferred = false;
+  bool is_window_held = false;
+  bool closed = false;
+  bool refused = false;
+  protocol::FrameReader reader;
+};
+
+}  // namespace gooseberryturn::link
+
+#endif  // GOOSEBERRYTURN_LINK_STREAM_H_
--- /dev/null
+++ b/include/gooseberryturn/observe/metrics.h
@@ -0,0 +1,99 @@
+#ifndef GOOSEBERRYTURN_OBSERVE_METRICS_H_
+#define GOOSEBERRYTURN_OBSERVE_METRICS_H_
+
+// Boost.Accumulators uses <sstream> without including it.
+// clang-format off
+#include <sstream>
+// clang-format on
+
+#include <array>
+#include <atomic>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <cstdint>
+#include <mutex>
+#include <sstream>
+#include <string>
+
+#include "gooseberryturn/core/name_table.h"
+#include "gooseberryturn/core/reason.h"
+#include "gooseberryturn/core/time.h"
+
+namespace gooseberryturn::observe {
+
+/// \brief Counters and gauges of a process.
+enum class Metric : std::uint8_t {
+  kRequests,
+  kAnswers,
+  kAnswerBytes,
+  kInFlight,
+  kConnections,
+  kRelayBytes,
+  kRenewals,
+  kRenewBytes,
+  kViewIndex,
+  kLogCommit,
+  kIsLeader,
+  kGroups,
+  kClaims,
+  kReservedTokens,
+  kLimit,
+};
+
+inline constexpr std::size_t kMetricCount = 15;
+
+inline constexpr NameTable<Metric, kMetricCount> kMetricNames = {
+    {"requests_total", "answers_total", "answer_bytes_total", "in_flight",
+     "connections", "relay_buffer_bytes", "view_renewals_total",
+     "view_renewal_bytes_total", "view_index", "log_commit_index", "is_leader",
+     "groups", "claims", "reserved_tokens", "concurrency_limit"}};
+
+/// \brief Durations that are summed up as quantiles.
+enum class Timing : std::uint8_t { kFirstByte, kWhole, kCommit };
+
+inline constexpr std::size_t kTimingCount = 3;
+
+inline constexpr NameTable<Timing, kTimingCount> kTimingNames = {
+    {"first_byte_seconds", "request_seconds", "commit_seconds"}};
+
+/// \brief Counts, gauges and timings of one process; safe for all threads.
+///
+/// \code
+///   metrics.Refused(Reason::kTeamLimit);
+///   std::string page = metrics.Render();
+/// \endcode
+class Metrics {
+ public:
+  Metrics();
+
+  void Add(Metric metric, std::int64_t amount = 1) noexcept;
+  void Set(Metric metric, std::int64_t value) noexcept;
+  [[nodiscard]] std::int64_t Get(Metric metric) const noexcept;
+  /// \brief A request was refused.
+  void Refused(Reason reason) noexcept;
+  /// \brief A request was tried again.
+  void Retried(Reason reason) noexcept;
+  void Observe(Timing timing, Duration duration);
+  /// \brief Everything in the Prometheus text format.
+  [[nodiscard]] std::string Render() const;
+
+ private:
+  using Quantiles = boost::accumulators::accumulator_set<
+      double,
+      boost::accumulators::stats<
+          boost::accumulators::tag::count, boost::accumulators::tag::sum,
+          boost::accumulators::tag::extended_p_square_quantile>>;
+
+  std::array<std::atomic<std::int64_t>, kMetricCount> values;
+  std::array<std::atomic<std::int64_t>, kReasonCount> refusals;
+  std::array<std::atomic<std::int64_t>, kReasonCount> retries;
+  mutable std::mutex timing_mutex;
+  std::array<Quantiles, kTimingCount> timings;
+};
+
+}  // namespace gooseberryturn::observe
+
+#endif  // GOOSEBERRYTURN_OBSERVE_METRICS_H_
--- /dev/null
+++ b/programs/control/main.cc
@@ -0,0 +1,112 @@
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "gooseberryturn/app/program.h"
+#include "gooseberryturn/app/readiness.h"
+#include "gooseberryturn/config/settings.h"
+#include "gooseberryturn/consensus/storage.h"
+#include "gooseberryturn/control/operator_api.h"
+#include "gooseberryturn/control/replica.h"
+#include "gooseberryturn/control/server.h"
+#include "gooseberryturn/core/id.h"
+#include "gooseberryturn/link/listener.h"
+#include "gooseberryturn/observe/http_server.h"
+#include "gooseberryturn/observe/log.h"
+#include "gooseberryturn/observe/metrics.h"
+
+namespace {
+
+using namespace gooseberryturn;  // NOLINT(google-build-using-namespace)
+
+constexpr char kProgram[] = "gooseberryturn-control";
+
+consensus::Membership FirstMembership(const config::ControlSettings& settings) {
+  consensus::Membership membership;
+  for (const config::ControlPeer& peer : settings.peers) {
+    membership.peers.push_back({peer.id, peer.link, peer.http, true, 0});
+  }
+  return membership;
+}
+
+const config::ControlPeer& Self(const config::ControlSettings& settings) {
+  std::size_t place = 0;
+  while (settings.peers[place].id != settings.id) {
+    ++place;
+  }
+  return settings.peers[place];
+}
+
+int Run(const config::ControlSettings& settings, bool is_bootstrap) {
+  Result<consensus::Storage> storage =
+      consensus::Storage::Open(settings.data_folder, settings.id);
+  if (!storage.has_value()) {
+    return app::Fail(storage.error());
+  }
+  Result<consensus::Stored> stored = storage->Load();
+  if (!stored.has_value()) {
+    return app::Fail(stored.error());
+  }
+  if (storage->is_new() && is_bootstrap) {
+    stored->snapshot.membership = FirstMembership(settings);
+    const Result<void> saved = storage->SaveSnapshot(stored->snapshot, {});
+    if (!saved.has_value()) {
+      return app::Fail(saved.error());
+    }
+  } else if (storage->is_new()) {
+    observe::LogEvent(observe::Level::kWarn, "", "empty_data_folder",
+                      {{"hint", "waits to be added as a new control host"}});
+  }
+  consensus::Options options;
+  options.id = settings.id;
+  options.disk = storage->identity().disk;
+  options.seed = RandomId();
+  consensus::Node node(options, std::move(*stored), Clock::now());
+
+  boost::asio::io_context context;
+  link::ChannelPool channels(context);
+  link::Listener listener(context);
+  observe::Metrics metrics;
+  control::Replica replica(context, channels, std::move(*storage),
+                           std::move(node), metrics);
+  if (!replica.Restore()) {
+    return app::Fail({Reason::kTargetFailed, Step::kStorage, Outcome::kNotRun,
+                      settings.data_folder, "the snapshot cannot be read"});
+  }
+  control::Server server(context, settings, replica, metrics);
+  control::OperatorApi api(context, replica, server, metrics);
+  replica.Start(listener);
+  server.Start(listener);
+  const Result<void> listening = listener.Start(Self(settings).link);
+  if (!listening.has_value()) {
+    return app::Fail(listening.error());
+  }
+  observe::HttpServer http(
+      [&api](const observe::HttpCall& call) { return api.Handle(call); });
+  const Result<void> serving = http.Start(settings.common.http);
+  if (!serving.has_value()) {
+    return app::Fail(serving.error());
+  }
+  app::OnStopSignal(context, [&context] { app::StopSoon(context); });
+  observe::LogEvent(observe::Level::kInfo, "", "started",
+                    {{"link", ToString(Self(settings).link)},
+                     {"http", ToString(settings.common.http)}});
+  context.run();
+  http.Stop();
+  replica.Stop();
+  observe::LogEvent(observe::Level::kInfo, "", "stopped");
+  return app::kExitOk;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const app::CommandLine line = app::ParseCommandLine(
+      argc, argv, kProgram, "control host of a gooseberryturn fleet", true);
+  return app::RunProgram<config::ControlSettings>(
+      line, kProgram, config::ParseControlSettings,
+      [&line](const config::ControlSettings& settings) {
+        return Run(settings, line.bootstrap);
+      });
+}
--- /dev/null
+++ b/programs/ctl/text_diff.h
@@ -0,0 +1,14 @@
+#ifndef GOOSEBERRYTURN_PROGRAMS_CTL_TEXT_DIFF_H_
+#define GOOSEBERRYTURN_PROGRAMS_CTL_TEXT_DIFF_H_
+
+#include <string>
+
+namespace gooseberryturn::ctl {
+
+/// \brief The lines that differ, marked with "-" and "+".
+[[nodiscard]] std::string DiffLines(const std::string& before,
+                                    const std::string& after);
+
+}  // namespace gooseberryturn::ctl
+
+#endif  // GOOSEBERRYTURN_PROGRAMS_CTL_TEXT_DIFF_H_
--- /dev/null
+++ b/src/admission/warm_limit.cc
@@ -0,0 +1,52 @@
+#include "gooseberryturn/admission/warm_limit.h"
+
+#include <algorithm>
+
+namespace gooseberryturn::admission {
+
+namespace {
+
+constexpr int kAverageWeight = 16;
+
+}  // namespace
+
+WarmLimit::WarmLimit(std::int64_t cold, std::int64_t warm)
+    : cold(cold), warm(warm), current(cold) {}
+
+void WarmLimit::Reset() noexcept {
+  this->current = this->cold;
+  this->usual = Duration::zero();
+  this->slow_streak = 0;
+  this->is_cold_again = false;
+}
+
+void WarmLimit::Configure(std::int64_t cold_limit,
+                          std::int64_t warm_limit) noexcept {
+  this->cold = cold_limit;
+  this->warm = warm_limit;
+  this->current = std::clamp(this->current, this->cold, this->warm);
+}
+
+void WarmLimit::Completed(Duration first_token) {
+  const bool is_slow = this->usual > Duration::zero() &&
+                       first_token > kColdFloor &&
+                       first_token > kColdFactor * this->usual;
+  if (is_slow) {
+    this->slow_streak += 1;
+    if (this->slow_streak >= kColdStreak) {
+      this->current = this->cold;
+      this->slow_streak = 0;
+      this->is_cold_again = true;
+    }
+    return;
+  }
+  this->slow_streak = 0;
+  this->is_cold_again = false;
+  this->usual =
+      this->usual == Duration::zero()
+          ? first_token
+          : this->usual + (first_token - this->usual) / kAverageWeight;
+  this->current = std::min(this->current + 1, this->warm);
+}
+
+}  // namespace gooseberryturn::admission
--- /dev/null
+++ b/src/config/document.cc
@@ -0,0 +1,171 @@
+#include "gooseberryturn/config/document.h"
+
+#include <optional>
+#include <set>
+
+namespace gooseberryturn::config {
+
+namespace {
+
+constexpr Range kGroupRange = {1, 4096};
+constexpr Range kHostsPerGroupRange = {1, 64};
+constexpr Range kPercentRange = {0, 100};
+constexpr Range kTokenRange = {1, 1'000'000'000};
+constexpr Range kInFlightRange = {1, 100'000};
+constexpr Range kBodyRange = {1, 64 * 1024 * 1024};
+constexpr Range kDeadlineRange = {1, 3'600'000};
+constexpr Range kRateRange = {1, 1'000'000};
+constexpr std::int64_t kDefaultRetryPercent = 10;
+constexpr std::int64_t kDefaultBodyBytes = 1024 * 1024;
+
+Limits ReadLimits(const Tree& tree, const std::string& path, ServiceKind kind,
+                  Faults& faults) {
+  ObjectReader reader(tree, path, faults);
+  const bool is_model = kind == ServiceKind::kModel;
+  const std::optional<std::int64_t> plain_tokens =
+      is_model ? std::nullopt : std::optional<std::int64_t>(1);
+  Limits limits;
+  limits.memory_tokens =
+      reader.Integer("memory_tokens", kTokenRange, plain_tokens);
+  limits.max_output_tokens =
+      reader.Integer("max_output_tokens", kTokenRange, plain_tokens);
+  limits.in_flight = reader.Integer("in_flight", kInFlightRange);
+  limits.cold_in_flight = reader.Integer("cold_in_flight", kInFlightRange);
+  limits.max_body_bytes =
+      reader.Integer("max_body_bytes", kBodyRange, kDefaultBodyBytes);
+  if (limits.cold_in_flight > limits.in_flight) {
+    reader.Reject("cold_in_flight", std::to_string(limits.cold_in_flight),
+                  "at most in_flight");
+  }
+  if (is_model && limits.max_output_tokens > limits.memory_tokens) {
+    reader.Reject("max_output_tokens", std::to_string(limits.max_output_tokens),
+                  "at most memory_tokens");
+  }
+  reader.Finish();
+  return limits;
+}
+
+Route ReadRoute(const Tree& tree, const std::string& path, Faults& faults) {
+  ObjectReader reader(tree, path, faults);
+  Route route;
+  route.path = reader.String("path");
+  route.idempotent = reader.Boolean("idempotent");
+  route.deadline_ms = reader.Integer("deadline_ms", kDeadlineRange);
+  if (!route.path.empty() && route.path.front() != '/') {
+    reader.Reject("path", "\"" + route.path + "\"",
+                  "a path that starts with /");
+  }
+  reader.Finish();
+  return route;
+}
+
+Service ReadService(const Tree& tree, const std::string& path, Faults& faults) {
+  ObjectReader reader(tree, path, faults);
+  Service service;
+  service.name = reader.String("name");
+  const std::string kind = reader.String("kind");
+  const std::optional<ServiceKind> found = kServiceKindNames.Find(kind);
+  if (!found.has_value() && !kind.empty()) {
+    reader.Reject("kind", "\"" + kind + "\"", "\"model\" or \"plain\"");
+  }
+  service.kind = found.value_or(ServiceKind::kModel);
+  service.groups = reader.Integer("groups", kGroupRange);
+  service.hosts_per_group =
+      reader.Integer("hosts_per_group", kHostsPerGroupRange, 1);
+  service.retry_percent =
+      reader.Integer("retry_percent", kPercentRange, kDefaultRetryPercent);
+  const Tree* limits = reader.Object("limits");
+  if (limits != nullptr) {
+    service.limits =
+        ReadLimits(*limits, reader.PathOf("limits"), service.kind, faults);
+  }
+  const std::vector<const Tree*> routes = reader.Array("routes");
+  for (std::size_t index = 0; index < routes.size(); ++index) {
+    const std::string place = ElementPath(reader.PathOf("routes"), index);
+    service.routes.push_back(ReadRoute(*routes[index], place, faults));
+  }
+  reader.Finish();
+  return service;
+}
+
+Team ReadTeam(const Tree& tree, const std::string& path, Faults& faults) {
+  ObjectReader reader(tree, path, faults);
+  Team team;
+  team.name = reader.String("name");
+  team.requests_per_second = reader.Integer("requests_per_second", kRateRange);
+  team.in_flight = reader.Integer("in_flight", kInFlightRange);
+  reader.Finish();
+  return team;
+}
+
+DataCentre ReadDataCentre(const Tree& tree, const std::string& path,
+                          Faults& faults) {
+  ObjectReader reader(tree, path, faults);
+  DataCentre data_centre;
+  data_centre.name = reader.String("name");
+  data_centre.region = reader.String("region");
+  reader.Finish();
+  return data_centre;
+}
+
+template <typename Item>
+using ReadItem = Item (*)(const Tree&, const std::string&, Faults&);
+
+template <typename Item>
+std::vector<Item> ReadNamed(ObjectReader& reader, const std::string& key,
+                            ReadItem<Item> read, Faults& faults) {
+  std::vector<Item> items;
+  std::set<std::string> names;
+  const std::vector<const Tree*> elements = reader.Array(key);
+  for (std::size_t index = 0; index < elements.size(); ++index) {
+    const std::string place = ElementPath(reader.PathOf(key), index);
+    items.push_back(read(*elements[index], place, faults));
+    const std::string& name = items.back().name;
+    if (!name.empty() && !names.insert(name).second) {
+      faults.push_back({place + ".name", "\"" + name + "\" a second time",
+                        "a name used once", 0});
+    }
+  }
+  return items;
+}
+
+void CheckRoutes(const std::vector<Service>& services, Faults& faults) {
+  std::set<std::string> paths;
+  for (std::size_t index = 0; index < services.size(); ++index) {
+    const std::vector<Route>& routes = services[index].routes;
+    for (std::size_t place = 0; place < routes.size(); ++place) {
+      if (!paths.insert(routes[place].path).second) {
+        const std::string service = ElementPath("services", index);
+        faults.push_back({ElementPath(service + ".routes", place) + ".path",
+                          "\"" + routes[place].path + "\" a second time",
+                          "a path that belongs to one route", 0});
+      }
+    }
+  }
+}
+
+}  // namespace
+
+tl::expected<Document, Faults> ParseDocument(const std::string& text) {
+  const tl::expected<Tree, Faults> tree = ParseJson(text);
+  if (!tree.has_value()) {
+    return tl::make_unexpected(tree.error());
+  }
+  Faults faults;
+  ObjectReader reader(*tree, "", faults);
+  Document document;
+  document.environment = reader.String("environment");
+  document.data_centres =
+      ReadNamed<DataCentre>(reader, "data_centres", ReadDataCentre, faults);
+  document.services =
+      ReadNamed<Service>(reader, "services", ReadService, faults);
+  document.teams = ReadNamed<Team>(reader, "teams", ReadTeam, faults);
+  CheckRoutes(document.services, faults);
+  reader.Finish();
+  if (!faults.empty()) {
+    return tl::make_unexpected(faults);
+  }
+  return document;
+}
+
+}  // namespace gooseberryturn::config
--- /dev/null
+++ b/src/config/reader.cc
@@ -0,0 +1,283 @@
+#include "gooseberryturn/config/reader.h"
+
+#include <cxxtools/jsondeserializer.h>
+
+#include <algorithm>
+#include <charconv>
+#include <exception>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+namespace gooseberryturn::config {
+
+namespace {
+
+constexpr std::size_t kMaxShownCharacters = 40;
+
+std::string Show(const Tree& value) {
+  if (value.category() == Tree::Object) {
+    return "an object";
+  }
+  if (value.category() == Tree::Array) {
+    return "an array";
+  }
+  if (value.typeName() == "null") {
+    return "null";
+  }
+  std::string text;
+  value.getValue(text);
+  if (text.size() > kMaxShownCharacters) {
+    text = text.substr(0, kMaxShownCharacters) + "...";
+  }
+  return value.typeName() == "string" ? "\"" + text + "\"" : text;
+}
+
+std::size_t EditDistance(const std::string& left, const std::string& right) {
+  std::vector<std::size_t> row(right.size() + 1);
+  for (std::size_t column = 0; column <= right.size(); ++column) {
+    row[column] = column;
+  }
+  for (std::size_t line = 1; line <= left.size(); ++line) {
+    std::size_t diagonal = row[0];
+    row[0] = line;
+    for (std::size_t column = 1; column <= right.size(); ++column) {
+      const std::size_t substitution =
+          diagonal + (left[line - 1] == right[column - 1] ? 0 : 1);
+      diagonal = row[column];
+      row[column] =
+          std::min({row[column] + 1, row[column - 1] + 1, substitution});
+    }
+  }
+  return row[right.size()];
+}
+
+std::string Nearest(const std::string& key,
+                    const std::set<std::string>& known) {
+  std::string best;
+  std::size_t best_distance = key.size();
+  for (const std::string& candidate : known) {
+    const std::size_t distance = EditDistance(key, candidate);
+    if (distance < best_distance) {
+      best_distance = distance;
+      best = candidate;
+    }
+  }
+  return best;
+}
+
+int LineOf(const std::string& message) {
+  const std::string marker = "line ";
+  const std::size_t start = message.find(marker);
+  if (start == std::string::npos) {
+    return 0;
+  }
+  int line = 0;
+  std::from_chars(message.data() + start + marker.size(),
+                  message.data() + message.size(), line);
+  return line;
+}
+
+/// Skips blanks and comments; returns true when nothing else is left.
+bool OnlyBlanksLeft(std::istream& input) {
+  std::string rest((std::istreambuf_iterator<char>(input)),
+                   std::istreambuf_iterator<char>());
+  std::size_t position = 0;
+  while (position < rest.size()) {
+    if (std::isspace(static_cast<unsigned char>(rest[position])) != 0) {
+      ++position;
+    } else if (rest.compare(position, 2, "//") == 0) {
+      position = std::min(rest.find('\n', position), rest.size());
+    } else if (rest.compare(position, 2, "/*") == 0) {
+      const std::size_t end = rest.find("*/", position + 2);
+      if (end == std::string::npos) {
+        return false;
+      }
+      position = end + 2;
+    } else {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+std::string ToString(const Fault& fault, std::string_view file) {
+  std::string text(file);
+  if (fault.line > 0) {
+    text += ":" + std::to_string(fault.line);
+  }
+  text += ": ";
+  if (!fault.path.empty()) {
+    text += fault.path + ": ";
+  }
+  return text + "found " + fault.found + ", expected " + fault.expected;
+}
+
+tl::expected<Tree, Faults> ParseJson(const std::string& text) {
+  std::istringstream input(text);
+  try {
+    cxxtools::JsonDeserializer deserializer(input);
+    Tree tree;
+    deserializer.deserialize(tree);
+    if (!OnlyBlanksLeft(input)) {
+      return tl::make_unexpected(
+          Faults{{"", "text after the end", "one JSON object", 0}});
+    }
+    if (tree.category() != Tree::Object) {
+      return tl::make_unexpected(
+          Faults{{"", Show(tree), "one JSON object", 0}});
+    }
+    return tree;
+  } catch (const std::exception& error) {
+    const std::string message = error.what();
+    return tl::make_unexpected(
+        Faults{{"", message, "JSON with comments", LineOf(message)}});
+  }
+}
+
+tl::expected<std::string, Faults> ReadFile(const std::string& path) {
+  std::ifstream input(path, std::ios::binary);
+  if (!input) {
+    return tl::make_unexpected(Faults{{"", "no readable file", "a file", 0}});
+  }
+  std::ostringstream text;
+  text << input.rdbuf();
+  return text.str();
+}
+
+std::string ElementPath(const std::string& path, std::size_t index) {
+  return path + "[" + std::to_string(index) + "]";
+}
+
+ObjectReader::ObjectReader(const Tree& tree, std::string path, Faults& faults)
+    : tree(tree), path(std::move(path)), faults(faults) {}
+
+std::string ObjectReader::PathOf(const std::string& key) const {
+  return this->path.empty() ? key : this->path + "." + key;
+}
+
+void ObjectReader::Reject(const std::string& key, std::string found,
+                          std::string expected) {
+  this->faults.push_back(
+      {this->PathOf(key), std::move(found), std::move(expected), 0});
+}
+
+const Tree* ObjectReader::Find(const std::string& key, bool required,
+                               std::string_view expected) {
+  this->known.insert(key);
+  const Tree* member = this->tree.findMember(key);
+  if (member == nullptr && required) {
+    this->Reject(key, "nothing", std::string(expected));
+  }
+  return member;
+}
+
+std::int64_t ObjectReader::Integer(const std::string& key, Range range,
+                                   std::optional<std::int64_t> fallback) {
+  const std::string expected = "an integer from " + std::to_string(range.min) +
+                               " to " + std::to_string(range.max);
+  const Tree* member = this->Find(key, !fallback.has_value(), expected);
+  if (member == nullptr) {
+    return fallback.value_or(range.min);
+  }
+  if (member->typeName() != "int") {
+    this->Reject(key, Show(*member), expected);
+    return range.min;
+  }
+  std::string digits;
+  member->getValue(digits);
+  std::int64_t value = 0;
+  const std::from_chars_result parsed =
+      std::from_chars(digits.data(), digits.data() + digits.size(), value);
+  const bool is_read = parsed.ec == std::errc();
+  if (!is_read || value < range.min || value > range.max) {
+    this->Reject(key, digits, expected);
+    return range.min;
+  }
+  return value;
+}
+
+std::string ObjectReader::String(const std::string& key,
+                                 const std::optional<std::string>& fallback) {
+  const std::string expected = "a non-empty string";
+  const Tree* member = this->Find(key, !fallback.has_value(), expected);
+  if (member == nullptr) {
+    return fallback.value_or("");
+  }
+  std::string value;
+  if (member->typeName() == "string") {
+    member->getValue(value);
+  }
+  if (value.empty()) {
+    this->Reject(key, Show(*member), expected);
+  }
+  return value;
+}
+
+bool ObjectReader::Boolean(const std::string& key,
+                           std::optional<bool> fallback) {
+  const std::string expected = "true or false";
+  const Tree* member = this->Find(key, !fallback.has_value(), expected);
+  if (member == nullptr) {
+    return fallback.value_or(false);
+  }
+  if (member->typeName() != "bool") {
+    this->Reject(key, Show(*member), expected);
+    return false;
+  }
+  bool value = false;
+  member->getValue(value);
+  return value;
+}
+
+const Tree* ObjectReader::Object(const std::string& key) {
+  const std::string expected = "an object";
+  const Tree* member = this->Find(key, true, expected);
+  if (member != nullptr && member->category() != Tree::Object) {
+    this->Reject(key, Show(*member), expected);
+    return nullptr;
+  }
+  return member;
+}
+
+std::vector<const Tree*> ObjectReader::Array(const std::string& key,
+                                             bool optional) {
+  const std::string expected = "an array";
+  std::vector<const Tree*> elements;
+  const Tree* member = this->Find(key, !optional, expected);
+  if (member == nullptr) {
+    return elements;
+  }
+  if (member->category() != Tree::Array) {
+    this->Reject(key, Show(*member), expected);
+    return elements;
+  }
+  for (auto element = member->begin(); element != member->end(); ++element) {
+    elements.push_back(&*element);
+  }
+  return elements;
+}
+
+void ObjectReader::Finish() {
+  if (this->tree.category() != Tree::Object) {
+    this->faults.push_back({this->path, Show(this->tree), "an object", 0});
+    return;
+  }
+  std::set<std::string> seen;
+  for (auto member = this->tree.begin(); member != this->tree.end(); ++member) {
+    const std::string& key = member->name();
+    if (!seen.insert(key).second) {
+      this->Reject(key, "the key a second time", "each key once");
+    }
+    if (this->known.count(key) == 0) {
+      const std::string nearest = Nearest(key, this->known);
+      this->Reject(
+          key, "an unknown key",
+          nearest.empty() ? "a known key" : "a known key, such as " + nearest);
+    }
+  }
+}
+
+}  // namespace gooseberryturn::config
--- /dev/null
+++ b/src/control/registry.cc
@@ -0,0 +1,82 @@
+#include "gooseberryturn/control/registry.h"
+
+#include <utility>
+
+namespace gooseberryturn::control {
+
+void Registry::StartLeading(TimePoint now) {
+  this->known.clear();
+  this->settled_at = now + this->lease;
+}
+
+void Registry::Heard(const protocol::Renew& renew, TimePoint now) {
+  Watcher& watcher = this->known[renew.host];
+  watcher.last = renew;
+  watcher.lost_at = now + this->lease;
+}
+
+void Registry::Forget(TimePoint now) {
+  for (auto watcher = this->known.begin(); watcher != this->known.end();) {
+    const bool is_gone = now >= watcher->second.lost_at + kForgetAfter;
+    watcher = is_gone ? this->known.erase(watcher) : std::next(watcher);
+  }
+}
+
+std::int64_t Registry::EntryCount(TimePoint now) const {
+  std::int64_t count = 0;
+  for (const std::pair<const std::string, Watcher>& entry : this->known) {
+    const bool is_entry = entry.second.last.role == protocol::Role::kEntry;
+    count += is_entry && this->IsAlive(entry.second, now) ? 1 : 0;
+  }
+  return count;
+}
+
+std::vector<std::string> Registry::Behind(std::uint64_t index,
+                                          TimePoint now) const {
+  std::vector<std::string> hosts;
+  for (const std::pair<const std::string, Watcher>& entry : this->known) {
+    const Watcher& watcher = entry.second;
+    if (this->IsAlive(watcher, now) && watcher.last.have_index < index) {
+      hosts.push_back(entry.first);
+    }
+  }
+  return hosts;
+}
+
+placement::Inventory Registry::Inventory(const State& state,
+                                         TimePoint now) const {
+  placement::Inventory inventory;
+  for (const auto& slot : state.services().slots) {
+    inventory.services[slot.first] = slot.second.item;
+  }
+  std::map<std::string, bool> is_assigned;
+  for (const auto& slot : state.groups().slots) {
+    inventory.groups[slot.first] = slot.second.item;
+    for (const protocol::Member& member : slot.second.item.members) {
+      is_assigned[member.host] = true;
+    }
+  }
+  for (const std::pair<const std::string, Watcher>& entry : this->known) {
+    const protocol::Renew& renew = entry.second.last;
+    if (renew.role != protocol::Role::kAgent) {
+      continue;
+    }
+    placement::Host host;
+    host.name = entry.first;
+    host.service = renew.report.service;
+    host.data_centre = renew.data_centre;
+    host.fabric_domain = renew.report.fabric_domain;
+    host.incarnation = renew.incarnation;
+    host.link = renew.report.link;
+    host.is_usable = this->IsAlive(entry.second, now) &&
+                     renew.report.target_ready && !renew.report.drained;
+    host.is_free = is_assigned.count(host.name) == 0 &&
+                   renew.have_index >= state.ReleasedAt(host.name) &&
+                   !renew.report.leaving &&
+                   state.drained_hosts().count(host.name) == 0;
+    inventory.hosts[host.name] = std::move(host);
+  }
+  return inventory;
+}
+
+}  // namespace gooseberryturn::control
--- /dev/null
+++ b/src/control/server.cc
@@ -0,0 +1,280 @@
+#include "gooseberryturn/control/server.h"
+
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "gooseberryturn/observe/log.h"
+#include "gooseberryturn/protocol/codec.h"
+
+namespace gooseberryturn::control {
+
+using observe::Level;
+using observe::LogEvent;
+
+namespace {
+
+Viewer ViewerOf(const protocol::Renew& renew) {
+  return {renew.role, renew.host, renew.report.service, renew.data_centre};
+}
+
+}  // namespace
+
+std::int64_t WallClockMs() {
+  const std::chrono::system_clock::duration since_epoch =
+      std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<Milliseconds>(since_epoch).count();
+}
+
+Server::Server(boost::asio::io_context& context,
+               const config::ControlSettings& settings, Replica& replica,
+               observe::Metrics& metrics)
+    : timer(context),
+      replica(replica),
+      metrics(metrics),
+      view_lease(Milliseconds(settings.view_lease_ms)),
+      hosts(Milliseconds(settings.view_lease_ms) +
+            Milliseconds(settings.max_clock_drift_ms)) {}
+
+void Server::Start(link::Listener& listener) {
+  const auto serve = [this, &listener](const char* path, auto method) {
+    listener.ServeMessage(
+        path, [this, method](const std::shared_ptr<link::Stream>& stream,
+                             std::string_view payload) {
+          (this->*method)(stream, payload);
+        });
+  };
+  serve(protocol::kRenewPath, &Server::OnRenew);
+  serve(protocol::kClaimPath, &Server::OnClaim);
+  serve(protocol::kSettlePath, &Server::OnSettle);
+  serve(protocol::kDeathPath, &Server::OnDeath);
+  this->replica.on_lead = [this] { this->hosts.StartLeading(Clock::now()); };
+  this->replica.on_applied = [this] { this->AnswerChanged(); };
+  this->Tick();
+}
+
+std::string Server::LeaderHint() const {
+  const consensus::Peer* leader = this->replica.Leader();
+  return leader == nullptr ? std::string() : ToString(leader->link);
+}
+
+// -------------------------------------------------------------------- views
+
+void Server::OnRenew(const std::shared_ptr<link::Stream>& stream,
+                     std::string_view payload) {
+  const std::optional<protocol::Renew> renew =
+      protocol::Decode<protocol::Renew>(payload);
+  if (!renew.has_value()) {
+    stream->Cancel();
+    return;
+  }
+  const TimePoint now = Clock::now();
+  Held request = {stream, *renew, now + kHold};
+  if (!this->replica.HasLease(now)) {
+    this->Answer(request);
+    return;
+  }
+  this->hosts.Heard(*renew, now);
+  const bool is_current =
+      renew->have_index != 0 &&
+      renew->have_index >= this->replica.state().view_index();
+  if (is_current) {
+    this->held.push_back(std::move(request));
+  } else {
+    this->Answer(request);
+  }
+  this->CheckInForce(now);
+}
+
+void Server::Answer(const Held& request) {
+  const TimePoint now = Clock::now();
+  protocol::RenewReply reply;
+  reply.granted = this->replica.HasLease(now);
+  if (reply.granted) {
+    // The lease counts at the holder from when it sent the renewal, and here
+    // from now on.
+    this->hosts.Heard(request.renew, now);
+    reply.lease_ms =
+        std::chrono::duration_cast<Milliseconds>(this->view_lease).count();
+    reply.entries = this->hosts.EntryCount(now);
+    reply.drain =
+        this->replica.state().drained_hosts().count(request.renew.host) > 0;
+    reply.delta = this->replica.state().DeltaSince(request.renew.have_index,
+                                                   ViewerOf(request.renew));
+  } else {
+    reply.leader_hint = this->LeaderHint();
+  }
+  const std::string bytes = protocol::Encode(reply);
+  this->metrics.Add(observe::Metric::kRenewals);
+  this->metrics.Add(observe::Metric::kRenewBytes,
+                    static_cast<std::int64_t>(bytes.size()));
+  request.stream->Send(
+      protocol::EncodeFrame(protocol::FrameType::kMessage, bytes));
+  request.stream->Finish();
+}
+
+void Server::AnswerChanged() {
+  const std::uint64_t view_index = this->replica.state().view_index();
+  for (auto request = this->held.begin(); request != this->held.end();) {
+    if (request->renew.have_index < view_index) {
+      this->Answer(*request);
+      request = this->held.erase(request);
+    } else {
+      ++request;
+    }
+  }
+}
+
+// ------------------------------------------------------------------- claims
+
+void Server::OnClaim(const std::shared_ptr<link::Stream>& stream,
+                     std::string_view payload) {
+  const std::optional<protocol::Claim> claim =
+      protocol::Decode<protocol::Claim>(payload);
+  if (!claim.has_value()) {
+    stream->Cancel();
+    return;
+  }
+  this->replica.Propose(
+      CommandKind::kClaim, ClaimKey{*claim, WallClockMs()},
+      [stream](const Result<CommandResult>& result) {
+        if (result.has_value()) {
+          link::Reply(*stream, result->claim);
+        } else if (result.error().outcome == Outcome::kNotRun) {
+          link::Reply(*stream, protocol::ClaimReply{});
+        } else {
+          stream->Cancel();
+        }
+      });
+}
+
+void Server::OnSettle(const std::shared_ptr<link::Stream>& stream,
+                      std::string_view payload) {
+  const std::optional<protocol::Settle> settle =
+      protocol::Decode<protocol::Settle>(payload);
+  if (!settle.has_value()) {
+    stream->Cancel();
+    return;
+  }
+  this->replica.Propose(
+      CommandKind::kSettle, SettleKey{*settle, WallClockMs()},
+      [stream](const Result<CommandResult>& result) {
+        if (result.has_value()) {
+          link::Reply(*stream, result->settle);
+        } else if (result.error().outcome == Outcome::kNotRun) {
+          link::Reply(*stream, protocol::SettleReply{});
+        } else {
+          stream->Cancel();
+        }
+      });
+}
+
+void Server::OnDeath(const std::shared_ptr<link::Stream>& stream,
+                     std::string_view payload) {
+  const std::optional<ReportDeath> report =
+      protocol::Decode<ReportDeath>(payload);
+  if (!report.has_value()) {
+    stream->Cancel();
+    return;
+  }
+  this->replica.Propose(CommandKind::kReportDeath, *report,
+                        [stream](const Result<CommandResult>& result) {
+                          protocol::SettleReply reply;
+                          reply.accepted = result.has_value();
+                          reply.is_leader = result.has_value();
+                          link::Reply(*stream, reply);
+                        });
+}
+
+// ----------------------------------------------------------------- planning
+
+void Server::Tick() {
+  const TimePoint now = Clock::now();
+  for (auto request = this->held.begin(); request != this->held.end();) {
+    const bool is_due = now >= request->answer_at;
+    if (is_due && !request->stream->is_closed()) {
+      this->Answer(*request);
+    }
+    request = is_due ? this->held.erase(request) : std::next(request);
+  }
+  this->CheckInForce(now);
+  if (now >= this->plan_at) {
+    this->plan_at = now + kPlanInterval;
+    this->PlanGroups(now);
+  }
+  this->timer.expires_after(Replica::kTickInterval);
+  this->timer.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      this->Tick();
+    }
+  });
+}
+
+void Server::PlanGroups(TimePoint now) {
+  this->metrics.Set(
+      observe::Metric::kGroups,
+      static_cast<std::int64_t>(this->replica.state().groups().slots.size()));
+  this->metrics.Set(
+      observe::Metric::kClaims,
+      static_cast<std::int64_t>(this->replica.state().claims().size()));
+  const bool may_plan = this->replica.HasLease(now) &&
+                        this->hosts.IsSettled(now) && this->open_moves == 0;
+  if (!may_plan) {
+    return;
+  }
+  this->hosts.Forget(now);
+  const placement::Inventory inventory =
+      this->hosts.Inventory(this->replica.state(), now);
+  for (const placement::Move& move :
+       placement::Plan(inventory, placement::Policy::kBestFit)) {
+    this->ProposeMove(move);
+  }
+}
+
+void Server::ProposeMove(const placement::Move& move) {
+  this->open_moves += 1;
+  const std::string group = move.group.name;
+  const std::size_t members = move.group.members.size();
+  const Replica::OnApplied on_applied =
+      [this, group, members](const Result<CommandResult>& result) {
+        this->open_moves -= 1;
+        const bool is_done = result.has_value() && result->change.accepted;
+        LogEvent(is_done ? Level::kInfo : Level::kWarn, "",
+                 members == 0 ? "group_removed" : "group_assigned",
+                 {{"group", group},
+                  {"members", std::to_string(members)},
+                  {"accepted", is_done ? "yes" : "no"}});
+      };
+  if (members == 0) {
+    this->replica.Propose(CommandKind::kRemoveGroup,
+                          RemoveGroup{group, move.replaces}, on_applied);
+  } else {
+    this->replica.Propose(CommandKind::kAssignGroup,
+                          AssignGroup{move.group, move.replaces}, on_applied);
+  }
+}
+
+// ----------------------------------------------------------------- in force
+
+void Server::WhenInForce(
+    std::uint64_t index, TimePoint deadline,
+    std::function<void(const std::vector<std::string>&)> on_done) {
+  this->in_force.push_back({index, deadline, std::move(on_done)});
+  this->CheckInForce(Clock::now());
+}
+
+void Server::CheckInForce(TimePoint now) {
+  for (auto change = this->in_force.begin(); change != this->in_force.end();) {
+    const std::vector<std::string> behind =
+        this->hosts.Behind(change->index, now);
+    const bool is_done = behind.empty() && this->hosts.IsSettled(now);
+    if (!is_done && now < change->deadline) {
+      ++change;
+      continue;
+    }
+    change->on_done(behind);
+    change = this->in_force.erase(change);
+  }
+}
+
+}  // namespace gooseberryturn::control
--- /dev/null
+++ b/src/control/state.cc
@@ -0,0 +1,392 @@
+#include "gooseberryturn/control/state.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "gooseberryturn/protocol/codec.h"
+
+namespace gooseberryturn::control {
+
+using protocol::Decode;
+
+namespace {
+
+template <typename Item>
+std::string Encoded(const Item& item) {
+  return protocol::Encode(item);
+}
+
+/// Makes `items` hold exactly `wanted` and stamps only what differs.
+template <typename Item>
+void Replace(const std::vector<Item>& wanted, std::uint64_t index,
+             Versioned<Item>& items) {
+  std::set<std::string> names;
+  for (const Item& item : wanted) {
+    names.insert(item.name);
+    const Item* old = items.Find(item.name);
+    if (old == nullptr || Encoded(*old) != Encoded(item)) {
+      items.Put(item, index);
+    }
+  }
+  std::vector<std::string> gone;
+  for (const auto& slot : items.slots) {
+    if (names.count(slot.first) == 0) {
+      gone.push_back(slot.first);
+    }
+  }
+  for (const std::string& name : gone) {
+    items.Remove(name, index);
+  }
+}
+
+bool HasMember(const protocol::Group& group, const std::string& host) {
+  return std::any_of(
+      group.members.begin(), group.members.end(),
+      [&host](const protocol::Member& member) { return member.host == host; });
+}
+
+/// Keeps only what an agent needs: its own service, data centre and group.
+void Narrow(const Viewer& viewer, protocol::ViewDelta& delta) {
+  const auto drop = [](auto& items, const auto& is_wanted) {
+    items.erase(std::remove_if(items.begin(), items.end(),
+                               [&is_wanted](const auto& item) {
+                                 return !is_wanted(item);
+                               }),
+                items.end());
+  };
+  delta.teams.clear();
+  delta.removed_teams.clear();
+  delta.suspects.clear();
+  delta.removed_suspects.clear();
+  drop(delta.services, [&viewer](const config::Service& service) {
+    return service.name == viewer.service;
+  });
+  drop(delta.data_centres, [&viewer](const protocol::DataCentreState& place) {
+    return place.name == viewer.data_centre;
+  });
+  for (const protocol::Group& group : delta.groups) {
+    const bool was_own = group.service == viewer.service;
+    if (was_own && !HasMember(group, viewer.host) && delta.from != 0) {
+      delta.removed_groups.push_back(group.name);
+    }
+  }
+  drop(delta.groups, [&viewer](const protocol::Group& group) {
+    return HasMember(group, viewer.host);
+  });
+}
+
+}  // namespace
+
+// ----------------------------------------------------------------- commands
+
+CommandResult State::Apply(std::uint64_t index, const std::string& bytes) {
+  this->applied = index;
+  CommandResult result;
+  const std::optional<Command> command = Decode<Command>(bytes);
+  if (!command.has_value()) {
+    result.change = this->Reject("not a command");
+    return result;
+  }
+  const std::string& body = command->body;
+  switch (command->kind) {
+    case CommandKind::kApplyDocument:
+      result.change = this->OnDocument(
+          Decode<ApplyDocument>(body).value_or(ApplyDocument{}));
+      break;
+    case CommandKind::kSetDataCentre:
+      result.change = this->OnDataCentre(
+          Decode<SetDataCentre>(body).value_or(SetDataCentre{}));
+      break;
+    case CommandKind::kSetDrain:
+      result.change =
+          this->OnDrain(Decode<SetDrain>(body).value_or(SetDrain{}));
+      break;
+    case CommandKind::kAssignGroup:
+      result.change =
+          this->OnAssign(Decode<AssignGroup>(body).value_or(AssignGroup{}));
+      break;
+    case CommandKind::kRemoveGroup:
+      result.change =
+          this->OnRemove(Decode<RemoveGroup>(body).value_or(RemoveGroup{}));
+      break;
+    case CommandKind::kClaim: {
+      const ClaimKey claim = Decode<ClaimKey>(body).value_or(ClaimKey{});
+      result.claim = this->claim_table.Claim(claim.claim, claim.now_ms);
+      break;
+    }
+    case CommandKind::kSettle: {
+      const SettleKey settle = Decode<SettleKey>(body).value_or(SettleKey{});
+      result.settle = this->claim_table.Settle(settle.settle, settle.now_ms);
+      break;
+    }
+    case CommandKind::kReportDeath:
+      result.change =
+          this->OnDeath(Decode<ReportDeath>(body).value_or(ReportDeath{}));
+      break;
+    case CommandKind::kClearQuarantine:
+      result.change = this->OnClear(
+          Decode<ClearQuarantine>(body).value_or(ClearQuarantine{}));
+      break;
+  }
+  return result;
+}
+
+ChangeResult State::Accept() const {
+  return {true, this->version, this->applied, std::string()};
+}
+
+ChangeResult State::Reject(const std::string& message) const {
+  return {false, this->version, this->applied, message};
+}
+
+const ChangeResult* State::FindChange(const std::string& change_id) const {
+  const auto found = this->changes.find(change_id);
+  return found == this->changes.end() ? nullptr : &found->second;
+}
+
+ChangeResult State::ApplyOnce(const std::string& change_id,
+                              ChangeResult result) {
+  if (change_id.empty()) {
+    return result;
+  }
+  this->changes[change_id] = result;
+  this->change_order.push_back(change_id);
+  if (this->change_order.size() > kMaxChanges) {
+    this->changes.erase(this->change_order.front());
+    this->change_order.pop_front();
+  }
+  return result;
+}
+
+ChangeResult State::OnDocument(const ApplyDocument& command) {
+  const ChangeResult* first = this->FindChange(command.change_id);
+  if (first != nullptr) {
+    return *first;
+  }
+  if (command.base != this->version) {
+    return this->ApplyOnce(
+        command.change_id,
+        this->Reject("base version " + std::to_string(command.base) +
+                     " is not the current version " +
+                     std::to_string(this->version)));
+  }
+  const tl::expected<config::Document, config::Faults> document =
+      config::ParseDocument(command.text);
+  if (!document.has_value()) {
+    return this->ApplyOnce(command.change_id,
+                           this->Reject("the document has faults"));
+  }
+  this->version += 1;
+  this->text = command.text;
+  this->view_changed = this->applied;
+  this->PutDocument(*document);
+  return this->ApplyOnce(command.change_id, this->Accept());
+}
+
+void State::PutDocument(const config::Document& document) {
+  Replace(document.services, this->applied, this->service_items);
+  Replace(document.teams, this->applied, this->team_items);
+  std::vector<protocol::DataCentreState> places;
+  for (const config::DataCentre& place : document.data_centres) {
+    const protocol::DataCentreState* old =
+        this->data_centre_items.Find(place.name);
+    // Being out is the operators' word alone: no document changes it.
+    const bool is_out = old != nullptr && old->out;
+    places.push_back({place.name, place.region, is_out});
+  }
+  for (const auto& slot : this->data_centre_items.slots) {
+    const bool is_dropped =
+        std::none_of(places.begin(), places.end(),
+                     [&slot](const protocol::DataCentreState& place) {
+                       return place.name == slot.first;
+                     });
+    if (is_dropped && slot.second.item.out) {
+      places.push_back(slot.second.item);
+    }
+  }
+  Replace(places, this->applied, this->data_centre_items);
+}
+
+ChangeResult State::OnDataCentre(const SetDataCentre& command) {
+  const ChangeResult* first = this->FindChange(command.change_id);
+  if (first != nullptr) {
+    return *first;
+  }
+  const protocol::DataCentreState* place =
+      this->data_centre_items.Find(command.name);
+  if (place == nullptr) {
+    return this->ApplyOnce(command.change_id,
+                           this->Reject("unknown data centre " + command.name));
+  }
+  std::size_t left = 0;
+  for (const auto& slot : this->data_centre_items.slots) {
+    left += !slot.second.item.out && slot.first != command.name ? 1 : 0;
+  }
+  if (command.out && left == 0 && !command.force) {
+    return this->ApplyOnce(
+        command.change_id,
+        this->Reject(command.name + " is the last data centre; use --force"));
+  }
+  protocol::DataCentreState next = *place;
+  next.out = command.out;
+  this->data_centre_items.Put(next, this->applied);
+  this->view_changed = this->applied;
+  return this->ApplyOnce(command.change_id, this->Accept());
+}
+
+ChangeResult State::OnDrain(const SetDrain& command) {
+  const ChangeResult* first = this->FindChange(command.change_id);
+  if (first != nullptr) {
+    return *first;
+  }
+  if (command.drain) {
+    this->drained.insert(command.host);
+  } else {
+    this->drained.erase(command.host);
+  }
+  return this->ApplyOnce(command.change_id, this->Accept());
+}
+
+// ------------------------------------------------------------------- groups
+
+void State::Release(const std::string& group) {
+  const protocol::Group* old = this->group_items.Find(group);
+  if (old == nullptr) {
+    return;
+  }
+  for (const protocol::Member& member : old->members) {
+    this->host_groups.erase(member.host);
+    this->released_at[member.host] = this->applied;
+  }
+}
+
+ChangeResult State::OnAssign(const AssignGroup& command) {
+  const protocol::Group* old = this->group_items.Find(command.group.name);
+  const std::uint64_t fence = old == nullptr ? 0 : old->fence;
+  if (fence != command.replaces || command.group.members.empty()) {
+    return this->Reject("the group changed in the meantime");
+  }
+  std::set<std::string> hosts;
+  for (const protocol::Member& member : command.group.members) {
+    const auto owner = this->host_groups.find(member.host);
+    const bool is_taken =
+        owner != this->host_groups.end() && owner->second != command.group.name;
+    if (is_taken || !hosts.insert(member.host).second) {
+      return this->Reject("host " + member.host + " belongs to a group");
+    }
+  }
+  this->Release(command.group.name);
+  protocol::Group group = command.group;
+  group.fence = this->applied;
+  for (const protocol::Member& member : group.members) {
+    this->host_groups[member.host] = group.name;
+    this->released_at.erase(member.host);
+  }
+  this->group_items.Put(group, this->applied);
+  this->view_changed = this->applied;
+  return this->Accept();
+}
+
+ChangeResult State::OnRemove(const RemoveGroup& command) {
+  const protocol::Group* old = this->group_items.Find(command.id);
+  if (old == nullptr || old->fence != command.fence) {
+    return this->Reject("the group changed in the meantime");
+  }
+  this->Release(command.id);
+  this->group_items.Remove(command.id, this->applied);
+  this->view_changed = this->applied;
+  return this->Accept();
+}
+
+std::uint64_t State::ReleasedAt(const std::string& host) const {
+  const auto found = this->released_at.find(host);
+  return found == this->released_at.end() ? 0 : found->second;
+}
+
+// --------------------------------------------------------------- quarantine
+
+void State::DropSuspect(const std::string& fingerprint) {
+  this->suspect_items.Remove(fingerprint, this->applied);
+  this->deaths.erase(fingerprint);
+  this->suspect_order.erase(std::remove(this->suspect_order.begin(),
+                                        this->suspect_order.end(), fingerprint),
+                            this->suspect_order.end());
+}
+
+ChangeResult State::OnDeath(const ReportDeath& command) {
+  for (const std::string& fingerprint : command.fingerprints) {
+    const protocol::Suspect* known = this->suspect_items.Find(fingerprint);
+    if (command.death == 0) {
+      const bool is_cleared =
+          known != nullptr && known->deaths < protocol::kQuarantineDeaths;
+      if (is_cleared) {
+        this->DropSuspect(fingerprint);
+      }
+      continue;
+    }
+    if (known == nullptr) {
+      this->suspect_order.push_back(fingerprint);
+    }
+    std::set<std::uint64_t>& seen = this->deaths[fingerprint];
+    seen.insert(command.death);
+    this->suspect_items.Put({fingerprint, seen.size()}, this->applied);
+    if (this->suspect_order.size() > kMaxSuspects) {
+      const std::string oldest = this->suspect_order.front();
+      this->DropSuspect(oldest);
+    }
+  }
+  this->view_changed = this->applied;
+  return this->Accept();
+}
+
+ChangeResult State::OnClear(const ClearQuarantine& command) {
+  const ChangeResult* first = this->FindChange(command.change_id);
+  if (first != nullptr) {
+    return *first;
+  }
+  if (this->suspect_items.Find(command.fingerprint) == nullptr) {
+    return this->ApplyOnce(
+        command.change_id,
+        this->Reject("no quarantined request " + command.fingerprint));
+  }
+  this->DropSuspect(command.fingerprint);
+  this->view_changed = this->applied;
+  return this->ApplyOnce(command.change_id, this->Accept());
+}
+
+// -------------------------------------------------------------------- views
+
+protocol::ViewDelta State::DeltaSince(std::uint64_t from,
+                                      const Viewer& viewer) const {
+  protocol::ViewDelta delta;
+  delta.from = from <= this->applied ? from : 0;
+  delta.to = this->applied;
+  if (delta.from >= this->view_changed && delta.from != 0) {
+    return delta;
+  }
+  this->service_items.Since(delta.from, delta.services, delta.removed_services);
+  this->team_items.Since(delta.from, delta.teams, delta.removed_teams);
+  this->data_centre_items.Since(delta.from, delta.data_centres,
+                                delta.removed_data_centres);
+  this->group_items.Since(delta.from, delta.groups, delta.removed_groups);
+  this->suspect_items.Since(delta.from, delta.suspects, delta.removed_suspects);
+  if (viewer.role == protocol::Role::kAgent) {
+    Narrow(viewer, delta);
+  }
+  return delta;
+}
+
+std::string State::Save() const { return protocol::Encode(*this); }
+
+bool State::Load(const std::string& bytes) {
+  std::optional<State> loaded = Decode<State>(bytes);
+  if (!loaded.has_value()) {
+    return false;
+  }
+  *this = std::move(*loaded);
+  return true;
+}
+
+}  // namespace gooseberryturn::control
--- /dev/null
+++ b/src/core/endpoint.cc
@@ -0,0 +1,42 @@
+#include "gooseberryturn/core/endpoint.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/system/error_code.hpp>
+#include <charconv>
+
+namespace gooseberryturn {
+
+std::optional<Endpoint> ParseEndpoint(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::string_view host = text.substr(0, colon);
+  const std::string_view port_text = text.substr(colon + 1);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  boost::system::error_code parse_error;
+  boost::asio::ip::make_address(std::string(host), parse_error);
+  if (parse_error) {
+    return std::nullopt;
+  }
+  Endpoint endpoint;
+  endpoint.address = std::string(host);
+  const char* end = port_text.data() + port_text.size();
+  const std::from_chars_result parsed =
+      std::from_chars(port_text.data(), end, endpoint.port);
+  if (parsed.ec != std::errc() || parsed.ptr != end || endpoint.port == 0) {
+    return std::nullopt;
+  }
+  return endpoint;
+}
+
+std::string ToString(const Endpoint& endpoint) {
+  const bool is_v6 = endpoint.address.find(':') != std::string::npos;
+  const std::string host =
+      is_v6 ? "[" + endpoint.address + "]" : endpoint.address;
+  return host + ":" + std::to_string(endpoint.port);
+}
+
+}  // namespace gooseberryturn
--- /dev/null
+++ b/src/core/time.cc
@@ -0,0 +1,22 @@
+#include "gooseberryturn/core/time.h"
+
+#include <ctime>
+
+namespace gooseberryturn {
+
+TimePoint Clock::now() noexcept {
+  timespec spec{};
+  clock_gettime(CLOCK_BOOTTIME, &spec);
+  const Duration since_boot = std::chrono::seconds(spec.tv_sec) +
+                              std::chrono::nanoseconds(spec.tv_nsec);
+  return TimePoint(since_boot);
+}
+
+std::int64_t RemainingMs(TimePoint deadline, TimePoint now) noexcept {
+  if (deadline <= now) {
+    return 0;
+  }
+  return std::chrono::duration_cast<Milliseconds>(deadline - now).count();
+}
+
+}  // namespace gooseberryturn
--- /dev/null
+++ b/src/entry/request_flow.cc
@@ -0,0 +1,693 @@
+#include "gooseberryturn/entry/request_flow.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "gooseberryturn/control/command.h"
+#include "gooseberryturn/core/id.h"
+#include "gooseberryturn/observe/log.h"
+#include "gooseberryturn/protocol/codec.h"
+#include "gooseberryturn/protocol/frame.h"
+
+namespace gooseberryturn::entry {
+
+using observe::Level;
+using observe::LogEvent;
+using protocol::FrameType;
+
+namespace {
+
+constexpr std::size_t kBodyFrameBytes = 16U * 1024U;
+constexpr std::size_t kChunkHeaderBytes = protocol::kFrameHeaderBytes + 8;
+constexpr char kReplayHeader[] = "Gooseberryturn-Replayed: true\r\n";
+
+bool IsBusy(Reason reason) {
+  return reason == Reason::kTargetBusy || reason == Reason::kMemoryFull;
+}
+
+}  // namespace
+
+RequestFlow::RequestFlow(FlowContext context,
+                         std::shared_ptr<CallerSession> caller,
+                         CallerRequest request, config::Service service,
+                         config::Route route)
+    : context(context),
+      caller(std::move(caller)),
+      request(std::move(request)),
+      service(std::move(service)),
+      route(std::move(route)),
+      timer(context.io),
+      deadline_timer(context.io) {}
+
+void RequestFlow::Start() {
+  const TimePoint now = Clock::now();
+  this->started_at = now;
+  this->room_until = now + kRoomLimit;
+  this->record.idempotent = this->route.idempotent;
+  this->record.deadline = now + Milliseconds(this->route.deadline_ms);
+  const std::shared_ptr<RequestFlow> self = this->shared_from_this();
+  this->caller->on_gone = [self] { self->CallerGone(); };
+  this->deadline_timer.expires_after(Milliseconds(this->route.deadline_ms));
+  this->deadline_timer.async_wait(
+      [self](const boost::system::error_code& error) {
+        if (!error && !self->is_over) {
+          self->OnDeadline();
+        }
+      });
+  this->fingerprint = Digest(this->request.team + '\0' + this->request.path +
+                             '\0' + this->request.body);
+  if (!this->route.idempotent && this->request.key.empty()) {
+    this->request.key = "entry-" + this->request.id;
+  }
+  const auto suspect =
+      this->context.views.view().suspects.find(this->fingerprint);
+  if (suspect != this->context.views.view().suspects.end()) {
+    this->record.suspect = true;
+    if (suspect->second.deaths >= protocol::kQuarantineDeaths) {
+      this->Refuse(this->MakeError(
+          Reason::kQuarantined, Step::kRoute, Outcome::kNotRun,
+          "targets died of it: fingerprint " + this->fingerprint));
+      return;
+    }
+  }
+  this->context.budgets[this->service.name].FirstAttempt(
+      this->service.retry_percent);
+  this->Attempt();
+}
+
+void RequestFlow::After(Duration pause, std::function<void()> next) {
+  this->timer.expires_after(pause);
+  const std::shared_ptr<RequestFlow> self = this->shared_from_this();
+  this->timer.async_wait(
+      [self, next = std::move(next)](const boost::system::error_code& error) {
+        if (!error && !self->is_over) {
+          next();
+        }
+      });
+}
+
+Error RequestFlow::MakeError(Reason reason, Step step, Outcome outcome,
+                             const std::string& message) const {
+  const std::string peer =
+      this->group.members.empty()
+          ? std::string()
+          : this->group.name + " at " + this->group.members.front().host;
+  return {reason, step, outcome, peer, message};
+}
+
+// --------------------------------------------------------- choice and claim
+
+void RequestFlow::Attempt() {
+  const TimePoint now = Clock::now();
+  if (!this->context.views.HasLease(now)) {
+    this->WaitForRoom();
+    return;
+  }
+  const protocol::Group* chosen = this->context.chooser.Choose(
+      this->context.views.view(), this->service.name, this->excluded, now);
+  if (chosen == nullptr) {
+    this->WaitForRoom();
+    return;
+  }
+  this->group = *chosen;
+  this->attempt = RandomId();
+  this->record.attempts += 1;
+  this->record.suspect_attempts += this->record.suspect ? 1 : 0;
+  this->is_outstanding = true;
+  this->was_handed_over = false;
+  this->has_head = false;
+  this->length = 0;
+  this->digest = StreamDigest();
+  this->kept = protocol::KeptAnswer{};
+  this->context.chooser.Sent(this->group);
+  if (this->route.idempotent) {
+    this->Open();
+    return;
+  }
+  this->claim_until = now + kClaimLimit;
+  this->Claim();
+}
+
+void RequestFlow::WaitForRoom() {
+  const TimePoint now = Clock::now();
+  if (now < this->room_until) {
+    this->excluded.clear();
+    this->After(kBusyPause, [this] { this->Attempt(); });
+    return;
+  }
+  const bool has_view = this->context.views.HasLease(now);
+  const auto& groups = this->context.views.view().groups;
+  const bool has_group =
+      std::any_of(groups.begin(), groups.end(), [this](const auto& entry) {
+        return entry.second.service == this->service.name;
+      });
+  this->group = protocol::Group{};
+  if (!has_view) {
+    this->Refuse(this->MakeError(Reason::kNoView, Step::kRoute,
+                                 Outcome::kNotRun,
+                                 "this entry is cut off from control"));
+  } else if (!has_group) {
+    this->Refuse(
+        this->MakeError(Reason::kNoTarget, Step::kRoute, Outcome::kNotRun,
+                        "no group of " + this->service.name + " is formed"));
+  } else {
+    this->Refuse(
+        this->MakeError(Reason::kOverloaded, Step::kRoute, Outcome::kNotRun,
+                        "no group of " + this->service.name + " has room"));
+  }
+}
+
+void RequestFlow::Claim() {
+  const protocol::Member& leader = this->group.members.front();
+  protocol::Claim claim;
+  claim.team = this->request.team;
+  claim.key = this->request.key;
+  claim.body_digest = this->fingerprint;
+  claim.attempt = this->attempt;
+  claim.replaces = this->replaced_attempt;
+  claim.host = leader.host;
+  claim.incarnation = leader.incarnation;
+  claim.link = leader.link;
+  const std::shared_ptr<RequestFlow> self = this->shared_from_this();
+  this->context.views.CallLeader(protocol::kClaimPath, protocol::Encode(claim),
+                                 Clock::now() + control::ViewClient::kCallLimit,
+                                 [self](const Result<std::string>& result) {
+                                   if (!self->is_over) {
+                                     self->OnClaimed(result);
+                                   }
+                                 });
+}
+
+void RequestFlow::ClaimAgain(const Error& error) {
+  if (Clock::now() < this->claim_until) {
+    // The same claim may be sent again: it names its attempt.
+    this->After(kControlPause, [this] { this->Claim(); });
+    return;
+  }
+  this->CloseAttempt();
+  this->Refuse(this->MakeError(Reason::kControlUnavailable, Step::kClaim,
+                               Outcome::kNotRun, ToString(error)));
+}
+
+void RequestFlow::OnClaimed(const Result<std::string>& result) {
+  if (!result.has_value()) {
+    this->context.views.LeaderUnknown();
+    this->ClaimAgain(result.error());
+    return;
+  }
+  const protocol::ClaimReply reply =
+      protocol::Decode<protocol::ClaimReply>(*result).value_or(
+          protocol::ClaimReply{});
+  switch (reply.verdict) {
+    case protocol::ClaimVerdict::kGranted:
+      this->Open();
+      return;
+    case protocol::ClaimVerdict::kNotLeader:
+      this->context.views.LeaderUnknown();
+      this->ClaimAgain(this->MakeError(Reason::kControlUnavailable,
+                                       Step::kClaim, Outcome::kNotRun,
+                                       "not the leader"));
+      return;
+    default:
+      this->CloseAttempt();
+      this->OnKeyTaken(reply);
+  }
+}
+
+void RequestFlow::OnKeyTaken(const protocol::ClaimReply& reply) {
+  this->group = protocol::Group{};
+  switch (reply.verdict) {
+    case protocol::ClaimVerdict::kFinished:
+      this->GiveKept(reply.answer, true);
+      return;
+    case protocol::ClaimVerdict::kMismatch:
+      this->Refuse(this->MakeError(Reason::kKeyMismatch, Step::kClaim,
+                                   Outcome::kNotRun,
+                                   "the key was used with another body"));
+      return;
+    case protocol::ClaimVerdict::kFull:
+      this->Refuse(this->MakeError(Reason::kOverloaded, Step::kClaim,
+                                   Outcome::kNotRun,
+                                   "no room for another key"));
+      return;
+    case protocol::ClaimVerdict::kInProgress:
+      this->unreachable_until = Clock::now() + kUnreachableLimit;
+      this->AskAgent(reply, this->MakeError(Reason::kKeyInProgress,
+                                            Step::kClaim, Outcome::kUnknown,
+                                            "another call holds the key"));
+      return;
+    default:
+      this->Refuse(this->MakeError(
+          Reason::kOutcomeUnknown, Step::kClaim, Outcome::kUnknown,
+          "an earlier call with this key ended without a known outcome"));
+  }
+}
+
+// ------------------------------------------------------- hand-over and relay
+
+void RequestFlow::Open() {
+  const std::shared_ptr<RequestFlow> self = this->shared_from_this();
+  this->context.channels.Get(this->group.members.front().link)
+      ->Open(protocol::kRunPath,
+             [self, opened_for = this->attempt](
+                 const Result<std::shared_ptr<link::Stream>>& opened) {
+               const bool is_stale =
+                   self->is_over || self->attempt != opened_for;
+               if (!opened.has_value()) {
+                 if (!is_stale) {
+                   self->AttemptFailed(opened.error());
+                 }
+                 return;
+               }
+               if (is_stale) {
+                 (*opened)->Cancel();
+                 return;
+               }
+               self->SendOrder(*opened);
+             });
+}
+
+void RequestFlow::SendOrder(const std::shared_ptr<link::Stream>& opened) {
+  this->stream = opened;
+  const std::shared_ptr<RequestFlow> self = this->shared_from_this();
+  const std::uint64_t current = this->attempt;
+  opened->HoldWindow();
+  opened->on_frame = [self, current](FrameType type, std::string_view payload) {
+    if (!self->is_over && self->attempt == current && self->stream != nullptr) {
+      self->OnFrame(type, payload);
+    }
+  };
+  opened->on_close = [self, current](link::CloseReason reason) {
+    if (!self->is_over && self->attempt == current && self->stream != nullptr) {
+      self->OnStreamClose(reason);
+    }
+  };
+  protocol::HandOver order;
+  order.request_id = this->request.id;
+  order.attempt = this->attempt;
+  order.team = this->request.team;
+  order.service = this->service.name;
+  order.path = this->request.path;
+  order.content_type = this->request.content_type;
+  order.key = this->route.idempotent ? std::string() : this->request.key;
+  order.idempotent = this->route.idempotent;
+  order.group = this->group.name;
+  order.fence = this->group.fence;
+  order.incarnation = this->group.members.front().incarnation;
+  order.remaining_ms = RemainingMs(this->record.deadline, Clock::now());
+  order.body_bytes = this->request.body.size();
+  order.suspect = this->record.suspect;
+  this->was_handed_over = true;
+  opened->Send(
+      protocol::EncodeFrame(FrameType::kMessage, protocol::Encode(order)));
+  const std::string_view body = this->request.body;
+  for (std::size_t start = 0; start < body.size(); start += kBodyFrameBytes) {
+    opened->Send(protocol::EncodeFrame(FrameType::kBody,
+                                       body.substr(start, kBodyFrameBytes)));
+  }
+  opened->Finish();
+}
+
+void RequestFlow::OnFrame(FrameType type, std::string_view payload) {
+  switch (type) {
+    case FrameType::kMessage:
+      this->stream->Consume(protocol::kFrameHeaderBytes + payload.size());
+      this->OnHead(payload);
+      break;
+    case FrameType::kChunk:
+      this->stream->Consume(kChunkHeaderBytes);
+      this->OnChunk(payload);
+      break;
+    case FrameType::kEnd:
+      this->OnEnd(payload);
+      break;
+    case FrameType::kBody:
+      break;
+  }
+}
+
+void RequestFlow::OnHead(std::string_view payload) {
+  const std::optional<protocol::AnswerHead> decoded =
+      protocol::Decode<protocol::AnswerHead>(payload);
+  if (decoded.has_value()) {
+    this->head = *decoded;
+    this->has_head = true;
+  }
+}
+
+void RequestFlow::OnChunk(std::string_view payload) {
+  protocol::Chunk chunk;
+  const bool is_next = this->has_head &&
+                       protocol::DecodeChunk(payload, chunk) &&
+                       chunk.offset == this->length;
+  if (!is_next) {
+    this->AttemptFailed(this->MakeError(Reason::kAnswerCut, Step::kRelay,
+                                        Outcome::kUnknown,
+                                        "a chunk is missing or repeated"));
+    return;
+  }
+  this->length += chunk.bytes.size();
+  this->digest.Update(chunk.bytes);
+  if (this->route.idempotent) {
+    this->RelayPiece(chunk.bytes);
+    return;
+  }
+  this->stream->Consume(chunk.bytes.size());
+  if (this->kept.body.size() + chunk.bytes.size() > kMaxKeptBytes) {
+    this->AttemptFailed(
+        this->MakeError(Reason::kAnswerCut, Step::kRelay, Outcome::kUnknown,
+                        "the answer is longer than can be kept for a resend"));
+    return;
+  }
+  this->kept.body.append(chunk.bytes);
+}
+
+void RequestFlow::RelayPiece(std::string_view bytes) {
+  if (!this->caller->has_started()) {
+    this->record.head_sent = true;
+    this->context.metrics.Observe(observe::Timing::kFirstByte,
+                                  Clock::now() - this->started_at);
+    const std::weak_ptr<RequestFlow> weak = this->weak_from_this();
+    this->caller->on_written = [weak](std::size_t size) {
+      const std::shared_ptr<RequestFlow> self = weak.lock();
+      if (self != nullptr && self->stream != nullptr) {
+        self->stream->Consume(size);
+      }
+    };
+    this->caller->StartStream(this->head.status, this->head.content_type);
+  }
+  this->context.metrics.Add(observe::Metric::kAnswerBytes,
+                            static_cast<std::int64_t>(bytes.size()));
+  this->caller->SendPiece(bytes);
+}
+
+void RequestFlow::OnEnd(std::string_view payload) {
+  const std::optional<protocol::AnswerEnd> end =
+      protocol::Decode<protocol::AnswerEnd>(payload);
+  if (!end.has_value()) {
+    this->AttemptFailed(this->MakeError(Reason::kAnswerCut, Step::kRelay,
+                                        Outcome::kUnknown, "no end"));
+    return;
+  }
+  this->context.chooser.Reported(this->group.name, end->load);
+  if (end->error.reason != Reason::kNone) {
+    Error error = protocol::FromWire(end->error);
+    error.peer = this->MakeError(Reason::kNone, Step::kAdmit, Outcome::kNotRun,
+                                 std::string())
+                     .peer;
+    this->ReportDeath(end->target_death);
+    this->AttemptFailed(std::move(error));
+    return;
+  }
+  const bool is_whole = this->has_head && end->length == this->length &&
+                        end->digest == this->digest.Hex();
+  if (!is_whole) {
+    this->AttemptFailed(this->MakeError(Reason::kAnswerCut, Step::kRelay,
+                                        Outcome::kUnknown,
+                                        "length or digest differ"));
+    return;
+  }
+  this->AttemptDone();
+}
+
+void RequestFlow::OnStreamClose(link::CloseReason reason) {
+  const bool is_refused = reason == link::CloseReason::kRefused;
+  this->stream = nullptr;
+  this->AttemptFailed(this->MakeError(
+      is_refused ? Reason::kLeaving : Reason::kLinkLost, Step::kRelay,
+      is_refused ? Outcome::kNotRun : Outcome::kUnknown,
+      "stream " + std::string(link::kCloseReasonNames.Name(reason))));
+}
+
+// ---------------------------------------------------------- end of an attempt
+
+void RequestFlow::CloseAttempt() {
+  if (this->is_outstanding) {
+    this->is_outstanding = false;
+    this->context.chooser.Done(this->group.name);
+  }
+  if (this->stream != nullptr) {
+    const std::shared_ptr<link::Stream> open = std::move(this->stream);
+    this->stream = nullptr;
+    open->Cancel();
+  }
+}
+
+void RequestFlow::AttemptDone() {
+  // The peer has ended the stream; nothing is left to cancel.
+  this->stream = nullptr;
+  this->CloseAttempt();
+  if (this->record.suspect) {
+    this->ReportDeath(0);
+  }
+  if (!this->route.idempotent) {
+    this->kept.status = this->head.status;
+    this->kept.content_type = this->head.content_type;
+    const protocol::KeptAnswer answer = this->kept;
+    this->Settle(this->MakeSettle(this->attempt, Outcome::kRan, answer),
+                 Clock::now() + kSettleLimit,
+                 [this, answer] { this->GiveKept(answer, false); });
+    return;
+  }
+  this->context.metrics.Add(observe::Metric::kAnswers);
+  this->context.metrics.Observe(observe::Timing::kWhole,
+                                Clock::now() - this->started_at);
+  if (this->caller->has_started()) {
+    this->caller->FinishStream();
+  } else {
+    this->caller->Answer(this->head.status, this->head.content_type,
+                         std::string(), std::string());
+  }
+  this->Over();
+}
+
+void RequestFlow::AttemptFailed(Error error) {
+  const TimePoint now = Clock::now();
+  if (IsBusy(error.reason)) {
+    this->context.chooser.Busy(this->group.name, now);
+  } else {
+    this->context.chooser.Failed(this->group.name, now);
+  }
+  this->CloseAttempt();
+  if (this->route.idempotent || error.outcome == Outcome::kNotRun) {
+    this->replaced_attempt = this->attempt;
+    this->RetryOrRefuse(error);
+    return;
+  }
+  this->unreachable_until = now + kUnreachableLimit;
+  this->AskAgent(this->OwnHolder(), error);
+}
+
+void RequestFlow::RetryOrRefuse(const Error& error) {
+  this->excluded.insert(this->group.name);
+  const Result<void> decision = routing::DecideRetry(
+      this->record, error, this->context.budgets[this->service.name],
+      Clock::now());
+  if (decision.has_value()) {
+    this->context.metrics.Retried(error.reason);
+    LogEvent(Level::kInfo, this->request.id, "retry", observe::FieldsOf(error));
+    this->Attempt();
+    return;
+  }
+  if (this->route.idempotent) {
+    this->Refuse(decision.error());
+    return;
+  }
+  const Error refusal = decision.error();
+  this->Settle(
+      this->MakeSettle(this->attempt, Outcome::kNotRun, protocol::KeptAnswer{}),
+      Clock::now() + kSettleLimit, [this, refusal] { this->Refuse(refusal); });
+}
+
+void RequestFlow::ReportDeath(std::uint64_t death) {
+  const bool is_cleared =
+      death == 0 && this->record.suspect && this->stream == nullptr;
+  if (death == 0 && !is_cleared) {
+    return;
+  }
+  this->record.suspect = true;
+  control::ReportDeath report;
+  report.death = death;
+  report.fingerprints = {this->fingerprint};
+  this->context.views.CallLeader(protocol::kDeathPath, protocol::Encode(report),
+                                 Clock::now() + control::ViewClient::kCallLimit,
+                                 [](const Result<std::string>& /*result*/) {});
+}
+
+void RequestFlow::OnDeadline() {
+  const bool is_unknown = this->was_handed_over;
+  this->CloseAttempt();
+  const Error error = this->MakeError(
+      Reason::kDeadline, is_unknown ? Step::kRelay : Step::kRoute,
+      is_unknown ? Outcome::kUnknown : Outcome::kNotRun,
+      "no whole answer before the deadline");
+  this->Refuse(error);
+}
+
+// --------------------------------- what became of a call that may not repeat
+
+protocol::ClaimReply RequestFlow::OwnHolder() const {
+  const protocol::Member& leader = this->group.members.front();
+  protocol::ClaimReply holder;
+  holder.attempt = this->attempt;
+  holder.host = leader.host;
+  holder.incarnation = leader.incarnation;
+  holder.link = leader.link;
+  return holder;
+}
+
+void RequestFlow::AskAgent(const protocol::ClaimReply& holder,
+                           const Error& error) {
+  const protocol::AttemptQuery query = {holder.attempt, holder.incarnation};
+  const std::shared_ptr<RequestFlow> self = this->shared_from_this();
+  this->context.channels.Get(holder.link)
+      ->Call(protocol::kAttemptPath, protocol::Encode(query),
+             Clock::now() + kQueryLimit,
+             [self, holder, error](const Result<std::string>& result) {
+               if (self->is_over) {
+                 return;
+               }
+               if (!result.has_value()) {
+                 self->AskAgain(holder, error, result.error());
+                 return;
+               }
+               self->OnAttemptReply(
+                   holder, error,
+                   protocol::Decode<protocol::AttemptReply>(*result).value_or(
+                       protocol::AttemptReply{}));
+             });
+}
+
+void RequestFlow::AskAgain(const protocol::ClaimReply& holder,
+                           const Error& error, const Error& cause) {
+  if (Clock::now() < this->unreachable_until) {
+    this->After(kControlPause,
+                [this, holder, error] { this->AskAgent(holder, error); });
+    return;
+  }
+  // The agent may come back and tell; the key stays bound to the attempt.
+  this->Refuse({Reason::kOutcomeUnknown, Step::kHandOver, Outcome::kUnknown,
+                holder.host, ToString(cause)});
+}
+
+void RequestFlow::OnAttemptReply(const protocol::ClaimReply& holder,
+                                 const Error& error,
+                                 const protocol::AttemptReply& reply) {
+  switch (reply.state) {
+    case protocol::AttemptState::kNeverRun: {
+      Error not_run = error;
+      not_run.outcome = Outcome::kNotRun;
+      this->replaced_attempt = holder.attempt;
+      this->attempt = holder.attempt;
+      this->RetryOrRefuse(not_run);
+      break;
+    }
+    case protocol::AttemptState::kRunning:
+      this->unreachable_until = Clock::now() + kUnreachableLimit;
+      this->After(kQueryPause,
+                  [this, holder, error] { this->AskAgent(holder, error); });
+      break;
+    case protocol::AttemptState::kFinished: {
+      const protocol::KeptAnswer answer = reply.answer;
+      this->Settle(this->MakeSettle(holder.attempt, Outcome::kRan, answer),
+                   Clock::now() + kSettleLimit,
+                   [this, answer] { this->GiveKept(answer, true); });
+      break;
+    }
+    case protocol::AttemptState::kUnknown: {
+      const Error refusal = {Reason::kOutcomeUnknown, Step::kHandOver,
+                             Outcome::kUnknown, holder.host, ToString(error)};
+      this->Settle(this->MakeSettle(holder.attempt, Outcome::kUnknown,
+                                    protocol::KeptAnswer{}),
+                   Clock::now() + kSettleLimit,
+                   [this, refusal] { this->Refuse(refusal); });
+      break;
+    }
+  }
+}
+
+protocol::Settle RequestFlow::MakeSettle(
+    std::uint64_t settled, Outcome outcome,
+    const protocol::KeptAnswer& answer) const {
+  return {this->request.team, this->request.key, settled, outcome, answer};
+}
+
+void RequestFlow::Settle(const protocol::Settle& settle, TimePoint give_up_at,
+                         std::function<void()> next) {
+  const std::shared_ptr<RequestFlow> self = this->shared_from_this();
+  // A deadline must not hide an outcome that is already known.
+  this->deadline_timer.cancel();
+  this->context.views.CallLeader(
+      protocol::kSettlePath, protocol::Encode(settle),
+      Clock::now() + control::ViewClient::kCallLimit,
+      [self, settle, give_up_at, next](const Result<std::string>& result) {
+        const protocol::SettleReply reply =
+            result.has_value()
+                ? protocol::Decode<protocol::SettleReply>(*result).value_or(
+                      protocol::SettleReply{})
+                : protocol::SettleReply{};
+        if (reply.is_leader || Clock::now() >= give_up_at) {
+          next();
+          return;
+        }
+        self->context.views.LeaderUnknown();
+        self->After(kControlPause, [self, settle, give_up_at, next] {
+          self->Settle(settle, give_up_at, next);
+        });
+      });
+}
+
+void RequestFlow::GiveKept(const protocol::KeptAnswer& answer, bool is_replay) {
+  this->context.metrics.Add(observe::Metric::kAnswers);
+  this->context.metrics.Observe(observe::Timing::kWhole,
+                                Clock::now() - this->started_at);
+  if (!this->is_caller_gone) {
+    this->caller->Answer(answer.status, answer.content_type, answer.body,
+                         is_replay ? kReplayHeader : "");
+  }
+  this->Over();
+}
+
+// --------------------------------------------------------- end of the request
+
+void RequestFlow::Refuse(const Error& error) {
+  LogEvent(Level::kInfo, this->request.id, "refused", observe::FieldsOf(error));
+  if (this->is_caller_gone) {
+    this->context.metrics.Refused(error.reason);
+  } else if (this->record.head_sent) {
+    this->caller->BreakStream(error);
+  } else {
+    this->caller->Refuse(error);
+  }
+  this->Over();
+}
+
+void RequestFlow::CallerGone() {
+  if (this->is_over) {
+    return;
+  }
+  this->is_caller_gone = true;
+  if (this->route.idempotent) {
+    this->CloseAttempt();
+    this->Over();
+  }
+  // A call that may not be repeated goes on, so that its end is recorded.
+}
+
+void RequestFlow::Over() {
+  if (this->is_over) {
+    return;
+  }
+  this->is_over = true;
+  this->CloseAttempt();
+  this->timer.cancel();
+  this->deadline_timer.cancel();
+  if (this->on_over) {
+    const std::function<void()> hook = std::move(this->on_over);
+    this->on_over = nullptr;
+    hook();
+  }
+}
+
+}  // namespace gooseberryturn::entry
--- /dev/null
+++ b/src/observe/metrics.cc
@@ -0,0 +1,108 @@
+#include "gooseberryturn/observe/metrics.h"
+
+#include <cstdio>
+
+namespace gooseberryturn::observe {
+
+namespace accumulators = boost::accumulators;
+
+namespace {
+
+constexpr char kPrefix[] = "gooseberryturn_";
+constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
+
+std::string Line(const std::string& name, const std::string& labels,
+                 const std::string& value) {
+  return kPrefix + name + labels + " " + value + "\n";
+}
+
+std::string Print(double value) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.6g", value);
+  return text;
+}
+
+void RenderReasons(
+    const std::string& name,
+    const std::array<std::atomic<std::int64_t>, kReasonCount>& counts,
+    std::string& page) {
+  page += "# TYPE " + std::string(kPrefix) + name + " counter\n";
+  for (std::size_t index = 1; index < kReasonCount; ++index) {
+    const std::string reason(kReasonNames.names[index]);
+    page += Line(name, "{reason=\"" + reason + "\"}",
+                 std::to_string(counts[index].load()));
+  }
+}
+
+}  // namespace
+
+Metrics::Metrics()
+    : values(),
+      refusals(),
+      retries(),
+      timings{
+          Quantiles(accumulators::extended_p_square_probabilities = kQuantiles),
+          Quantiles(accumulators::extended_p_square_probabilities = kQuantiles),
+          Quantiles(accumulators::extended_p_square_probabilities =
+                        kQuantiles)} {}
+
+void Metrics::Add(Metric metric, std::int64_t amount) noexcept {
+  this->values[static_cast<std::size_t>(metric)] += amount;
+}
+
+void Metrics::Set(Metric metric, std::int64_t value) noexcept {
+  this->values[static_cast<std::size_t>(metric)] = value;
+}
+
+std::int64_t Metrics::Get(Metric metric) const noexcept {
+  return this->values[static_cast<std::size_t>(metric)];
+}
+
+void Metrics::Refused(Reason reason) noexcept {
+  this->refusals[static_cast<std::size_t>(reason)] += 1;
+}
+
+void Metrics::Retried(Reason reason) noexcept {
+  this->retries[static_cast<std::size_t>(reason)] += 1;
+}
+
+void Metrics::Observe(Timing timing, Duration duration) {
+  const std::lock_guard<std::mutex> guard(this->timing_mutex);
+  this->timings[static_cast<std::size_t>(timing)](
+      std::chrono::duration<double>(duration).count());
+}
+
+std::string Metrics::Render() const {
+  std::string page;
+  for (std::size_t index = 0; index < kMetricCount; ++index) {
+    const std::string name(kMetricNames.names[index]);
+    const bool is_counter =
+        name.size() > 6 && name.compare(name.size() - 6, 6, "_total") == 0;
+    page += "# TYPE " + std::string(kPrefix) + name +
+            (is_counter ? " counter\n" : " gauge\n");
+    page += Line(name, "", std::to_string(this->values[index].load()));
+  }
+  RenderReasons("refusals_total", this->refusals, page);
+  RenderReasons("retries_total", this->retries, page);
+  const std::lock_guard<std::mutex> guard(this->timing_mutex);
+  for (std::size_t index = 0; index < kTimingCount; ++index) {
+    const std::string name(kTimingNames.names[index]);
+    const Quantiles& timing = this->timings[index];
+    page += "# TYPE " + std::string(kPrefix) + name + " summary\n";
+    for (const double quantile : kQuantiles) {
+      const bool is_empty = accumulators::count(timing) == 0;
+      const double value =
+          is_empty ? 0
+                   : accumulators::quantile(
+                         timing, accumulators::quantile_probability = quantile);
+      page +=
+          Line(name, "{quantile=\"" + Print(quantile) + "\"}", Print(value));
+    }
+    page += Line(name + "_sum", "", Print(accumulators::sum(timing)));
+    page +=
+        Line(name + "_count", "", std::to_string(accumulators::count(timing)));
+  }
+  return page;
+}
+
+}  // namespace gooseberryturn::observe
--- /dev/null
+++ b/src/target/exchange.cc
@@ -0,0 +1,212 @@
+#include "gooseberryturn/target/exchange.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <limits>
+#include <utility>
+
+namespace gooseberryturn::target {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr int kHttpVersion = 11;
+constexpr std::size_t kMaxShortBytes = 64U * 1024U;
+
+}  // namespace
+
+Exchange::Exchange(asio::io_context& context, Endpoint target, Request request,
+                   TimePoint deadline)
+    : socket(context),
+      timer(context),
+      target(std::move(target)),
+      request(std::move(request)),
+      deadline(deadline) {
+  this->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
+Error Exchange::Failure(Reason reason, const std::string& message) const {
+  const Outcome outcome = this->was_sent ? Outcome::kUnknown : Outcome::kNotRun;
+  return {reason, Step::kEngine, outcome, ToString(this->target), message};
+}
+
+void Exchange::Start() {
+  const std::shared_ptr<Exchange> self = this->shared_from_this();
+  this->timer.expires_after(this->deadline - Clock::now());
+  this->timer.async_wait([self](const error_code& error) {
+    if (!error) {
+      self->Finish(tl::make_unexpected(
+          self->Failure(Reason::kDeadline, "the target did not finish")));
+    }
+  });
+  const asio::ip::tcp::endpoint place(
+      asio::ip::make_address(this->target.address), this->target.port);
+  this->socket.async_connect(place, [self](const error_code& error) {
+    if (self->is_done) {
+      return;
+    }
+    if (error) {
+      self->Finish(tl::make_unexpected(
+          self->Failure(Reason::kTargetFailed, error.message())));
+      return;
+    }
+    self->Write();
+  });
+}
+
+void Exchange::Write() {
+  error_code ignored;
+  this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  this->message.method_string(this->request.method);
+  this->message.target(this->request.path);
+  this->message.version(kHttpVersion);
+  this->message.set(http::field::host, ToString(this->target));
+  this->message.set(http::field::connection, "close");
+  this->message.set("X-Request-Id", this->request.request_id);
+  this->message.set("X-Fence", std::to_string(this->request.fence));
+  this->message.set("X-Deadline-Ms",
+                    std::to_string(RemainingMs(this->deadline, Clock::now())));
+  if (!this->request.content_type.empty()) {
+    this->message.set(http::field::content_type, this->request.content_type);
+  }
+  if (!this->request.key.empty()) {
+    this->message.set("Idempotency-Key", this->request.key);
+  }
+  this->message.body() = std::move(this->request.body);
+  this->message.prepare_payload();
+  this->was_sent = true;
+  const std::shared_ptr<Exchange> self = this->shared_from_this();
+  http::async_write(this->socket, this->message,
+                    [self](const error_code& error, std::size_t /*size*/) {
+                      if (self->is_done) {
+                        return;
+                      }
+                      if (error) {
+                        self->Finish(tl::make_unexpected(self->Failure(
+                            Reason::kTargetFailed, error.message())));
+                        return;
+                      }
+                      self->message.body().clear();
+                      self->ReadHead();
+                    });
+}
+
+void Exchange::ReadHead() {
+  const std::shared_ptr<Exchange> self = this->shared_from_this();
+  http::async_read_header(
+      this->socket, this->buffer, this->parser,
+      [self](const error_code& error, std::size_t /*size*/) {
+        if (self->is_done) {
+          return;
+        }
+        if (error) {
+          self->Finish(tl::make_unexpected(
+              self->Failure(Reason::kTargetFailed, error.message())));
+          return;
+        }
+        self->has_head = true;
+        const http::response_header<>& head = self->parser.get();
+        const std::string type(head[http::field::content_type]);
+        self->on_head(head.result_int(), type);
+        self->ReadBody();
+      });
+}
+
+void Exchange::ReadBody() {
+  if (this->is_done || this->paused || this->is_reading || !this->has_head) {
+    return;
+  }
+  if (this->parser.is_done()) {
+    this->Finish({});
+    return;
+  }
+  this->is_reading = true;
+  this->parser.get().body().data = this->body.data();
+  this->parser.get().body().size = this->body.size();
+  const std::shared_ptr<Exchange> self = this->shared_from_this();
+  http::async_read_some(
+      this->socket, this->buffer, this->parser,
+      [self](error_code error, std::size_t /*size*/) {
+        self->is_reading = false;
+        if (self->is_done) {
+          return;
+        }
+        if (error == http::error::need_buffer) {
+          error = {};
+        }
+        if (error) {
+          self->Finish(tl::make_unexpected(
+              self->Failure(Reason::kTargetFailed, error.message())));
+          return;
+        }
+        const std::size_t size =
+            self->body.size() - self->parser.get().body().size;
+        if (size > 0) {
+          self->on_body(std::string_view(self->body.data(), size));
+        }
+        self->ReadBody();
+      });
+}
+
+void Exchange::Resume() {
+  if (this->paused) {
+    this->paused = false;
+    this->ReadBody();
+  }
+}
+
+void Exchange::Cancel(Error error) {
+  error.outcome = this->was_sent ? Outcome::kUnknown : Outcome::kNotRun;
+  this->Finish(tl::make_unexpected(std::move(error)));
+}
+
+void Exchange::Finish(Result<void> result) {
+  if (this->is_done) {
+    return;
+  }
+  this->is_done = true;
+  error_code ignored;
+  this->socket.close(ignored);
+  this->timer.cancel();
+  const std::function<void(Result<void>)> hook = std::move(this->on_done);
+  this->on_head = nullptr;
+  this->on_body = nullptr;
+  this->on_done = nullptr;
+  hook(std::move(result));
+}
+
+void ShortRequest(asio::io_context& context, const Endpoint& target,
+                  Request request, TimePoint deadline,
+                  std::function<void(Result<std::string>)> on_reply) {
+  const std::shared_ptr<Exchange> exchange =
+      std::make_shared<Exchange>(context, target, std::move(request), deadline);
+  const std::shared_ptr<std::string> body = std::make_shared<std::string>();
+  const std::shared_ptr<int> status = std::make_shared<int>(0);
+  exchange->on_head = [status](int code, const std::string& /*type*/) {
+    *status = code;
+  };
+  exchange->on_body = [body](std::string_view bytes) {
+    if (body->size() + bytes.size() <= kMaxShortBytes) {
+      body->append(bytes);
+    }
+  };
+  exchange->on_done = [body, status, target,
+                       on_reply](const Result<void>& result) {
+    if (!result.has_value()) {
+      on_reply(tl::make_unexpected(result.error()));
+    } else if (*status != 200) {
+      on_reply(tl::make_unexpected(Error{Reason::kTargetFailed, Step::kEngine,
+                                         Outcome::kRan, ToString(target),
+                                         "status " + std::to_string(*status)}));
+    } else {
+      on_reply(*body);
+    }
+  };
+  exchange->Start();
+}
+
+}  // namespace gooseberryturn::target
