Send a new control host the log from its start

Cause: a control host added with an empty disk was first sent the next entry only; it could not answer, because a host without a membership knows nobody to answer to, and the leader then had nothing in flight to send again. Ruled out: the link (messages arrived) and the promotion check (match stayed 0).

Measured: control_process_test lost_disk_returns_under_a_new_id failed before (promotion refused for 60 s) and passes after; all five cases pass in 26 s.

--- a/src/consensus/node.cc
+++ b/src/consensus/node.cc
@@ -485,8 +485,10 @@
     return;
   }
   for (const Peer& peer : this->members.peers) {
+    // A new host holds nothing; until it has the membership it cannot even
+    // answer, so it is sent everything from the start.
     if (this->progress.count(peer.id) == 0) {
-      this->progress[peer.id].next = this->entries.LastIndex() + 1;
+      this->progress[peer.id].next = 1;
     }
   }
   for (auto known = this->progress.begin(); known != this->progress.end();) {
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -1,6 +1,9 @@
 #include "gooseberryturn/observe/metrics.h"
 
+#include <unistd.h>
+
 #include <cstdio>
+#include <fstream>
 
 namespace gooseberryturn::observe {
 
@@ -22,6 +25,15 @@
   return text;
 }
 
+/// Memory of this process that is in RAM, 0 where it cannot be read.
+std::int64_t ResidentBytes() {
+  std::ifstream statm("/proc/self/statm");
+  std::int64_t total_pages = 0;
+  std::int64_t resident_pages = 0;
+  statm >> total_pages >> resident_pages;
+  return resident_pages * sysconf(_SC_PAGESIZE);
+}
+
 void RenderReasons(
     const std::string& name,
     const std::array<std::atomic<std::int64_t>, kReasonCount>& counts,
@@ -82,6 +94,8 @@
             (is_counter ? " counter\n" : " gauge\n");
     page += Line(name, "", std::to_string(this->values[index].load()));
   }
+  page += "# TYPE " + std::string(kPrefix) + "resident_bytes gauge\n";
+  page += Line("resident_bytes", "", std::to_string(ResidentBytes()));
   RenderReasons("refusals_total", this->refusals, page);
   RenderReasons("retries_total", this->retries, page);
   const std::lock_guard<std::mutex> guard(this->timing_mutex);
