Wait for room instead of spending the retry budget on full targets

Cause: 60 requests at once against one cold target: the chooser handed out a group it took for full, each refusal cost a retry, and the budget was gone after 20; only 6 of 60 were answered. Ruled out: the agent's limit (the target never held more than 2) and the team contract. Change: a group that looks full is not chosen; one attempt after 50 ms without news tests the report; a busy refusal (not run) waits up to 1 s for room and costs no retry.

--- a/include/gooseberryturn/routing/chooser.h
+++ b/include/gooseberryturn/routing/chooser.h
@@ -35,18 +35,20 @@
  public:
   Chooser(std::string data_centre, Policy policy, std::uint64_t seed);
 
-  /// \brief Group for the next attempt, or null when none may be used.
+  /// \brief Group for the next attempt, or null when none may be used or all
+  /// look full.
   /// \param excluded Names of groups that this request was refused by.
   [[nodiscard]] const protocol::Group* Choose(
       const protocol::View& view, const std::string& service,
       const std::set<std::string>& excluded, TimePoint now);
 
   /// \brief An attempt was handed to the group.
-  void Sent(const protocol::Group& group);
+  void Sent(const protocol::Group& group, TimePoint now);
   /// \brief An attempt at the group is over.
   void Done(const std::string& group);
   /// \brief The group told its load.
-  void Reported(const std::string& group, const protocol::Load& load);
+  void Reported(const std::string& group, const protocol::Load& load,
+                TimePoint now);
   /// \brief The group refused an attempt as busy.
   void Busy(const std::string& group, TimePoint now);
   /// \brief The group could not be reached or failed.
@@ -54,6 +56,9 @@
   /// \brief Drops what is known of groups that are not in `view`.
   void Prune(const protocol::View& view);
 
+  /// \brief A report of a full group older than this is put to the test by
+  /// one attempt.
+  static constexpr Duration kFullReportLife = std::chrono::milliseconds(50);
   static constexpr Duration kBusyPause = std::chrono::milliseconds(20);
   static constexpr Duration kFailurePause = std::chrono::milliseconds(500);
 
@@ -64,6 +69,7 @@
     std::int64_t outstanding_at_report = 0;
     protocol::Load reported;
     bool has_report = false;
+    TimePoint probe_at;  ///< When a full group may be tried all the same.
     TimePoint paused_until;
   };
 
@@ -80,7 +86,8 @@
   [[nodiscard]] int DistanceTo(const protocol::View& view,
                                const std::string& place) const;
   [[nodiscard]] double UsageOf(const protocol::Group& group,
-                               const config::Service& service) const;
+                               const config::Service& service,
+                               TimePoint now) const;
   [[nodiscard]] const protocol::Group* BetterOfTwo(
       const std::vector<Candidate>& candidates);
 
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -120,7 +120,7 @@
   this->length = 0;
   this->digest = StreamDigest();
   this->kept = protocol::KeptAnswer{};
-  this->context.chooser.Sent(this->group);
+  this->context.chooser.Sent(this->group, now);
   if (this->route.idempotent) {
     this->Open();
     return;
@@ -390,7 +390,7 @@
                                         Outcome::kUnknown, "no end"));
     return;
   }
-  this->context.chooser.Reported(this->group.name, end->load);
+  this->context.chooser.Reported(this->group.name, end->load, Clock::now());
   if (end->error.reason != Reason::kNone) {
     Error error = protocol::FromWire(end->error);
     error.peer = this->MakeError(Reason::kNone, Step::kAdmit, Outcome::kNotRun,
@@ -472,6 +472,14 @@
   this->CloseAttempt();
   if (this->route.idempotent || error.outcome == Outcome::kNotRun) {
     this->replaced_attempt = this->attempt;
+    if (IsBusy(error.reason) && now < this->room_until) {
+      // A full target refused before it did any work: not a failed attempt.
+      this->record.attempts -= 1;
+      this->record.suspect_attempts -= this->record.suspect ? 1 : 0;
+      this->context.metrics.Retried(error.reason);
+      this->WaitForRoom();
+      return;
+    }
     this->RetryOrRefuse(error);
     return;
   }
--- a/src/routing/chooser.cc
+++ b/src/routing/chooser.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int kDistances = 3;
+/// Just below full: chosen only after every group that has room.
+constexpr double kProbeUsage = 0.999;
 
 }  // namespace
 
@@ -29,8 +31,8 @@
   return is_same_region ? 1 : 2;
 }
 
-double Chooser::UsageOf(const Group& group,
-                        const config::Service& service) const {
+double Chooser::UsageOf(const Group& group, const config::Service& service,
+                        TimePoint now) const {
   const auto found = this->tracks.find(group.name);
   if (found == this->tracks.end() || found->second.fence != group.fence) {
     return 0;
@@ -43,8 +45,10 @@
            track.outstanding_at_report;
     limit = track.reported.limit;
   }
-  return static_cast<double>(std::max<std::int64_t>(0, load)) /
-         static_cast<double>(std::max<std::int64_t>(1, limit));
+  const double usage = static_cast<double>(std::max<std::int64_t>(0, load)) /
+                       static_cast<double>(std::max<std::int64_t>(1, limit));
+  const bool may_probe = track.has_report && now >= track.probe_at;
+  return may_probe ? std::min(usage, kProbeUsage) : usage;
 }
 
 std::vector<Chooser::Candidate> Chooser::Candidates(
@@ -70,7 +74,7 @@
       continue;
     }
     candidates.push_back({&group, this->DistanceTo(view, group.data_centre),
-                          this->UsageOf(group, known->second)});
+                          this->UsageOf(group, known->second, now)});
   }
   return candidates;
 }
@@ -107,11 +111,10 @@
       return this->BetterOfTwo(near);
     }
   }
-  // Everything looks full; the agents decide.
-  return this->BetterOfTwo(all);
+  return nullptr;
 }
 
-void Chooser::Sent(const Group& group) {
+void Chooser::Sent(const Group& group, TimePoint now) {
   Track& track = this->tracks[group.name];
   if (track.fence != group.fence) {
     const std::int64_t outstanding = track.outstanding;
@@ -120,6 +123,7 @@
     track.outstanding = outstanding;
   }
   track.outstanding += 1;
+  track.probe_at = now + kFullReportLife;
 }
 
 void Chooser::Done(const std::string& group) {
@@ -127,10 +131,12 @@
   track.outstanding = std::max<std::int64_t>(0, track.outstanding - 1);
 }
 
-void Chooser::Reported(const std::string& group, const protocol::Load& load) {
+void Chooser::Reported(const std::string& group, const protocol::Load& load,
+                       TimePoint now) {
   Track& track = this->tracks[group];
   track.reported = load;
   track.has_report = true;
+  track.probe_at = now + kFullReportLife;
   track.outstanding_at_report = track.outstanding;
 }
 
