Retry a suspect request once

Cause: a request that kills its target was tried again twice: three targets died before the quarantine. The death that makes it a suspect was not counted. Change: one attempt as a suspect. Measured: poisoned_request_is_quarantined saw 3 deaths before, 2 after. Conclusion: two deaths is the least that tells guilty from innocent.

--- a/include/gooseberryturn/routing/retry_decision.h
+++ b/include/gooseberryturn/routing/retry_decision.h
@@ -18,7 +18,8 @@
 };
 
 inline constexpr int kMaxAttempts = 4;
-inline constexpr int kMaxSuspectAttempts = 2;
+/// \brief Attempts as a suspect: the death that made it one, and one more.
+inline constexpr int kMaxSuspectAttempts = 1;
 /// \brief With less time left than this a retry cannot help.
 inline constexpr Duration kLeastRemaining = std::chrono::milliseconds(20);
 
