Bound what the kernel buffers for slow callers and engines

Cause: 40 callers that read nothing were sent all 82 MB: the kernel grew the send buffers, so neither the entry nor the engine was held back. Change: 16 KiB send buffer towards callers and 16 KiB receive buffer from targets, set before connecting. Also adds the process tests of at-most-once, data centres, groups, graceful stops and load faults; 26 cases pass.

--- a/include/gooseberryturn/entry/caller_session.h
+++ b/include/gooseberryturn/entry/caller_session.h
@@ -94,6 +94,7 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void ReadHeader();
+  void StartReadTimer();
   void ReadBody();
   void OnParsed();
   void OnReadError(const boost::system::error_code& error);
@@ -106,6 +107,7 @@
   void CloseSocket();
 
   boost::beast::tcp_stream stream;
+  boost::asio::steady_timer read_timer;
   CallerLimits limits;
   observe::Metrics& metrics;
   boost::beast::flat_buffer buffer;
@@ -116,6 +118,7 @@
   std::string writing;
   std::size_t piece_bytes = 0;          ///< Relay bytes in `pending`.
   std::size_t writing_piece_bytes = 0;  ///< Relay bytes in `writing`.
+  bool is_read_late = false;
   bool keep_alive = false;
   bool in_request = false;
   bool is_stream_started = false;
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -20,6 +20,7 @@
 
 namespace {
 
+constexpr int kKernelBufferBytes = 16 * 1024;
 constexpr char kEventStream[] = "text/event-stream";
 constexpr char kTeamHeader[] = "Gooseberryturn-Team";
 constexpr char kKeyHeader[] = "Idempotency-Key";
@@ -56,9 +57,15 @@
 
 CallerSession::CallerSession(asio::ip::tcp::socket socket, CallerLimits limits,
                              observe::Metrics& metrics)
-    : stream(std::move(socket)), limits(limits), metrics(metrics) {
+    : stream(std::move(socket)),
+      read_timer(this->stream.get_executor()),
+      limits(limits),
+      metrics(metrics) {
   error_code ignored;
   this->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  // The kernel would otherwise buffer megabytes for a caller that reads slowly.
+  this->stream.socket().set_option(
+      asio::socket_base::send_buffer_size(kKernelBufferBytes), ignored);
   this->metrics.Add(observe::Metric::kConnections);
 }
 
@@ -76,7 +83,7 @@
       static_cast<std::uint32_t>(this->limits.max_header_bytes));
   this->parser->body_limit(this->limits.max_body_bytes);
   this->request_id = RandomName();
-  this->stream.expires_after(this->limits.header_timeout);
+  this->StartReadTimer();
   const std::shared_ptr<CallerSession> self = this->shared_from_this();
   http::async_read_header(this->stream, this->buffer, *this->parser,
                           [self](error_code error, std::size_t /*size*/) {
@@ -88,6 +95,20 @@
                           });
 }
 
+void CallerSession::StartReadTimer() {
+  this->is_read_late = false;
+  this->read_timer.expires_after(this->limits.header_timeout);
+  const std::weak_ptr<CallerSession> weak = this->weak_from_this();
+  this->read_timer.async_wait([weak](const error_code& error) {
+    const std::shared_ptr<CallerSession> self = weak.lock();
+    if (!error && self != nullptr) {
+      self->is_read_late = true;
+      error_code ignored;
+      self->stream.socket().cancel(ignored);
+    }
+  });
+}
+
 void CallerSession::ReadBody() {
   this->keep_alive = this->parser->get().keep_alive();
   const std::shared_ptr<CallerSession> self = this->shared_from_this();
@@ -105,18 +126,18 @@
   const bool is_too_large = error == http::error::body_limit ||
                             error == http::error::header_limit ||
                             error == http::error::buffer_overflow;
-  const bool is_timeout = error == boost::beast::error::timeout;
-  const bool has_begun = this->parser->got_some();
+  const bool has_begun = this->parser->got_some() || this->buffer.size() > 0;
   const bool is_bad =
       error.category() ==
           http::make_error_code(http::error::bad_method).category() &&
       error != http::error::end_of_stream &&
       error != http::error::partial_message;
+  this->read_timer.cancel();
   this->keep_alive = false;
   if (is_too_large) {
     this->Refuse({Reason::kTooLarge, Step::kAccept, Outcome::kNotRun, "caller",
                   "the header or body is too long"});
-  } else if (is_timeout && has_begun) {
+  } else if (this->is_read_late && has_begun) {
     this->Refuse({Reason::kSlowCaller, Step::kAccept, Outcome::kNotRun,
                   "caller", "the request did not arrive in time"});
   } else if (is_bad) {
@@ -128,7 +149,7 @@
 }
 
 void CallerSession::OnParsed() {
-  this->stream.expires_never();
+  this->read_timer.cancel();
   this->in_request = true;
   const http::request<http::string_body>& message = this->parser->get();
   CallerRequest request;
--- a/src/target/exchange.cc
+++ b/src/target/exchange.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr int kHttpVersion = 11;
+constexpr int kKernelBufferBytes = 16 * 1024;
 constexpr std::size_t kMaxShortBytes = 64U * 1024U;
 
 }  // namespace
@@ -45,6 +46,11 @@
   });
   const asio::ip::tcp::endpoint place(
       asio::ip::make_address(this->target.address), this->target.port);
+  error_code ignored;
+  this->socket.open(place.protocol(), ignored);
+  // Set before connecting: it decides the window that the target is offered.
+  this->socket.set_option(
+      asio::socket_base::receive_buffer_size(kKernelBufferBytes), ignored);
   this->socket.async_connect(place, [self](const error_code& error) {
     if (self->is_done) {
       return;
--- /dev/null
+++ b/tests/at_most_once_test.cc
@@ -0,0 +1,165 @@
+#define BOOST_TEST_MODULE at_most_once
+#include <boost/test/unit_test.hpp>
+
+#include "fleet.h"
+
+using namespace gooseberryturn;         // NOLINT
+using namespace gooseberryturn::fleet;  // NOLINT
+
+namespace {
+
+/// A fleet whose orders take a while, so that faults hit them in progress.
+struct Orders {
+  Orders() : fleet(12) {
+    fleet.StartControls();
+    for (int number = 1; number <= 2; ++number) {
+      fleet.StartTarget({number,
+                         "a",
+                         "rack-1",
+                         false,
+                         {"--delay-ms", "700", "--die-on", "fatal"}});
+    }
+    fleet.StartEntry(1);
+    fleet.StartEntry(2);
+    DocumentPlan plan;
+    plan.groups = 1;
+    plan.order_groups = 2;
+    plan.deadline_ms = 20'000;
+    fleet.Apply(MakeDocument(plan), 0);
+    fleet.WaitServing(2);
+    fleet.WaitEntry(1);
+    fleet.WaitEntry(2);
+  }
+
+  /// Waits until the order reached a stand-in.
+  void WaitRunning(const std::string& order) {
+    BOOST_REQUIRE(Eventually([&] { return fleet.Runs(order) == 1; }));
+  }
+  /// Number of the host whose target holds the running order.
+  int Holder() {
+    for (int number = 1; number <= 2; ++number) {
+      const std::string page = Get(fleet.AgentHttp(number), "/metrics").body;
+      if (page.find("gooseberryturn_in_flight 1") != std::string::npos) {
+        return number;
+      }
+    }
+    return 0;
+  }
+  Fleet fleet;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_CASE(entry_dies_and_the_resend_gets_the_answer, Orders) {
+  const std::unique_ptr<Call> call = fleet.Begin(1, "/order", "o-1", "k-1");
+  WaitRunning("o-1");
+  fleet.At("entry-1").Kill();
+  const Answer resend = fleet.Post(2, "/order", "o-1", "k-1");
+  BOOST_TEST(resend.status == 200);
+  BOOST_TEST(resend.Says("accepted"));
+  BOOST_TEST(fleet.Runs("o-1") == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(caller_hangs_up_and_the_resend_gets_the_answer,
+                        Orders) {
+  std::unique_ptr<Call> call = fleet.Begin(1, "/order", "o-2", "k-2");
+  WaitRunning("o-2");
+  call->Close();
+  const Answer resend = fleet.Post(1, "/order", "o-2", "k-2");
+  BOOST_TEST(resend.status == 200);
+  BOOST_TEST(fleet.Runs("o-2") == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(control_leader_dies_during_the_order, Orders) {
+  const int leader = fleet.Leader();
+  const std::unique_ptr<Call> call = fleet.Begin(1, "/order", "o-3", "k-3");
+  WaitRunning("o-3");
+  fleet.At("control-" + std::to_string(leader)).Kill();
+  const Answer answer = call->ReadAll();
+  BOOST_TEST(answer.status == 200);
+  BOOST_REQUIRE(Eventually(
+      [&] { return fleet.Post(2, "/order", "o-3", "k-3").status == 200; }));
+  BOOST_TEST(fleet.Runs("o-3") == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(agent_dies_and_the_outcome_is_unknown_for_good,
+                        Orders) {
+  const std::unique_ptr<Call> call = fleet.Begin(1, "/order", "o-4", "k-4");
+  WaitRunning("o-4");
+  const int holder = Holder();
+  BOOST_REQUIRE(holder != 0);
+  fleet.At("host-" + std::to_string(holder)).Kill();
+  const Answer answer = call->ReadAll();
+  BOOST_TEST(answer.status == 502);
+  BOOST_TEST(answer.Says("\"outcome\":\"unknown\""));
+  // The agent returns as a new incarnation and has forgotten the attempt.
+  fleet.At("host-" + std::to_string(holder)).Start();
+  fleet.WaitServing(2);
+  const Answer resend = fleet.Post(2, "/order", "o-4", "k-4");
+  BOOST_TEST(resend.status == 502);
+  BOOST_TEST(resend.Says("\"outcome\":\"unknown\""));
+  BOOST_TEST(fleet.Runs("o-4") == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(target_dies_after_the_run, Orders) {
+  const Answer answer = fleet.Post(1, "/order", "fatal-5", "k-5");
+  BOOST_TEST(answer.status == 502);
+  BOOST_TEST(answer.Says("\"outcome\":\"unknown\""));
+  const Answer resend = fleet.Post(2, "/order", "fatal-5", "k-5");
+  BOOST_TEST(resend.Says("\"outcome\":\"unknown\""));
+  BOOST_TEST(fleet.Runs("fatal-5") == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(frozen_agent_wakes_and_the_order_ran_once, Orders) {
+  const std::unique_ptr<Call> call = fleet.Begin(1, "/order", "o-6", "k-6");
+  WaitRunning("o-6");
+  const int holder = Holder();
+  BOOST_REQUIRE(holder != 0);
+  Process& agent = fleet.At("host-" + std::to_string(holder));
+  agent.Signal(SIGSTOP);
+  const Answer answer = call->ReadAll();
+  BOOST_TEST(answer.Says("\"outcome\":\"unknown\""));
+  agent.Signal(SIGCONT);
+  // The same incarnation wakes and tells how the attempt ended.
+  BOOST_REQUIRE(Eventually(
+      [&] { return fleet.Post(2, "/order", "o-6", "k-6").status == 200; }));
+  BOOST_TEST(fleet.Runs("o-6") == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(kept_answers_survive_a_restart_of_all_control_hosts,
+                        Orders) {
+  BOOST_TEST(fleet.Post(1, "/order", "o-7", "k-7").status == 200);
+  for (int id = 1; id <= 3; ++id) {
+    fleet.At("control-" + std::to_string(id)).Kill();
+  }
+  for (int id = 1; id <= 3; ++id) {
+    fleet.At("control-" + std::to_string(id)).Start();
+  }
+  BOOST_REQUIRE(Eventually(
+      [&] { return fleet.Post(2, "/order", "o-7", "k-7").status == 200; }));
+  BOOST_TEST(fleet.Runs("o-7") == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(without_control_an_order_is_refused_as_not_run,
+                        Orders) {
+  for (int id = 1; id <= 3; ++id) {
+    fleet.At("control-" + std::to_string(id)).Kill();
+  }
+  const Answer answer = fleet.Post(1, "/order", "o-8", "k-8");
+  BOOST_TEST(answer.status == 503);
+  BOOST_TEST(answer.Says("\"outcome\":\"not_run\""));
+  BOOST_TEST(fleet.Runs("o-8") == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(twenty_resends_at_once_run_once, Orders) {
+  std::vector<std::unique_ptr<Call>> calls;
+  for (int number = 0; number < 20; ++number) {
+    calls.push_back(fleet.Begin(1 + number % 2, "/order", "o-9", "k-9"));
+  }
+  for (const std::unique_ptr<Call>& call : calls) {
+    const Answer answer = call->ReadAll();
+    BOOST_TEST(
+        (answer.status == 200 || answer.Says("\"outcome\":\"unknown\"")));
+  }
+  BOOST_TEST(fleet.Runs("o-9") == 1);
+}
--- a/tests/consensus_test.cc
+++ b/tests/consensus_test.cc
@@ -163,9 +163,9 @@
     for (const Entry& entry : ready.committed) {
       const auto known = this->committed.find(entry.index);
       if (known != this->committed.end()) {
-        BOOST_REQUIRE_MESSAGE(
-            known->second.term == entry.term && known->second.data == entry.data,
-            "two entries committed at index " << entry.index);
+        BOOST_REQUIRE_MESSAGE(known->second.term == entry.term &&
+                                  known->second.data == entry.data,
+                              "two entries committed at index " << entry.index);
       }
       this->committed[entry.index] = entry;
     }
--- /dev/null
+++ b/tests/data_centre_test.cc
@@ -0,0 +1,114 @@
+#define BOOST_TEST_MODULE data_centre
+#include <boost/test/unit_test.hpp>
+
+#include "fleet.h"
+
+using namespace gooseberryturn;         // NOLINT
+using namespace gooseberryturn::fleet;  // NOLINT
+
+namespace {
+
+constexpr char kTakeOut[] = "/v1/data-centre?name=a&out=1";
+constexpr char kReturn[] = "/v1/data-centre?name=a&out=0";
+
+/// Group 1 stands in data centre a behind relays, group 2 in b.
+struct TwoPlaces {
+  explicit TwoPlaces(int net = 18) : fleet(net) {
+    fleet.StartControls();
+    for (int id = 1; id <= 3; ++id) {
+      relays.push_back(
+          std::make_unique<Relay>(fleet.RelayAt(id), fleet.ControlLink(id)));
+    }
+    fleet.StartTarget({1, "a", "rack-a", true, {"--token-ms", "20"}}, true);
+    fleet.StartTarget({2, "b", "rack-b", true, {"--token-ms", "20"}});
+    fleet.StartEntry(1, "a");
+    DocumentPlan plan;
+    plan.groups = 2;
+    document = MakeDocument(plan);
+    fleet.Apply(document, 0);
+    fleet.WaitServing(2);
+    fleet.WaitEntry(1);
+  }
+  Answer Generate(int tokens) {
+    return fleet.Post(1, "/gen",
+                      "{\"max_tokens\":" + std::to_string(tokens) + "}");
+  }
+  Fleet fleet;
+  std::vector<std::unique_ptr<Relay>> relays;
+  std::string document;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_CASE(taken_out_gets_no_new_work_and_finishes_the_rest,
+                        TwoPlaces) {
+  const std::unique_ptr<Call> call =
+      fleet.Begin(1, "/gen", "{\"max_tokens\":60}");
+  BOOST_REQUIRE(Eventually([&] { return fleet.Counted(1, "runs") == 1; }));
+  const Answer out = fleet.Operate("POST", kTakeOut);
+  BOOST_TEST(out.status == 200);
+  BOOST_TEST(out.Says("\"in_force\":true"));
+  for (int number = 0; number < 20; ++number) {
+    BOOST_TEST(Generate(1).is_complete);
+  }
+  BOOST_TEST(fleet.Counted(1, "runs") == 1);
+  BOOST_TEST(fleet.Counted(2, "runs") == 20);
+  // What was in progress is not cut.
+  const Answer answer = call->ReadAll();
+  BOOST_TEST(answer.is_complete);
+  BOOST_TEST(answer.Says("[DONE]"));
+  // A document applied again does not return the data centre.
+  fleet.Apply(document, 1);
+  BOOST_TEST(Generate(1).is_complete);
+  BOOST_TEST(fleet.Counted(1, "runs") == 1);
+  BOOST_TEST(fleet.Operate("POST", kReturn).status == 200);
+  BOOST_REQUIRE(Eventually(
+      [&] { return Generate(1).is_complete && fleet.Counted(1, "runs") > 1; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(cut_off_data_centre_takes_no_new_work, TwoPlaces) {
+  for (const std::unique_ptr<Relay>& relay : relays) {
+    relay->Cut(true);
+  }
+  const Answer out = fleet.Operate("POST", kTakeOut);
+  // In force once the lease of the cut-off agent has run out.
+  BOOST_TEST(out.status == 200);
+  BOOST_TEST(out.Says("\"in_force\":true"));
+  const long before = fleet.Counted(1, "runs");
+  // An order that reaches the agent by another way is refused there.
+  BOOST_TEST(Get(fleet.AgentHttp(1), "/ready").status == 503);
+  for (int number = 0; number < 10; ++number) {
+    BOOST_TEST(Generate(1).is_complete);
+  }
+  BOOST_TEST(fleet.Counted(1, "runs") == before);
+}
+
+BOOST_FIXTURE_TEST_CASE(last_data_centre_needs_force, TwoPlaces) {
+  BOOST_TEST(fleet.Operate("POST", kTakeOut).status == 200);
+  const Answer last = fleet.Operate("POST", "/v1/data-centre?name=b&out=1");
+  BOOST_TEST(last.status == 409);
+  BOOST_TEST(last.Says("--force"));
+  BOOST_TEST(Generate(1).is_complete);
+  BOOST_TEST(
+      fleet.Operate("POST", "/v1/data-centre?name=b&out=1&force=1").status ==
+      200);
+  const Answer refused = Generate(1);
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(refused.Says("not_run"));
+}
+
+BOOST_FIXTURE_TEST_CASE(control_majority_lost_stops_new_work, TwoPlaces) {
+  const int leader = fleet.Leader();
+  for (int id = 1; id <= 3; ++id) {
+    if (id != leader) {
+      fleet.At("control-" + std::to_string(id)).Kill();
+    }
+  }
+  BOOST_REQUIRE(Eventually([&] {
+    const Answer answer = Generate(1);
+    return answer.status == 503 && answer.Says("no_view") &&
+           answer.Says("not_run");
+  }));
+  fleet.At("control-" + std::to_string(leader % 3 + 1)).Start();
+  BOOST_REQUIRE(Eventually([&] { return Generate(1).is_complete; }));
+}
--- /dev/null
+++ b/tests/group_process_test.cc
@@ -0,0 +1,160 @@
+#define BOOST_TEST_MODULE group_process
+#include <boost/test/unit_test.hpp>
+
+#include "fleet.h"
+
+using namespace gooseberryturn;         // NOLINT
+using namespace gooseberryturn::fleet;  // NOLINT
+
+namespace {
+
+/// One group of two hosts and one spare in the same fabric domain.
+struct Spare {
+  explicit Spare(int net = 19) : fleet(net) {
+    fleet.StartControls();
+    fleet.StartEntry(1);
+    for (int number = 1; number <= 3; ++number) {
+      fleet.StartTarget({number, "a", "rack-1", true, {"--token-ms", "20"}});
+    }
+    DocumentPlan plan;
+    plan.hosts = 2;
+    fleet.Apply(MakeDocument(plan), 0);
+    fleet.WaitServing(1);
+    fleet.WaitEntry(1);
+  }
+  /// Hosts of the one group; the leader comes first.
+  std::vector<int> Members() {
+    const std::string status = fleet.Status();
+    const std::size_t start = status.find("\"members\":[");
+    std::vector<int> members;
+    std::size_t at = start;
+    const std::size_t end = status.find(']', start);
+    while ((at = status.find("host-", at)) < end) {
+      members.push_back(std::atoi(status.c_str() + at + 5));
+      at += 5;
+    }
+    return members;
+  }
+  /// Waits until the group serves with members that all differ from `host`.
+  void WaitRepaired(int host) {
+    BOOST_REQUIRE(Eventually([&] {
+      for (const int member : Members()) {
+        if (member == host) {
+          return false;
+        }
+      }
+      return fleet.Serving() == 1;
+    }));
+  }
+  std::unique_ptr<Call> BeginLong() {
+    std::unique_ptr<Call> call = fleet.Begin(1, "/gen", "{\"max_tokens\":400}");
+    BOOST_TEST(call->ReadSome().status == 200);
+    return call;
+  }
+  Fleet fleet;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_CASE(member_dies_and_the_answer_ends_visibly_cut, Spare) {
+  const std::vector<int> members = Members();
+  BOOST_REQUIRE(members.size() == 2U);
+  const std::unique_ptr<Call> call = BeginLong();
+  fleet.At("host-" + std::to_string(members[1])).Kill();
+  const Answer answer = call->ReadAll();
+  BOOST_TEST(!answer.is_complete);
+  BOOST_TEST(answer.Says("event: error"));
+  BOOST_TEST(answer.Says("\"outcome\":\"unknown\""));
+  BOOST_TEST(!answer.Says("[DONE]"));
+  WaitRepaired(members[1]);
+  BOOST_TEST(fleet.Post(1, "/gen", "{\"max_tokens\":2}").is_complete);
+}
+
+BOOST_FIXTURE_TEST_CASE(target_of_a_member_dies, Spare) {
+  const std::vector<int> members = Members();
+  const std::unique_ptr<Call> call = BeginLong();
+  fleet.At("target-" + std::to_string(members[1])).Kill();
+  const Answer answer = call->ReadAll();
+  BOOST_TEST(!answer.is_complete);
+  BOOST_TEST(answer.Says("event: error"));
+  WaitRepaired(members[1]);
+  BOOST_TEST(fleet.Post(1, "/gen", "{\"max_tokens\":2}").is_complete);
+}
+
+BOOST_FIXTURE_TEST_CASE(frozen_leader_wakes_and_forwards_nothing, Spare) {
+  const std::vector<int> members = Members();
+  const int leader = members[0];
+  fleet.At("host-" + std::to_string(leader)).Signal(SIGSTOP);
+  const std::unique_ptr<Call> stuck =
+      fleet.Begin(1, "/gen", "{\"max_tokens\":2}");
+  WaitRepaired(leader);
+  const long before = fleet.Counted(leader, "runs");
+  fleet.At("host-" + std::to_string(leader)).Signal(SIGCONT);
+  // Its target must not see what was queued while it slept.
+  BOOST_TEST(fleet.Post(1, "/gen", "{\"max_tokens\":2}").is_complete);
+  BOOST_REQUIRE(Eventually(
+      [&] { return Get(fleet.AgentHttp(leader), "/ready").status == 200; }));
+  BOOST_TEST(fleet.Counted(leader, "runs") == before);
+}
+
+BOOST_FIXTURE_TEST_CASE(frozen_member_stops_the_group, Spare) {
+  const std::vector<int> members = Members();
+  const std::unique_ptr<Call> call = BeginLong();
+  fleet.At("host-" + std::to_string(members[1])).Signal(SIGSTOP);
+  const Answer answer = call->ReadAll();
+  BOOST_TEST(!answer.is_complete);
+  WaitRepaired(members[1]);
+  fleet.At("host-" + std::to_string(members[1])).Signal(SIGCONT);
+  BOOST_TEST(fleet.Post(1, "/gen", "{\"max_tokens\":2}").is_complete);
+}
+
+BOOST_FIXTURE_TEST_CASE(leaving_member_drains_its_group, Spare) {
+  const std::vector<int> members = Members();
+  const std::unique_ptr<Call> call =
+      fleet.Begin(1, "/gen", "{\"max_tokens\":60}");
+  BOOST_TEST(call->ReadSome().status == 200);
+  Process& member = fleet.At("host-" + std::to_string(members[1]));
+  member.Signal(SIGTERM);
+  const Answer answer = call->ReadAll();
+  BOOST_TEST(answer.is_complete);
+  BOOST_TEST(answer.Says("[DONE]"));
+  BOOST_TEST(member.WaitExit() == 0);
+  WaitRepaired(members[1]);
+}
+
+BOOST_FIXTURE_TEST_CASE(leaving_leader_drains_and_exits_with_0, Spare) {
+  const std::vector<int> members = Members();
+  const std::unique_ptr<Call> call =
+      fleet.Begin(1, "/gen", "{\"max_tokens\":60}");
+  BOOST_TEST(call->ReadSome().status == 200);
+  Process& leader = fleet.At("host-" + std::to_string(members[0]));
+  leader.Signal(SIGTERM);
+  const Answer answer = call->ReadAll();
+  BOOST_TEST(answer.is_complete);
+  BOOST_TEST(leader.WaitExit() == 0);
+  WaitRepaired(members[0]);
+}
+
+BOOST_FIXTURE_TEST_CASE(leaving_entry_finishes_its_requests, Spare) {
+  const std::unique_ptr<Call> call =
+      fleet.Begin(1, "/gen", "{\"max_tokens\":60}");
+  BOOST_TEST(call->ReadSome().status == 200);
+  Process& entry = fleet.At("entry-1");
+  entry.Signal(SIGTERM);
+  BOOST_REQUIRE(Eventually(
+      [&] { return Get(fleet.EntryHttp(1), "/ready").status == 503; }));
+  const Answer refused = fleet.Post(1, "/gen", "x");
+  BOOST_TEST(refused.Says("\"reason\":\"leaving\""));
+  BOOST_TEST(refused.Says("not_run"));
+  BOOST_TEST(call->ReadAll().is_complete);
+  BOOST_TEST(entry.WaitExit() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(operators_drain_frees_a_host, Spare) {
+  const std::vector<int> members = Members();
+  const std::string host = "host-" + std::to_string(members[1]);
+  BOOST_TEST(fleet.Operate("POST", "/v1/drain?drain=1&host=" + host).status ==
+             200);
+  WaitRepaired(members[1]);
+  BOOST_TEST(fleet.Post(1, "/gen", "{\"max_tokens\":2}").is_complete);
+}
--- /dev/null
+++ b/tests/load_fault_test.cc
@@ -0,0 +1,168 @@
+#define BOOST_TEST_MODULE load_fault
+#include <boost/test/unit_test.hpp>
+
+#include "fleet.h"
+
+using namespace gooseberryturn;         // NOLINT
+using namespace gooseberryturn::fleet;  // NOLINT
+
+namespace {
+
+void StartAll(Fleet& fleet, const DocumentPlan& plan, int targets,
+              const std::vector<std::string>& options) {
+  fleet.StartControls();
+  for (int number = 1; number <= targets; ++number) {
+    fleet.StartTarget({number, "a", "rack-1", true, options});
+  }
+  fleet.StartEntry(1);
+  fleet.StartEntry(2);
+  fleet.Apply(MakeDocument(plan), 0);
+  fleet.WaitServing(targets);
+  fleet.WaitEntry(1);
+  fleet.WaitEntry(2);
+}
+
+std::string Body(int number, int tokens) {
+  return "{\"n\":" + std::to_string(number) +
+         ",\"max_tokens\":" + std::to_string(tokens) + "}";
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(cold_target_never_gets_more_than_it_bears) {
+  Fleet fleet(20);
+  DocumentPlan plan;
+  plan.in_flight = 32;
+  plan.cold_in_flight = 2;
+  // The stand-in dies when it holds more than 8 before 20 have completed.
+  StartAll(fleet, plan, 1, {"--warm-after", "8", "--cold-bears", "10"});
+  std::vector<std::unique_ptr<Call>> calls;
+  for (int number = 0; number < 60; ++number) {
+    calls.push_back(fleet.Begin(1 + number % 2, "/gen", Body(number, 4)));
+  }
+  int complete = 0;
+  for (const std::unique_ptr<Call>& call : calls) {
+    const Answer answer = call->ReadAll();
+    complete += answer.is_complete && answer.status == 200 ? 1 : 0;
+    BOOST_TEST((answer.status == 200 || answer.Says("not_run")));
+  }
+  BOOST_TEST(complete >= 10);
+  BOOST_TEST(!fleet.At("target-1").HasExited());
+  BOOST_TEST(fleet.Counted(1, "cold_max") <= 10);
+}
+
+BOOST_AUTO_TEST_CASE(restarted_target_is_cold_again) {
+  Fleet fleet(21);
+  DocumentPlan plan;
+  plan.in_flight = 32;
+  plan.cold_in_flight = 2;
+  StartAll(fleet, plan, 1, {});
+  for (int number = 0; number < 40; ++number) {
+    fleet.Post(1, "/gen", Body(number, 1));
+  }
+  BOOST_TEST(Get(fleet.AgentHttp(1), "/metrics")
+                 .Says("gooseberryturn_concurrency_limit 32"));
+  fleet.At("target-1").Kill();
+  fleet.At("target-1").Start();
+  fleet.WaitServing(1);
+  BOOST_REQUIRE(Eventually(
+      [&] { return fleet.Post(1, "/gen", Body(0, 1)).is_complete; }));
+  BOOST_TEST(!Get(fleet.AgentHttp(1), "/metrics")
+                  .Says("gooseberryturn_concurrency_limit 32"));
+}
+
+BOOST_AUTO_TEST_CASE(engine_never_holds_more_than_its_memory) {
+  Fleet fleet(22);
+  DocumentPlan plan;
+  plan.memory_tokens = 1000;
+  // The stand-in dies above 1000 tokens; each request may need over 100.
+  StartAll(fleet, plan, 1, {"--memory-tokens", "1000"});
+  std::vector<std::unique_ptr<Call>> calls;
+  for (int number = 0; number < 40; ++number) {
+    calls.push_back(fleet.Begin(1 + number % 2, "/gen", Body(number, 90)));
+  }
+  for (const std::unique_ptr<Call>& call : calls) {
+    const Answer answer = call->ReadAll();
+    BOOST_TEST((answer.is_complete || answer.Says("not_run")));
+  }
+  BOOST_TEST(!fleet.At("target-1").HasExited());
+  const Answer never = fleet.Post(1, "/gen", std::string(5000, 'x'));
+  BOOST_TEST(never.status == 413);
+  BOOST_TEST(never.Says("not_run"));
+}
+
+BOOST_AUTO_TEST_CASE(slow_callers_cost_a_bounded_amount) {
+  constexpr int kCallers = 40;
+  constexpr long kTokens = 2000;
+  constexpr long kTokenBytes = 1000;
+  constexpr int kSmallBuffer = 4096;
+  constexpr long kPromisedBytes = 128 * 1024;  // A slow stream, whole path.
+  Fleet fleet(23);
+  DocumentPlan plan;
+  plan.in_flight = 100;
+  plan.cold_in_flight = 100;
+  StartAll(fleet, plan, 1, {"--token-ms", "1", "--token-bytes", "1000"});
+  const auto resident = [&](const std::string& name) {
+    const std::string page =
+        Get(name == "entry" ? fleet.EntryHttp(1) : fleet.AgentHttp(1),
+            "/metrics")
+            .body;
+    const std::string mark = "gooseberryturn_resident_bytes ";
+    const std::size_t found = page.find("\n" + mark);
+    BOOST_REQUIRE(found != std::string::npos);
+    return std::strtol(page.c_str() + found + 1 + mark.size(), nullptr, 10);
+  };
+  fleet.Post(1, "/gen", Body(0, 50));
+  const long before = resident("entry") + resident("agent");
+  std::vector<std::unique_ptr<Call>> calls;
+  for (int number = 0; number < kCallers; ++number) {
+    calls.push_back(fleet.Begin(1, "/gen",
+                                Body(number, static_cast<int>(kTokens)), "",
+                                "t1", kSmallBuffer));
+  }
+  // Nobody reads until every stream stands still.
+  long last = -1;
+  BOOST_REQUIRE(Eventually([&] {
+    const std::string page = Get(fleet.EntryHttp(1), "/metrics").body;
+    const std::string mark = "gooseberryturn_answer_bytes_total ";
+    const std::size_t found = page.find("\n" + mark);
+    const long now =
+        std::strtol(page.c_str() + found + 1 + mark.size(), nullptr, 10);
+    const bool is_still = now > 0 && now == last;
+    last = now;
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    return is_still;
+  }));
+  const long held = resident("entry") + resident("agent") - before;
+  BOOST_TEST(last < kCallers * kTokens * kTokenBytes);
+  BOOST_TEST(held <= kCallers * kPromisedBytes);
+  BOOST_TEST_MESSAGE("held per slow stream: " << held / kCallers << " bytes");
+}
+
+BOOST_AUTO_TEST_CASE(poisoned_request_is_quarantined) {
+  Fleet fleet(24);
+  DocumentPlan plan;
+  plan.groups = 3;
+  StartAll(fleet, plan, 3, {"--poison", "deadly", "--token-ms", "5"});
+  const auto deaths = [&] {
+    int count = 0;
+    for (int number = 1; number <= 3; ++number) {
+      count += fleet.At("target-" + std::to_string(number)).HasExited() ? 1 : 0;
+    }
+    return count;
+  };
+  const Answer first = fleet.Post(1, "/gen", "deadly");
+  BOOST_TEST(first.status != 200);
+  BOOST_REQUIRE(Eventually([&] {
+    return fleet.Status().find("\"quarantined\":[]") == std::string::npos;
+  }));
+  BOOST_TEST(deaths() <= 2);
+  BOOST_REQUIRE(Eventually([&] {
+    const Answer again = fleet.Post(2, "/gen", "deadly");
+    return again.status == 422 && again.Says("quarantined") &&
+           again.Says("not_run");
+  }));
+  BOOST_TEST(deaths() <= 2);
+  // The target that is left still serves the others.
+  BOOST_TEST(fleet.Post(2, "/gen", "harmless").is_complete);
+}
