--- /dev/null
+++ b/tests/config_test.cc
@@ -0,0 +1,100 @@
+#define BOOST_TEST_MODULE config
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+
+#include "gooseberryturn/config/document.h"
+#include "gooseberryturn/config/settings.h"
+
+using namespace gooseberryturn;          // NOLINT
+using namespace gooseberryturn::config;  // NOLINT
+
+namespace {
+
+std::string All(const Faults& faults) {
+  std::string text;
+  for (const Fault& fault : faults) {
+    text += ToString(fault, "f") + "\n";
+  }
+  return text;
+}
+
+std::string FaultsOf(const std::string& text) {
+  const tl::expected<Document, Faults> document = ParseDocument(text);
+  return document.has_value() ? "" : All(document.error());
+}
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+std::string WithService(const std::string& service) {
+  return "{\"environment\":\"e\",\"data_centres\":[],\"teams\":[],"
+         "\"services\":[" +
+         service + "]}";
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(examples_have_no_faults) {
+  const std::filesystem::path folder = std::string(SOURCE_ROOT) + "/examples";
+  int count = 0;
+  for (const auto& file : std::filesystem::directory_iterator(folder)) {
+    if (file.path().extension() == ".json") {
+      ++count;
+      const tl::expected<std::string, Faults> text =
+          ReadFile(file.path().string());
+      BOOST_TEST(FaultsOf(text.value()) == "");
+    }
+  }
+  BOOST_TEST(count >= 3);
+}
+
+BOOST_AUTO_TEST_CASE(syntax_error_names_the_line) {
+  BOOST_TEST(Has(FaultsOf("{\n\"environment\": 1,\n,}"), "f:3: "));
+  BOOST_TEST(Has(FaultsOf("[1]"), "expected one JSON object"));
+  BOOST_TEST(Has(FaultsOf("{} tail"), "text after the end"));
+  BOOST_TEST(!Has(FaultsOf("// a\n{} // b\n/* c */"), "text after"));
+}
+
+BOOST_AUTO_TEST_CASE(every_fault_is_listed_with_its_place) {
+  const std::string faults = FaultsOf(WithService(
+      "{\"name\":\"m\",\"kind\":\"modell\",\"groups\":0,\"hosts_per_grup\":2,"
+      "\"limits\":{\"memory_tokens\":\"x\",\"max_output_tokens\":5,"
+      "\"in_flight\":1,\"cold_in_flight\":2,\"in_flight\":1},"
+      "\"routes\":[{\"path\":\"a\",\"idempotent\":1,\"deadline_ms\":2}]}"));
+  BOOST_TEST(Has(faults, "services[0].kind: found \"modell\""));
+  BOOST_TEST(Has(faults, "services[0].groups: found 0, expected an integer"));
+  BOOST_TEST(Has(faults,
+                 "services[0].hosts_per_grup: found an unknown key, "
+                 "expected a known key, such as hosts_per_group"));
+  BOOST_TEST(Has(faults, "services[0].limits.memory_tokens: found \"x\""));
+  BOOST_TEST(
+      Has(faults, "services[0].limits.in_flight: found the key a second"));
+  BOOST_TEST(Has(faults, "services[0].limits.cold_in_flight: found 2"));
+  BOOST_TEST(Has(faults, "services[0].routes[0].path: found \"a\""));
+  BOOST_TEST(Has(faults, "services[0].routes[0].idempotent: found 1"));
+}
+
+BOOST_AUTO_TEST_CASE(names_and_paths_are_unique) {
+  const std::string service =
+      "{\"name\":\"m\",\"kind\":\"plain\",\"groups\":1,\"limits\":{"
+      "\"in_flight\":1,\"cold_in_flight\":1},\"routes\":[{\"path\":\"/a\","
+      "\"idempotent\":true,\"deadline_ms\":2}]}";
+  const std::string faults = FaultsOf(WithService(service + "," + service));
+  BOOST_TEST(Has(faults, "services[1].name: found \"m\" a second time"));
+  BOOST_TEST(Has(faults, "services[1].routes[0].path: found \"/a\" a second"));
+}
+
+BOOST_AUTO_TEST_CASE(settings_are_checked) {
+  const tl::expected<AgentSettings, Faults> bad = ParseAgentSettings(
+      "{\"host\":\"h\",\"data_centre\":\"a\",\"http\":\"localhost:1\","
+      "\"link\":\"127.0.0.1:0\",\"target\":\"127.0.0.1:9\",\"service\":\"s\","
+      "\"target_kind\":\"model\",\"fabric_domain\":\"d\","
+      "\"control\":[\"127.0.0.1\"]}");
+  BOOST_REQUIRE(!bad.has_value());
+  const std::string faults = All(bad.error());
+  BOOST_TEST(Has(faults, "http: found \"localhost:1\", expected an IP number"));
+  BOOST_TEST(Has(faults, "link: found \"127.0.0.1:0\""));
+  BOOST_TEST(Has(faults, "control[0]: found \"127.0.0.1\""));
+  BOOST_TEST(!Has(faults, "target:"));
+}
--- /dev/null
+++ b/tests/entry_decision_test.cc
@@ -0,0 +1,203 @@
+#define BOOST_TEST_MODULE entry_decision
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "gooseberryturn/protocol/frame.h"
+#include "gooseberryturn/routing/chooser.h"
+#include "gooseberryturn/routing/retry_decision.h"
+#include "gooseberryturn/routing/team_limiter.h"
+
+using namespace gooseberryturn;           // NOLINT
+using namespace gooseberryturn::routing;  // NOLINT
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kNow(std::chrono::hours(5));
+
+protocol::View MakeView() {
+  protocol::View view;
+  view.data_centres["a"] = {"a", "r", false};
+  view.data_centres["b"] = {"b", "r", false};
+  view.data_centres["far"] = {"far", "q", false};
+  view.services["s"].name = "s";
+  view.services["s"].limits.cold_in_flight = 2;
+  for (const std::string place : {"a", "b", "far"}) {
+    for (const std::string number : {"1", "2"}) {
+      protocol::Group group;
+      group.name = place + number;
+      group.service = "s";
+      group.data_centre = place;
+      group.fence = 1;
+      view.groups[group.name] = group;
+    }
+  }
+  return view;
+}
+
+/// Places chosen in `count` attempts that all stay open.
+std::map<std::string, int> Fill(Chooser& chooser, const protocol::View& view,
+                                int count) {
+  std::map<std::string, int> places;
+  for (int number = 0; number < count; ++number) {
+    const protocol::Group* group = chooser.Choose(view, "s", {}, kNow);
+    if (group == nullptr) {
+      places["none"] += 1;
+      continue;
+    }
+    chooser.Sent(*group, kNow);
+    places[group->data_centre] += 1;
+  }
+  return places;
+}
+
+Error Failure(Reason reason, Outcome outcome) {
+  return {reason, Step::kAdmit, outcome, "g", ""};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(near_first_then_spill_then_wait) {
+  const protocol::View view = MakeView();
+  Chooser chooser("a", Policy::kTwoChoice, 1);
+  std::map<std::string, int> places = Fill(chooser, view, 13);
+  BOOST_TEST(places["a"] == 4);
+  BOOST_TEST(places["b"] == 4);
+  BOOST_TEST(places["far"] == 4);
+  BOOST_TEST(places["none"] == 1);
+}
+
+BOOST_AUTO_TEST_CASE(data_centre_out_is_never_chosen) {
+  protocol::View view = MakeView();
+  view.data_centres["a"].out = true;
+  Chooser chooser("a", Policy::kTwoChoice, 1);
+  BOOST_TEST(Fill(chooser, view, 20)["a"] == 0);
+  Chooser baseline("a", Policy::kRandom, 1);
+  BOOST_TEST(Fill(baseline, view, 20)["a"] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(reports_are_corrected_by_own_work) {
+  protocol::View view = MakeView();
+  view.groups.erase("a2");
+  Chooser chooser("a", Policy::kTwoChoice, 1);
+  chooser.Sent(view.groups["a1"], kNow);
+  chooser.Reported("a1", {9, 10}, kNow);
+  BOOST_TEST(chooser.Choose(view, "s", {}, kNow)->name == "a1");
+  chooser.Sent(view.groups["a1"], kNow);
+  BOOST_TEST(chooser.Choose(view, "s", {}, kNow)->name != "a1");
+  chooser.Done("a1");
+  BOOST_TEST(chooser.Choose(view, "s", {}, kNow)->name == "a1");
+}
+
+BOOST_AUTO_TEST_CASE(full_report_is_tested_after_a_while) {
+  protocol::View view = MakeView();
+  for (const std::string name : {"a2", "b1", "b2", "far1", "far2"}) {
+    view.groups.erase(name);
+  }
+  Chooser chooser("a", Policy::kTwoChoice, 1);
+  chooser.Sent(view.groups["a1"], kNow);
+  chooser.Reported("a1", {10, 10}, kNow);
+  BOOST_TEST(chooser.Choose(view, "s", {}, kNow) == nullptr);
+  BOOST_TEST(chooser.Choose(view, "s", {}, kNow + Chooser::kFullReportLife) !=
+             nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(failed_and_excluded_groups_rest) {
+  protocol::View view = MakeView();
+  Chooser chooser("a", Policy::kTwoChoice, 1);
+  chooser.Sent(view.groups["a1"], kNow);
+  chooser.Failed("a1", kNow);
+  for (int number = 0; number < 20; ++number) {
+    BOOST_TEST(chooser.Choose(view, "s", {"a2"}, kNow)->data_centre == "b");
+  }
+  // A new assignment starts without the history of the old one.
+  view.groups["a1"].fence = 2;
+  BOOST_TEST(chooser.Choose(view, "s", {"a2"}, kNow)->name == "a1");
+}
+
+BOOST_AUTO_TEST_CASE(only_what_is_safe_is_retried) {
+  RetryBudget budget;
+  AttemptRecord record;
+  record.attempts = 1;
+  record.deadline = kNow + seconds(1);
+  const auto may = [&](Reason reason, Outcome outcome) {
+    return DecideRetry(record, Failure(reason, outcome), budget, kNow)
+        .has_value();
+  };
+  BOOST_TEST(may(Reason::kLinkLost, Outcome::kUnknown));
+  record.idempotent = false;
+  BOOST_TEST(!may(Reason::kLinkLost, Outcome::kUnknown));
+  BOOST_TEST(may(Reason::kLeaving, Outcome::kNotRun));
+  BOOST_TEST(!may(Reason::kTooLarge, Outcome::kNotRun));
+  record.head_sent = true;
+  BOOST_TEST(!may(Reason::kLeaving, Outcome::kNotRun));
+  record.head_sent = false;
+  record.attempts = kMaxAttempts;
+  BOOST_TEST(!may(Reason::kLeaving, Outcome::kNotRun));
+  record.attempts = 1;
+  record.deadline = kNow + milliseconds(5);
+  BOOST_TEST(!may(Reason::kLeaving, Outcome::kNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(retries_stay_below_their_share) {
+  RetryBudget budget;
+  int retries = 0;
+  for (int request = 0; request < 1000; ++request) {
+    budget.FirstAttempt(10);
+    retries += budget.TakeRetry() ? 1 : 0;
+  }
+  BOOST_TEST(retries <= 100 + static_cast<int>(RetryBudget::kReserve));
+  BOOST_TEST(retries >= 100);
+}
+
+BOOST_AUTO_TEST_CASE(contract_is_split_among_entries) {
+  TeamLimiter limiter;
+  const config::Team team = {"t", 100, 10};
+  int admitted = 0;
+  for (int number = 0; number < 200; ++number) {
+    admitted += limiter.Admit(team, 2, kNow).has_value() ? 1 : 0;
+  }
+  BOOST_TEST(admitted == 5);  // In flight: 10 shared by 2.
+  for (int number = 0; number < admitted; ++number) {
+    limiter.Release("t");
+  }
+  admitted = 0;
+  for (int number = 0; number < 200; ++number) {
+    if (limiter.Admit(team, 2, kNow).has_value()) {
+      ++admitted;
+      limiter.Release("t");
+    }
+  }
+  BOOST_TEST(admitted == 45);  // The rest of one second's 50.
+  BOOST_TEST(limiter.InFlight("t") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(frames_survive_any_cut) {
+  const std::string bytes =
+      protocol::EncodeFrame(protocol::FrameType::kMessage, "head") +
+      protocol::EncodeChunk(7, "body") +
+      protocol::EncodeFrame(protocol::FrameType::kEnd, "");
+  for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+    protocol::FrameReader reader;
+    std::string seen;
+    const protocol::FrameReader::OnFrame on_frame =
+        [&seen](protocol::FrameType type, std::string_view payload) {
+          protocol::Chunk chunk;
+          if (type == protocol::FrameType::kChunk &&
+              protocol::DecodeChunk(payload, chunk)) {
+            seen += std::to_string(chunk.offset) + std::string(chunk.bytes);
+          } else {
+            seen += std::string(payload);
+          }
+          seen += "|";
+        };
+    BOOST_TEST(reader.Feed(bytes.substr(0, cut), on_frame));
+    BOOST_TEST(reader.Feed(bytes.substr(cut), on_frame));
+    BOOST_TEST(seen == "head|7body||");
+  }
+  protocol::FrameReader reader;
+  BOOST_TEST(!reader.Feed("\xff\xff\xff\xff\x01",
+                          [](protocol::FrameType, std::string_view) {}));
+}
--- /dev/null
+++ b/tests/storage_test.cc
@@ -0,0 +1,162 @@
+#define BOOST_TEST_MODULE storage
+#include "gooseberryturn/consensus/storage.h"
+
+#include <sys/resource.h>
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+using namespace gooseberryturn;             // NOLINT
+using namespace gooseberryturn::consensus;  // NOLINT
+
+namespace {
+
+struct Folder {
+  Folder() {
+    char name[] = "/tmp/gooseberryturn-storage-XXXXXX";
+    this->path = mkdtemp(name);
+  }
+  ~Folder() { std::filesystem::remove_all(this->path); }
+
+  Storage Open() const { return Storage::Open(this->path, 1).value(); }
+  std::string Log() const { return this->path + "/log"; }
+  void Save(Storage& storage, Index first, Index last) const {
+    Ready ready;
+    ready.hard_state = HardState{1, 1};
+    for (Index index = first; index <= last; ++index) {
+      ready.entries.push_back(
+          {1, index, EntryKind::kCommand, "entry " + std::to_string(index)});
+    }
+    BOOST_REQUIRE(storage.Save(ready).has_value());
+  }
+  std::string path;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_CASE(what_was_saved_is_loaded, Folder) {
+  std::uint64_t disk = 0;
+  {
+    Storage storage = Open();
+    BOOST_TEST(storage.is_new());
+    disk = storage.identity().disk;
+    BOOST_TEST(storage.Load()->entries.empty());
+    Save(storage, 1, 5);
+    Save(storage, 4, 6);  // Replaces 4 and 5.
+  }
+  Storage storage = Open();
+  BOOST_TEST(!storage.is_new());
+  BOOST_TEST(storage.identity().disk == disk);
+  const Stored stored = storage.Load().value();
+  BOOST_TEST(stored.entries.size() == 6U);
+  BOOST_TEST(stored.entries.back().data == "entry 6");
+  BOOST_TEST(stored.hard_state.vote == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(torn_tail_is_dropped_at_every_length, Folder) {
+  std::uintmax_t two = 0;
+  {
+    Storage storage = Open();
+    Save(storage, 1, 2);
+    two = std::filesystem::file_size(Log());
+    Save(storage, 3, 3);
+  }
+  const std::uintmax_t three = std::filesystem::file_size(Log());
+  for (std::uintmax_t size = three - 1; size > two; --size) {
+    std::filesystem::resize_file(Log(), size);
+    Storage storage = Open();
+    const Result<Stored> stored = storage.Load();
+    BOOST_REQUIRE(stored.has_value());
+    BOOST_TEST(stored->entries.size() == 2U);
+    BOOST_TEST(storage.had_torn_tail());
+    Save(storage, 3, 3);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(blank_tail_is_dropped, Folder) {
+  {
+    Storage storage = Open();
+    Save(storage, 1, 2);
+  }
+  std::ofstream(Log(), std::ios::app) << std::string(64, '\0');
+  Storage storage = Open();
+  BOOST_TEST(storage.Load()->entries.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(flipped_byte_is_never_taken_for_a_torn_tail, Folder) {
+  {
+    Storage storage = Open();
+    Save(storage, 1, 3);
+  }
+  const std::uintmax_t size = std::filesystem::file_size(Log());
+  for (const std::uintmax_t place : {std::uintmax_t{20}, size / 2, size - 2}) {
+    std::fstream file(Log(), std::ios::in | std::ios::out | std::ios::binary);
+    file.seekg(static_cast<std::streamoff>(place));
+    const char byte = static_cast<char>(file.get());
+    file.seekp(static_cast<std::streamoff>(place));
+    file.put(static_cast<char>(byte ^ 0x40));
+    file.flush();
+    Storage storage = Open();
+    const Result<Stored> stored = storage.Load();
+    BOOST_REQUIRE(!stored.has_value());
+    BOOST_TEST(stored.error().message.find("damaged") != std::string::npos);
+    BOOST_TEST((stored.error().step == Step::kStorage));
+    file.seekp(static_cast<std::streamoff>(place));
+    file.put(byte);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(damaged_hard_state_and_foreign_id_are_errors, Folder) {
+  {
+    Storage storage = Open();
+    Save(storage, 1, 1);
+  }
+  BOOST_TEST(!Storage::Open(path, 2).has_value());
+  std::ofstream(path + "/hard-state") << "garbage that is long enough";
+  Storage storage = Open();
+  BOOST_TEST(!storage.Load().has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(snapshot_replaces_the_log, Folder) {
+  {
+    Storage storage = Open();
+    Save(storage, 1, 9);
+    Snapshot snapshot;
+    snapshot.index = 7;
+    snapshot.term = 1;
+    snapshot.data = "state";
+    BOOST_REQUIRE(
+        storage
+            .SaveSnapshot(snapshot, {{1, 8, EntryKind::kCommand, "entry 8"},
+                                     {1, 9, EntryKind::kCommand, "entry 9"}})
+            .has_value());
+    Save(storage, 10, 10);
+  }
+  Storage storage = Open();
+  const Stored stored = storage.Load().value();
+  BOOST_TEST(stored.snapshot.data == "state");
+  BOOST_TEST(stored.entries.size() == 3U);
+  BOOST_TEST(stored.entries.front().index == 8U);
+}
+
+BOOST_FIXTURE_TEST_CASE(full_disk_is_an_error_and_may_be_repeated, Folder) {
+  Storage storage = Open();
+  Save(storage, 1, 1);
+  // A file size limit stands in for a full disk.
+  std::signal(SIGXFSZ, SIG_IGN);
+  rlimit before{};
+  getrlimit(RLIMIT_FSIZE, &before);
+  rlimit small = before;
+  small.rlim_cur = std::filesystem::file_size(Log()) + 40;
+  setrlimit(RLIMIT_FSIZE, &small);
+  Ready ready;
+  ready.entries = {{1, 2, EntryKind::kCommand, std::string(500, 'x')}};
+  const Result<void> failed = storage.Save(ready);
+  setrlimit(RLIMIT_FSIZE, &before);
+  BOOST_REQUIRE(!failed.has_value());
+  BOOST_TEST(storage.Save(ready).has_value());
+  Storage again = Open();
+  BOOST_TEST(again.Load()->entries.size() == 2U);
+}
