Check answers in one place; engines that close early; retry storms

Cause: offset, length and digest were checked inside the request flow, where no test could feed late, repeated or missing chunks; engines that close early and targets that die again and again were not tried. Change: stream::AnswerCheck; the stand-in engine can close early; two process tests.

--- /dev/null
+++ b/bench/control_bench.cc
@@ -0,0 +1,135 @@
+// Many entries and agents, as far as a control host can tell: each one renews
+// its view over a link of its own. Measures bytes per host and second, the
+// time until a change is held by all, and their slopes.
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/program_options.hpp>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "gooseberryturn/control/view_client.h"
+#include "gooseberryturn/link/channel.h"
+#include "gooseberryturn/observe/log.h"
+
+namespace {
+
+using namespace gooseberryturn;  // NOLINT(google-build-using-namespace)
+
+struct Watcher {
+  Watcher(boost::asio::io_context& context, const Endpoint& control,
+          protocol::Renew self, observe::Metrics& metrics)
+      : channels(context),
+        views(context, this->channels, {control}, std::move(self),
+              Duration::zero(), metrics) {}
+  link::ChannelPool channels;
+  control::ViewClient views;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  namespace po = boost::program_options;
+  std::string control;
+  std::string change_command;
+  std::int64_t agents = 100;
+  std::int64_t entries = 10;
+  double seconds = 5;
+  int changes = 10;
+  po::options_description known("control-bench");
+  known.add_options()("control", po::value<std::string>(&control)->required(),
+                      "link address of the control host that leads")(
+      "agents", po::value<std::int64_t>(&agents)->default_value(100), "")(
+      "entries", po::value<std::int64_t>(&entries)->default_value(10), "")(
+      "seconds", po::value<double>(&seconds)->default_value(5), "")(
+      "changes", po::value<int>(&changes)->default_value(10),
+      "changes somebody else applies meanwhile; time of each is measured");
+  po::variables_map values;
+  po::store(po::parse_command_line(argc, argv, known), values);
+  po::notify(values);
+  const std::optional<Endpoint> leader = ParseEndpoint(control);
+  if (!leader.has_value()) {
+    std::cerr << "control-bench: --control needs IP:PORT\n";
+    return 2;
+  }
+  (void)observe::StartLog("control-bench", "bench", "ERROR");
+  boost::asio::io_context context;
+  observe::Metrics metrics;
+  std::vector<std::unique_ptr<Watcher>> watchers;
+  for (std::int64_t number = 0; number < agents + entries; ++number) {
+    protocol::Renew self;
+    const bool is_agent = number < agents;
+    self.role = is_agent ? protocol::Role::kAgent : protocol::Role::kEntry;
+    self.host =
+        (is_agent ? "bench-host-" : "bench-entry-") + std::to_string(number);
+    self.data_centre = "vn-south-a";
+    self.incarnation = static_cast<std::uint64_t>(number) + 1;
+    watchers.push_back(
+        std::make_unique<Watcher>(context, *leader, self, metrics));
+    if (is_agent) {
+      watchers.back()->views.make_report = [number] {
+        protocol::HostReport report;
+        report.service = "menu-llm";
+        report.fabric_domain = "rack-" + std::to_string(number / 16);
+        report.link = {"127.1.3.1", 7000};
+        report.target_ready = true;
+        return report;
+      };
+    }
+    watchers.back()->views.Start();
+  }
+  // When each view index was first and last reached.
+  struct Reached {
+    TimePoint first;
+    TimePoint last;
+    std::int64_t count = 0;
+  };
+  std::map<std::uint64_t, Reached> reached;
+  for (const std::unique_ptr<Watcher>& watcher : watchers) {
+    control::ViewClient* views = &watcher->views;
+    views->on_change = [views, &reached] {
+      Reached& entry = reached[views->view().index];
+      const TimePoint now = Clock::now();
+      if (entry.count == 0) {
+        entry.first = now;
+      }
+      entry.last = now;
+      entry.count += 1;
+    };
+  }
+  context.run_for(std::chrono::seconds(3));
+  const std::int64_t renewals = metrics.Get(observe::Metric::kRenewals);
+  const std::int64_t bytes = metrics.Get(observe::Metric::kRenewBytes);
+  reached.clear();
+  context.run_for(
+      std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000)));
+  const double hosts = static_cast<double>(watchers.size());
+  std::vector<double> spreads;
+  for (const auto& entry : reached) {
+    if (entry.second.count == static_cast<std::int64_t>(watchers.size())) {
+      spreads.push_back(std::chrono::duration<double, std::milli>(
+                            entry.second.last - entry.second.first)
+                            .count());
+    }
+  }
+  std::sort(spreads.begin(), spreads.end());
+  const double worst = spreads.empty() ? 0 : spreads.back();
+  const double median = spreads.empty() ? 0 : spreads[spreads.size() / 2];
+  std::printf(
+      "{\"hosts\":%.0f,\"renewals_per_host_s\":%.2f,\"bytes_per_host_s\":%.1f,"
+      "\"changes_seen_by_all\":%zu,\"spread_median_ms\":%.2f,"
+      "\"spread_worst_ms\":%.2f}\n",
+      hosts,
+      static_cast<double>(metrics.Get(observe::Metric::kRenewals) - renewals) /
+          hosts / seconds,
+      static_cast<double>(metrics.Get(observe::Metric::kRenewBytes) - bytes) /
+          hosts / seconds,
+      spreads.size(), median, worst);
+  return 0;
+}
--- a/include/gooseberryturn/entry/request_flow.h
+++ b/include/gooseberryturn/entry/request_flow.h
@@ -12,13 +12,13 @@
 #include <string_view>
 
 #include "gooseberryturn/control/view_client.h"
-#include "gooseberryturn/core/stream_digest.h"
 #include "gooseberryturn/entry/caller_session.h"
 #include "gooseberryturn/link/channel.h"
 #include "gooseberryturn/observe/metrics.h"
 #include "gooseberryturn/protocol/message.h"
 #include "gooseberryturn/routing/chooser.h"
 #include "gooseberryturn/routing/retry_decision.h"
+#include "gooseberryturn/stream/answer_check.h"
 
 namespace gooseberryturn::entry {
 
@@ -104,6 +104,7 @@
   [[nodiscard]] Error MakeError(Reason reason, Step step, Outcome outcome,
                                 const std::string& message) const;
   void OnDeadline();
+  [[nodiscard]] Error WithPeer(Error error) const;
   [[nodiscard]] protocol::ClaimReply OwnHolder() const;
 
   FlowContext context;
@@ -123,9 +124,7 @@
   bool was_handed_over = false;
   std::shared_ptr<link::Stream> stream;
   protocol::AnswerHead head;
-  bool has_head = false;
-  std::uint64_t length = 0;
-  StreamDigest digest;
+  stream::AnswerCheck check;
   protocol::KeptAnswer kept;
   TimePoint started_at;
   TimePoint room_until;
--- a/include/gooseberryturn/protocol/frame.h
+++ b/include/gooseberryturn/protocol/frame.h
@@ -22,6 +22,9 @@
 /// \brief Bytes before the payload: length (4, big endian) and type (1).
 inline constexpr std::size_t kFrameHeaderBytes = 5;
 
+/// \brief Bytes of the offset at the start of a chunk's payload.
+inline constexpr std::size_t kChunkOffsetBytes = 8;
+
 /// \brief Encodes one frame.
 [[nodiscard]] std::string EncodeFrame(FrameType type, std::string_view payload);
 
--- a/programs/fakes/engine_main.cc
+++ b/programs/fakes/engine_main.cc
@@ -39,6 +39,7 @@
   std::int64_t warm_after = 0;          ///< Completed requests until warm.
   std::int64_t cold_bears = 1'000'000;  ///< Dies above this while cold.
   std::int64_t cold_factor = 5;         ///< Prefill is slower while cold.
+  std::int64_t cut_after = 0;           ///< Closes after this many tokens.
   std::string poison;                   ///< Dies of a body that contains this.
   bool check_fence = false;
 };
@@ -233,6 +234,11 @@
                       'x') +
           "\"}\n\n";
       session->next_token += 1;
+      if (session->next_token == this->options.cut_after) {
+        session->Drop();
+        this->Leave(session);
+        continue;
+      }
       session->tokens_left -= 1;
       if (session->tokens_left > 0) {
         session->Send(ChunkOf(event), false);
@@ -346,6 +352,8 @@
       "dies when it holds more requests while cold")(
       "cold-factor", number(&settings.cold_factor),
       "how much slower a cold first token is")(
+      "cut-after", number(&settings.cut_after),
+      "closes the connection instead of sending this token")(
       "poison", options::value<std::string>(&settings.poison),
       "dies of a body that contains this")(
       "check-fence", options::bool_switch(&settings.check_fence),
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -19,7 +19,8 @@
 namespace {
 
 constexpr std::size_t kBodyFrameBytes = 16U * 1024U;
-constexpr std::size_t kChunkHeaderBytes = protocol::kFrameHeaderBytes + 8;
+constexpr std::size_t kChunkHeaderBytes =
+    protocol::kFrameHeaderBytes + protocol::kChunkOffsetBytes;
 constexpr char kReplayHeader[] = "Gooseberryturn-Replayed: true\r\n";
 
 bool IsBusy(Reason reason) {
@@ -96,6 +97,13 @@
   return {reason, step, outcome, peer, message};
 }
 
+Error RequestFlow::WithPeer(Error error) const {
+  error.peer =
+      this->MakeError(error.reason, error.step, error.outcome, std::string())
+          .peer;
+  return error;
+}
+
 // --------------------------------------------------------- choice and claim
 
 void RequestFlow::Attempt() {
@@ -116,9 +124,7 @@
   this->record.suspect_attempts += this->record.suspect ? 1 : 0;
   this->is_outstanding = true;
   this->was_handed_over = false;
-  this->has_head = false;
-  this->length = 0;
-  this->digest = StreamDigest();
+  this->check = stream::AnswerCheck();
   this->kept = protocol::KeptAnswer{};
   this->context.chooser.Sent(this->group, now);
   if (this->route.idempotent) {
@@ -332,35 +338,28 @@
       protocol::Decode<protocol::AnswerHead>(payload);
   if (decoded.has_value()) {
     this->head = *decoded;
-    this->has_head = true;
+    this->check.Begin();
   }
 }
 
 void RequestFlow::OnChunk(std::string_view payload) {
-  protocol::Chunk chunk;
-  const bool is_next = this->has_head &&
-                       protocol::DecodeChunk(payload, chunk) &&
-                       chunk.offset == this->length;
-  if (!is_next) {
-    this->AttemptFailed(this->MakeError(Reason::kAnswerCut, Step::kRelay,
-                                        Outcome::kUnknown,
-                                        "a chunk is missing or repeated"));
+  const Result<std::string_view> bytes = this->check.Take(payload);
+  if (!bytes.has_value()) {
+    this->AttemptFailed(this->WithPeer(bytes.error()));
     return;
   }
-  this->length += chunk.bytes.size();
-  this->digest.Update(chunk.bytes);
   if (this->route.idempotent) {
-    this->RelayPiece(chunk.bytes);
+    this->RelayPiece(*bytes);
     return;
   }
-  this->stream->Consume(chunk.bytes.size());
-  if (this->kept.body.size() + chunk.bytes.size() > kMaxKeptBytes) {
+  this->stream->Consume(bytes->size());
+  if (this->kept.body.size() + bytes->size() > kMaxKeptBytes) {
     this->AttemptFailed(
         this->MakeError(Reason::kAnswerCut, Step::kRelay, Outcome::kUnknown,
                         "the answer is longer than can be kept for a resend"));
     return;
   }
-  this->kept.body.append(chunk.bytes);
+  this->kept.body.append(*bytes);
 }
 
 void RequestFlow::RelayPiece(std::string_view bytes) {
@@ -392,20 +391,13 @@
   }
   this->context.chooser.Reported(this->group.name, end->load, Clock::now());
   if (end->error.reason != Reason::kNone) {
-    Error error = protocol::FromWire(end->error);
-    error.peer = this->MakeError(Reason::kNone, Step::kAdmit, Outcome::kNotRun,
-                                 std::string())
-                     .peer;
     this->ReportDeath(end->target_death);
-    this->AttemptFailed(std::move(error));
+    this->AttemptFailed(this->WithPeer(protocol::FromWire(end->error)));
     return;
   }
-  const bool is_whole = this->has_head && end->length == this->length &&
-                        end->digest == this->digest.Hex();
-  if (!is_whole) {
-    this->AttemptFailed(this->MakeError(Reason::kAnswerCut, Step::kRelay,
-                                        Outcome::kUnknown,
-                                        "length or digest differ"));
+  const Result<void> whole = this->check.Finish(*end);
+  if (!whole.has_value()) {
+    this->AttemptFailed(this->WithPeer(whole.error()));
     return;
   }
   this->AttemptDone();
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -4,7 +4,6 @@
 
 namespace {
 
-constexpr std::size_t kOffsetBytes = 8;
 constexpr unsigned kBitsPerByte = 8;
 
 void AppendBigEndian(std::string& out, std::uint64_t value, std::size_t width) {
@@ -35,20 +34,21 @@
 
 std::string EncodeChunk(std::uint64_t offset, std::string_view bytes) {
   std::string frame;
-  frame.reserve(kFrameHeaderBytes + kOffsetBytes + bytes.size());
-  AppendBigEndian(frame, kOffsetBytes + bytes.size(), kFrameHeaderBytes - 1);
+  frame.reserve(kFrameHeaderBytes + kChunkOffsetBytes + bytes.size());
+  AppendBigEndian(frame, kChunkOffsetBytes + bytes.size(),
+                  kFrameHeaderBytes - 1);
   frame.push_back(static_cast<char>(FrameType::kChunk));
-  AppendBigEndian(frame, offset, kOffsetBytes);
+  AppendBigEndian(frame, offset, kChunkOffsetBytes);
   frame.append(bytes);
   return frame;
 }
 
 bool DecodeChunk(std::string_view payload, Chunk& chunk) {
-  if (payload.size() < kOffsetBytes) {
+  if (payload.size() < kChunkOffsetBytes) {
     return false;
   }
-  chunk.offset = ReadBigEndian(payload, kOffsetBytes);
-  chunk.bytes = payload.substr(kOffsetBytes);
+  chunk.offset = ReadBigEndian(payload, kChunkOffsetBytes);
+  chunk.bytes = payload.substr(kChunkOffsetBytes);
   return true;
 }
 
--- /dev/null
+++ b/src/stream/answer_check.cc
@@ -0,0 +1,40 @@
+#include "gooseberryturn/stream/answer_check.h"
+
+#include <string>
+
+#include "gooseberryturn/protocol/frame.h"
+
+namespace gooseberryturn::stream {
+
+namespace {
+
+tl::unexpected<Error> Cut(const std::string& message) {
+  return tl::make_unexpected(Error{Reason::kAnswerCut, Step::kRelay,
+                                   Outcome::kUnknown, std::string(), message});
+}
+
+}  // namespace
+
+Result<std::string_view> AnswerCheck::Take(std::string_view payload) {
+  protocol::Chunk chunk;
+  if (!this->has_begun || !protocol::DecodeChunk(payload, chunk)) {
+    return Cut("a chunk came before the answer began");
+  }
+  if (chunk.offset != this->length) {
+    return Cut("a chunk is missing or repeated");
+  }
+  this->length += chunk.bytes.size();
+  this->digest.Update(chunk.bytes);
+  return chunk.bytes;
+}
+
+Result<void> AnswerCheck::Finish(const protocol::AnswerEnd& end) const {
+  const bool is_whole = this->has_begun && end.length == this->length &&
+                        end.digest == this->digest.Hex();
+  if (!is_whole) {
+    return Cut("length or digest differ");
+  }
+  return {};
+}
+
+}  // namespace gooseberryturn::stream
--- a/tests/entry_decision_test.cc
+++ b/tests/entry_decision_test.cc
@@ -1,11 +1,14 @@
 #define BOOST_TEST_MODULE entry_decision
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <vector>
 
+#include "gooseberryturn/core/id.h"
 #include "gooseberryturn/protocol/frame.h"
 #include "gooseberryturn/routing/chooser.h"
 #include "gooseberryturn/routing/retry_decision.h"
 #include "gooseberryturn/routing/team_limiter.h"
+#include "gooseberryturn/stream/answer_check.h"
 
 using namespace gooseberryturn;           // NOLINT
 using namespace gooseberryturn::routing;  // NOLINT
@@ -201,3 +204,43 @@
   BOOST_TEST(!reader.Feed("\xff\xff\xff\xff\x01",
                           [](protocol::FrameType, std::string_view) {}));
 }
+
+BOOST_AUTO_TEST_CASE(only_a_whole_answer_passes) {
+  const std::vector<std::string> parts = {"one ", "two ", "three"};
+  StreamDigest digest;
+  std::vector<std::string> chunks;
+  std::uint64_t offset = 0;
+  for (const std::string& part : parts) {
+    const std::string frame = protocol::EncodeChunk(offset, part);
+    chunks.push_back(frame.substr(protocol::kFrameHeaderBytes));
+    digest.Update(part);
+    offset += part.size();
+  }
+  protocol::AnswerEnd end;
+  end.length = offset;
+  end.digest = digest.Hex();
+  const auto passes = [&](const std::vector<std::size_t>& order,
+                          const protocol::AnswerEnd& with) {
+    stream::AnswerCheck check;
+    check.Begin();
+    for (const std::size_t place : order) {
+      if (!check.Take(chunks[place]).has_value()) {
+        return false;
+      }
+    }
+    return check.Finish(with).has_value();
+  };
+  BOOST_TEST(passes({0, 1, 2}, end));
+  BOOST_TEST(!passes({}, end));
+  BOOST_TEST(!passes({0}, end));
+  BOOST_TEST(!passes({0, 1}, end));
+  BOOST_TEST(!passes({0, 2}, end));
+  BOOST_TEST(!passes({1, 0, 2}, end));
+  BOOST_TEST(!passes({0, 1, 1, 2}, end));
+  protocol::AnswerEnd other = end;
+  other.digest = Digest("another caller's answer");
+  BOOST_TEST(!passes({0, 1, 2}, other));
+  stream::AnswerCheck early;
+  BOOST_TEST(!early.Take(chunks[0]).has_value());
+  BOOST_TEST(!early.Finish(protocol::AnswerEnd{}).has_value());
+}
--- a/tests/load_fault_test.cc
+++ b/tests/load_fault_test.cc
@@ -166,3 +166,28 @@
   // The target that is left still serves the others.
   BOOST_TEST(fleet.Post(2, "/gen", "harmless").is_complete);
 }
+
+BOOST_AUTO_TEST_CASE(engine_that_closes_early_is_never_a_short_success) {
+  for (const std::string cut : {"1", "2", "7"}) {
+    Fleet fleet(25);
+    StartAll(fleet, DocumentPlan(), 1, {"--cut-after", cut});
+    const Answer answer = fleet.Post(1, "/gen", Body(1, 8));
+    BOOST_TEST(!(answer.status == 200 && answer.is_complete));
+    BOOST_TEST(!answer.Says("[DONE]"));
+    BOOST_TEST(answer.Says("\"outcome\":\"unknown\""));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(targets_that_die_again_and_again_cause_no_retry_storm) {
+  Fleet fleet(26);
+  DocumentPlan plan;
+  plan.groups = 2;
+  StartAll(fleet, plan, 2, {"--cut-after", "1", "--token-ms", "1"});
+  constexpr long kRequests = 200;
+  for (int number = 0; number < kRequests; ++number) {
+    fleet.Post(1, "/gen", Body(number, 4));
+  }
+  const long runs = fleet.Counted(1, "runs") + fleet.Counted(2, "runs");
+  // A tenth of the requests and the reserve of 20 may be tried again.
+  BOOST_TEST(runs <= kRequests + kRequests / 10 + 20);
+}
