--- a/include/gooseberryturn/core/reason.h
+++ b/include/gooseberryturn/core/reason.h
@@ -37,10 +37,9 @@
   kAnswerCut,
   kSlowCaller,
   kTombstone,
-  kRetryBudget,
 };
 
-inline constexpr std::size_t kReasonCount = 28;
+inline constexpr std::size_t kReasonCount = 27;
 
 inline constexpr NameTable<Reason, kReasonCount> kReasonNames = {
     {"none",
@@ -69,8 +68,7 @@
      "quarantined",
      "answer_cut",
      "slow_caller",
-     "tombstone",
-     "retry_budget"}};
+     "tombstone"}};
 
 /// \brief HTTP status a caller is given for `reason`.
 [[nodiscard]] int StatusOf(Reason reason) noexcept;
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -1,9 +1,11 @@
 #define BOOST_TEST_MODULE config
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
+#include <regex>
 
 #include "gooseberryturn/config/document.h"
 #include "gooseberryturn/config/settings.h"
+#include "gooseberryturn/core/reason.h"
 
 using namespace gooseberryturn;          // NOLINT
 using namespace gooseberryturn::config;  // NOLINT
@@ -98,3 +100,32 @@
   BOOST_TEST(Has(faults, "control[0]: found \"127.0.0.1\""));
   BOOST_TEST(!Has(faults, "target:"));
 }
+
+BOOST_AUTO_TEST_CASE(settings_page_names_every_key) {
+  const tl::expected<std::string, Faults> page =
+      ReadFile(std::string(SOURCE_ROOT) + "/docs/SETTINGS.md");
+  const std::vector<std::string> sources = {"settings.cc", "document.cc"};
+  for (const std::string& source : sources) {
+    const tl::expected<std::string, Faults> code =
+        ReadFile(std::string(SOURCE_ROOT) + "/src/config/" + source);
+    const std::regex key(
+        "(?:Integer|String|Boolean|Array|Object|ReadEndpoints?)\\([^\"(]*"
+        "\"([a-z_]+)\"");
+    const std::sregex_iterator end;
+    for (std::sregex_iterator it(code->begin(), code->end(), key); it != end;
+         ++it) {
+      const std::string name = (*it)[1];
+      BOOST_TEST(Has(*page, name), "docs/SETTINGS.md lacks " << name);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(callers_page_names_every_reason) {
+  const tl::expected<std::string, Faults> page =
+      ReadFile(std::string(SOURCE_ROOT) + "/docs/CALLERS.md");
+  for (const std::string_view name : kReasonNames.names) {
+    const bool is_inner = name == "none";
+    BOOST_TEST((is_inner || Has(*page, "`" + std::string(name) + "`")),
+               "docs/CALLERS.md lacks " << name);
+  }
+}
--- a/tests/consensus_test.cc
+++ b/tests/consensus_test.cc
@@ -248,6 +248,34 @@
   BOOST_TEST(cluster.Leader()->term() == term);
 }
 
+BOOST_AUTO_TEST_CASE(follower_that_comes_back_does_not_unseat_the_leader) {
+  Cluster cluster(3, Seed());
+  const NodeId leader = cluster.WaitForLeader()->options().id;
+  const Term term = cluster.Leader()->term();
+  cluster.Isolate(leader % 3 + 1);
+  cluster.Run(std::chrono::seconds(10));
+  cluster.Heal();
+  cluster.Run(std::chrono::seconds(3));
+  BOOST_TEST(cluster.Leader()->options().id == leader);
+  BOOST_TEST(cluster.Leader()->term() == term);
+}
+
+BOOST_AUTO_TEST_CASE(voter_that_hears_the_leader_elects_nobody_else) {
+  for (std::uint64_t run = 0; run < 20; ++run) {
+    Cluster cluster(3, Seed() + run);
+    const NodeId leader = cluster.WaitForLeader()->options().id;
+    cluster.Run(std::chrono::seconds(1));
+    const Term term = cluster.Leader()->term();
+    const NodeId cut = leader % 3 + 1;
+    // Leader and one follower cannot hear each other; the third hears both.
+    cluster.Cut(leader, cut);
+    cluster.Cut(cut, leader);
+    cluster.Run(std::chrono::seconds(5));
+    BOOST_TEST(cluster.Leader()->options().id == leader);
+    BOOST_TEST(cluster.Leader()->term() == term);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(one_way_cut_does_not_stop_the_quorum) {
   Cluster cluster(3, Seed());
   Node* leader = cluster.WaitForLeader();
