--- a/include/gooseberryturn/config/settings.h
+++ b/include/gooseberryturn/config/settings.h
@@ -8,6 +8,8 @@
 
 #include "gooseberryturn/config/reader.h"
 #include "gooseberryturn/core/endpoint.h"
+#include "gooseberryturn/placement/policy.h"
+#include "gooseberryturn/routing/policy.h"
 
 namespace gooseberryturn::config {
 
@@ -29,6 +31,7 @@
   std::int64_t header_timeout_ms = 0;
   std::int64_t write_timeout_ms = 0;
   std::int64_t serve_without_control_s = 0;
+  routing::Policy routing = routing::Policy::kTwoChoice;
 };
 
 /// \brief Settings of gooseberryturn-agent.
@@ -58,6 +61,7 @@
   std::vector<ControlPeer> peers;  ///< The first quorum, this host included.
   std::int64_t view_lease_ms = 0;
   std::int64_t max_clock_drift_ms = 0;
+  placement::Policy placement = placement::Policy::kBestFit;
 };
 
 /// \brief Parses and checks the settings of each program.
--- a/include/gooseberryturn/control/server.h
+++ b/include/gooseberryturn/control/server.h
@@ -77,6 +77,7 @@
   Replica& replica;
   observe::Metrics& metrics;
   Duration view_lease;
+  placement::Policy placement_policy;
   Registry hosts;
   std::list<Held> held;
   std::list<InForce> in_force;
--- a/include/gooseberryturn/placement/planner.h
+++ b/include/gooseberryturn/placement/planner.h
@@ -9,7 +9,7 @@
 
 #include "gooseberryturn/config/document.h"
 #include "gooseberryturn/core/endpoint.h"
-#include "gooseberryturn/core/name_table.h"
+#include "gooseberryturn/placement/policy.h"
 #include "gooseberryturn/protocol/view.h"
 
 namespace gooseberryturn::placement {
@@ -27,15 +27,6 @@
                            ///< last, and not about to leave.
 };
 
-/// \brief How groups are placed and repaired.
-enum class Policy : std::uint8_t {
-  kFirstFit,  ///< Baseline: first domain with room, re-form broken groups.
-  kBestFit,   ///< Tightest domain, repair by the fewest moves.
-};
-
-inline constexpr NameTable<Policy, 2> kPolicyNames = {
-    {"first_fit", "best_fit"}};
-
 /// \brief Everything a plan depends on.
 struct Inventory {
   std::map<std::string, Host> hosts;
--- a/include/gooseberryturn/routing/chooser.h
+++ b/include/gooseberryturn/routing/chooser.h
@@ -8,21 +8,13 @@
 #include <string>
 #include <vector>
 
-#include "gooseberryturn/core/name_table.h"
 #include "gooseberryturn/core/time.h"
 #include "gooseberryturn/protocol/message.h"
 #include "gooseberryturn/protocol/view.h"
+#include "gooseberryturn/routing/policy.h"
 
 namespace gooseberryturn::routing {
 
-/// \brief How a group is chosen.
-enum class Policy : std::uint8_t {
-  kRandom,     ///< Baseline: any group that is not out.
-  kTwoChoice,  ///< Nearest data centre with room, the better of two.
-};
-
-inline constexpr NameTable<Policy, 2> kPolicyNames = {{"random", "two_choice"}};
-
 /// \brief Chooses the replica group for each attempt of one entry.
 ///
 /// \details Agents report their load with each answer. Between reports the
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -51,6 +51,24 @@
   return endpoints;
 }
 
+/// Value of an enumeration by its name; the names go into the message.
+template <typename Enum, std::size_t Size>
+Enum ReadNamed(ObjectReader& reader, const std::string& key,
+               const NameTable<Enum, Size>& names,
+               const std::optional<std::string>& fallback = std::nullopt) {
+  const std::string name = reader.String(key, fallback);
+  const std::optional<Enum> found = names.Find(name);
+  if (!found.has_value() && !name.empty()) {
+    std::string expected;
+    for (const std::string_view known : names.names) {
+      expected +=
+          (expected.empty() ? "\"" : " or \"") + std::string(known) + "\"";
+    }
+    reader.Reject(key, "\"" + name + "\"", expected);
+  }
+  return found.value_or(Enum{});
+}
+
 CommonSettings ReadCommon(ObjectReader& reader) {
   CommonSettings common;
   common.host = reader.String("host");
@@ -106,17 +124,15 @@
       reader.Integer("write_timeout_ms", kTimeoutRange, kDefaultWriteTimeoutMs);
   settings.serve_without_control_s =
       reader.Integer("serve_without_control_s", kGraceRange, 0);
+  settings.routing =
+      ReadNamed(reader, "routing", routing::kPolicyNames, "two_choice");
 }
 
 void FillAgent(ObjectReader& reader, AgentSettings& settings, Faults& faults) {
   settings.link = ReadEndpoint(reader, "link");
   settings.target = ReadEndpoint(reader, "target");
-  const std::string kind = reader.String("target_kind");
-  const std::optional<ServiceKind> found = kServiceKindNames.Find(kind);
-  if (!found.has_value() && !kind.empty()) {
-    reader.Reject("target_kind", "\"" + kind + "\"", "\"model\" or \"plain\"");
-  }
-  settings.is_model = found == ServiceKind::kModel;
+  settings.is_model = ReadNamed(reader, "target_kind", kServiceKindNames) ==
+                      ServiceKind::kModel;
   settings.service = reader.String("service");
   settings.fabric_domain = reader.String("fabric_domain");
   settings.control = ReadEndpoints(reader, "control", faults);
@@ -132,6 +148,8 @@
       reader.Integer("view_lease_ms", kLeaseRange, kDefaultViewLeaseMs);
   settings.max_clock_drift_ms =
       reader.Integer("max_clock_drift_ms", kDriftRange, kDefaultDriftMs);
+  settings.placement =
+      ReadNamed(reader, "placement", placement::kPolicyNames, "best_fit");
   std::set<std::uint64_t> ids;
   const std::vector<const Tree*> peers = reader.Array("peers");
   for (std::size_t index = 0; index < peers.size(); ++index) {
--- a/src/control/server.cc
+++ b/src/control/server.cc
@@ -33,6 +33,7 @@
       replica(replica),
       metrics(metrics),
       view_lease(Milliseconds(settings.view_lease_ms)),
+      placement_policy(settings.placement),
       hosts(Milliseconds(settings.view_lease_ms) +
             Milliseconds(settings.max_clock_drift_ms)) {}
 
@@ -226,7 +227,7 @@
   const placement::Inventory inventory =
       this->hosts.Inventory(this->replica.state(), now);
   for (const placement::Move& move :
-       placement::Plan(inventory, placement::Policy::kBestFit)) {
+       placement::Plan(inventory, this->placement_policy)) {
     this->ProposeMove(move);
   }
 }
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -42,8 +42,7 @@
       channels(context),
       views(context, this->channels, settings.control, MakeSelf(settings),
             std::chrono::seconds(settings.serve_without_control_s), metrics),
-      chooser(settings.common.data_centre, routing::Policy::kTwoChoice,
-              RandomId()) {
+      chooser(settings.common.data_centre, settings.routing, RandomId()) {
   this->views.on_change = [this] { this->chooser.Prune(this->views.view()); };
 }
 
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -109,7 +109,8 @@
     const tl::expected<std::string, Faults> code =
         ReadFile(std::string(SOURCE_ROOT) + "/src/config/" + source);
     const std::regex key(
-        "(?:Integer|String|Boolean|Array|Object|ReadEndpoints?)\\([^\"(]*"
+        "(?:Integer|String|Boolean|Array|Object|ReadNamed|ReadEndpoints?)\\([^"
+        "\"(]*"
         "\"([a-z_]+)\"");
     const std::sregex_iterator end;
     for (std::sregex_iterator it(code->begin(), code->end(), key); it != end;
