--- a/include/gooseberryturn/admission/gate.h
+++ b/include/gooseberryturn/admission/gate.h
@@ -39,8 +39,8 @@
 
   /// \brief Takes the limits of the service.
   void Configure(const config::Service& service);
-  /// \brief A new incarnation of the target: cold and empty.
-  void TargetRestarted() noexcept;
+  /// \brief The target is a new one, or comes back after a pause: cold.
+  void StartCold() noexcept;
   /// \brief Checks `order` and reserves room for it.
   [[nodiscard]] Result<Reservation> Admit(const protocol::HandOver& order,
                                           const Standing& standing);
--- a/include/gooseberryturn/agent/agent.h
+++ b/include/gooseberryturn/agent/agent.h
@@ -59,6 +59,7 @@
   bool is_stopping = false;
   bool is_drained = false;
   bool was_whole = false;
+  bool was_out = false;
   TimePoint cut_at;
   std::uint64_t served_fence = 0;
   std::function<void()> on_left;
--- a/include/gooseberryturn/agent/run_service.h
+++ b/include/gooseberryturn/agent/run_service.h
@@ -34,8 +34,8 @@
 
   void Start(link::Listener& listener);
   void Configure(const config::Service& service);
-  /// \brief The target is a new one: cold and empty.
-  void TargetRestarted();
+  /// \brief The target is a new one, or comes back after a pause: cold.
+  void StartCold();
   /// \brief Holds back answers while the group is not whole.
   void HoldAnswers(bool is_held);
   /// \brief Ends every model request in progress; its callers are told.
--- a/include/gooseberryturn/control/replica.h
+++ b/include/gooseberryturn/control/replica.h
@@ -75,6 +75,8 @@
     return this->raft.membership().Find(this->raft.leader());
   }
 
+  /// \brief Proposals that may wait for their results.
+  static constexpr std::size_t kMaxPending = 20'000;
   static constexpr std::uint64_t kSnapshotEvery = 5000;
   static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
   static constexpr Duration kStorageRetry = std::chrono::milliseconds(500);
--- a/include/gooseberryturn/control/server.h
+++ b/include/gooseberryturn/control/server.h
@@ -39,7 +39,7 @@
     return this->hosts;
   }
 
-  static constexpr Duration kHold = std::chrono::milliseconds(300);
+  static constexpr Duration kHold = std::chrono::milliseconds(500);
   static constexpr Duration kPlanInterval = std::chrono::milliseconds(100);
 
  private:
--- a/include/gooseberryturn/control/view_client.h
+++ b/include/gooseberryturn/control/view_client.h
@@ -62,7 +62,7 @@
     return this->entry_count;
   }
 
-  static constexpr Duration kCallLimit = std::chrono::milliseconds(800);
+  static constexpr Duration kCallLimit = std::chrono::milliseconds(900);
   static constexpr Duration kRetryPause = std::chrono::milliseconds(100);
 
  private:
--- a/programs/load/main.cc
+++ b/programs/load/main.cc
@@ -48,12 +48,12 @@
   bool json = false;
 };
 
-/// Quantiles of durations: exact in the upper half.
+/// Quantiles of durations, exact.
 class Quantiles {
  public:
   explicit Quantiles(std::size_t capacity)
       : set(accumulators::tag::tail<accumulators::right>::cache_size =
-                capacity / 2 + 2) {}
+                2 * capacity + 100) {}
 
   void Add(Duration duration) {
     this->set(std::chrono::duration<double, std::milli>(duration).count());
@@ -137,7 +137,8 @@
                    this->options.rate * this->options.seconds *
                    static_cast<double>(this->options.tokens))),
         timer(context),
-        random(this->options.seed) {}
+        random(this->options.seed),
+        body_random(this->options.seed + 1) {}
 
   void Run() {
     this->started_at = Clock::now();
@@ -238,6 +239,7 @@
   asio::io_context context;
   asio::steady_timer timer;
   std::mt19937_64 random;
+  std::mt19937_64 body_random;
   TimePoint started_at;
   TimePoint next_at;
   TimePoint end_at;
@@ -285,7 +287,7 @@
 void Request::Write() {
   const LoadOptions& options = this->load.options;
   std::string body = "{\"max_tokens\": " + std::to_string(options.tokens) +
-                     ", \"prompt\": \"" + std::to_string(this->load.random());
+                     ", \"prompt\": \"" + std::to_string(this->load.body_random());
   body.resize(std::max<std::size_t>(
                   body.size(), static_cast<std::size_t>(options.body_bytes)),
               'x');
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -37,7 +37,7 @@
 {
   "host": "entry-$1", "data_centre": "$2",
   "http": "127.1.1.$1:7001", "callers": "127.1.1.$1:8080",
-  "control": $fleet_links
+  "control": $fleet_links${fleet_entry_options:-}
 }
 SETTINGS
   fleet_spawn "entry-$1" build/gooseberryturn-entry \
--- a/src/admission/gate.cc
+++ b/src/admission/gate.cc
@@ -50,7 +50,7 @@
   }
 }
 
-void Gate::TargetRestarted() noexcept { this->warm.Reset(); }
+void Gate::StartCold() noexcept { this->warm.Reset(); }
 
 std::int64_t Gate::TokensFor(std::uint64_t body_bytes) const noexcept {
   if (this->service.kind == config::ServiceKind::kPlain) {
--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -41,7 +41,7 @@
   this->views.make_report = [this] { return this->MakeReport(); };
   this->views.on_change = [this] { this->OnView(); };
   this->monitor.on_change = [this] { this->views.Hurry(); };
-  this->monitor.on_restart = [this] { this->runs.TargetRestarted(); };
+  this->monitor.on_restart = [this] { this->runs.StartCold(); };
   this->keeper.host_state = [this] {
     return HostState{this->views.HasLease(Clock::now()), this->IsLeaving()};
   };
@@ -91,6 +91,12 @@
   if (service != this->views.view().services.end()) {
     this->runs.Configure(service->second);
   }
+  const bool is_out = this->IsDataCentreOut();
+  if (this->was_out && !is_out) {
+    // Caches went stale meanwhile: the load ramps up with completed work.
+    this->runs.StartCold();
+  }
+  this->was_out = is_out;
   this->keeper.Assign(this->OwnGroup());
   const std::uint64_t fence = this->keeper.group().fence;
   if (this->served_fence != 0 && fence != this->served_fence) {
--- a/src/agent/run_service.cc
+++ b/src/agent/run_service.cc
@@ -49,7 +49,10 @@
   this->metrics.Set(observe::Metric::kLimit, this->gate.load().limit);
 }
 
-void RunService::TargetRestarted() { this->gate.TargetRestarted(); }
+void RunService::StartCold() {
+  this->gate.StartCold();
+  this->metrics.Set(observe::Metric::kLimit, this->gate.load().limit);
+}
 
 // ---------------------------------------------------------------- hand-over
 
--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -239,6 +239,12 @@
 }
 
 void Replica::ProposeBytes(std::string bytes, OnApplied on_applied) {
+  if (this->pending.size() >= kMaxPending) {
+    on_applied(tl::make_unexpected(
+        Error{Reason::kOverloaded, Step::kCommit, Outcome::kNotRun,
+              std::string(), "too many proposals wait for the log"}));
+    return;
+  }
   const Result<consensus::Index> index = this->raft.Propose(std::move(bytes));
   if (!index.has_value()) {
     on_applied(tl::make_unexpected(index.error()));
--- a/src/link/channel.cc
+++ b/src/link/channel.cc
@@ -81,6 +81,16 @@
     return;
   }
   this->is_connecting = true;
+  // The address may have come over a link: a bad one must not throw.
+  error_code bad_address;
+  const asio::ip::tcp::endpoint target(
+      asio::ip::make_address(this->endpoint.address, bad_address),
+      this->endpoint.port);
+  if (bad_address) {
+    this->is_connecting = false;
+    this->Fail(bad_address.message());
+    return;
+  }
   const std::shared_ptr<Channel> self = this->shared_from_this();
   const std::shared_ptr<asio::ip::tcp::socket> socket =
       std::make_shared<asio::ip::tcp::socket>(this->context);
@@ -93,8 +103,6 @@
       socket->close(ignored);
     }
   });
-  const asio::ip::tcp::endpoint target(
-      asio::ip::make_address(this->endpoint.address), this->endpoint.port);
   socket->async_connect(target, [self, socket, timer](const error_code& error) {
     timer->cancel();
     self->is_connecting = false;
--- a/tests/data_centre_test.cc
+++ b/tests/data_centre_test.cc
@@ -66,6 +66,43 @@
       [&] { return Generate(1).is_complete && fleet.Counted(1, "runs") > 1; }));
 }
 
+BOOST_AUTO_TEST_CASE(returned_data_centre_ramps_up) {
+  Fleet fleet(27);
+  fleet.StartControls();
+  // The stand-in dies when it holds more than 6 after it was told to be cold.
+  fleet.StartTarget(
+      {1, "a", "rack-a", true, {"--warm-after", "8", "--cold-bears", "12"}});
+  fleet.StartTarget({2, "b", "rack-b", true, {}});
+  fleet.StartEntry(1, "a");
+  DocumentPlan plan;
+  plan.groups = 2;
+  plan.in_flight = 32;
+  plan.cold_in_flight = 2;
+  fleet.Apply(MakeDocument(plan), 0);
+  fleet.WaitServing(2);
+  fleet.WaitEntry(1);
+  for (int number = 0; number < 60; ++number) {
+    fleet.Post(1, "/gen", "{\"max_tokens\":1}");
+  }
+  BOOST_TEST(Get(fleet.AgentHttp(1), "/metrics")
+                 .Says("gooseberryturn_concurrency_limit 32"));
+  BOOST_TEST(fleet.Operate("POST", kTakeOut).status == 200);
+  // While it is out its caches go stale.
+  Call(fleet.Target(1), "POST", "/cold", {}, "").ReadAll();
+  BOOST_TEST(fleet.Operate("POST", kReturn).status == 200);
+  std::vector<std::unique_ptr<Call>> calls;
+  for (int number = 0; number < 60; ++number) {
+    calls.push_back(fleet.Begin(
+        1, "/gen", "{\"n\":" + std::to_string(number) + ",\"max_tokens\":3}"));
+  }
+  for (const std::unique_ptr<Call>& call : calls) {
+    const Answer answer = call->ReadAll();
+    BOOST_TEST((answer.is_complete || answer.Says("not_run")));
+  }
+  BOOST_TEST(!fleet.At("target-1").HasExited());
+  BOOST_TEST(fleet.Counted(1, "cold_max") <= 12);
+}
+
 BOOST_FIXTURE_TEST_CASE(cut_off_data_centre_takes_no_new_work, TwoPlaces) {
   for (const std::unique_ptr<Relay>& relay : relays) {
     relay->Cut(true);
--- a/tests/path_test.cc
+++ b/tests/path_test.cc
@@ -132,6 +132,30 @@
   BOOST_TEST(text.substr(0, size).find("slow_caller") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(endless_bodies_and_headers_are_refused) {
+  for (const std::string& start :
+       {std::string("POST /gen HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"),
+        std::string("POST /gen HTTP/1.1\r\n")}) {
+    const bool is_body = start.find("chunked") != std::string::npos;
+    const std::string piece =
+        is_body ? "400\r\n" + std::string(1024, 'x') + "\r\n"
+                : "X-Long: " + std::string(1000, 'x') + "\r\n";
+    const Endpoint place = TheFleet().Callers(2);
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::make_address(place.address), place.port});
+    asio::write(socket, asio::buffer(start));
+    error_code error;
+    std::size_t sent = 0;
+    constexpr std::size_t kFarTooMuch = 64U * 1024U * 1024U;
+    while (!error && sent < kFarTooMuch) {
+      sent += asio::write(socket, asio::buffer(piece), error);
+    }
+    // Closed long before; what it read in vain is bounded.
+    BOOST_TEST(sent < kFarTooMuch);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(garbage_is_a_clear_error) {
   const Endpoint place = TheFleet().Callers(1);
   asio::io_context context;
