--- a/include/gooseberryturn/entry/caller_session.h
+++ b/include/gooseberryturn/entry/caller_session.h
@@ -81,6 +81,9 @@
   /// event streams, and no final chunk.
   void BreakStream(const Error& error);
 
+  /// \brief How long a connection may rest between two requests.
+  static constexpr Duration kIdleLimit = std::chrono::seconds(75);
+
   [[nodiscard]] bool has_started() const noexcept {
     return this->is_stream_started;
   }
@@ -94,7 +97,8 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void ReadHeader();
-  void StartReadTimer();
+  void WaitForNext();
+  void StartReadTimer(Duration limit);
   void ReadBody();
   void OnParsed();
   void OnReadError(const boost::system::error_code& error);
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -83,7 +83,7 @@
       static_cast<std::uint32_t>(this->limits.max_header_bytes));
   this->parser->body_limit(this->limits.max_body_bytes);
   this->request_id = RandomName();
-  this->StartReadTimer();
+  this->StartReadTimer(this->limits.header_timeout);
   const std::shared_ptr<CallerSession> self = this->shared_from_this();
   http::async_read_header(this->stream, this->buffer, *this->parser,
                           [self](error_code error, std::size_t /*size*/) {
@@ -95,9 +95,28 @@
                           });
 }
 
-void CallerSession::StartReadTimer() {
+void CallerSession::WaitForNext() {
+  if (this->buffer.size() > 0) {
+    this->ReadHeader();
+    return;
+  }
+  // A connection at rest may stay longer than a request may take to arrive.
+  this->StartReadTimer(kIdleLimit);
+  const std::shared_ptr<CallerSession> self = this->shared_from_this();
+  this->stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                   [self](const error_code& error) {
+                                     if (error) {
+                                       self->read_timer.cancel();
+                                       self->CloseSocket();
+                                     } else {
+                                       self->ReadHeader();
+                                     }
+                                   });
+}
+
+void CallerSession::StartReadTimer(Duration limit) {
   this->is_read_late = false;
-  this->read_timer.expires_after(this->limits.header_timeout);
+  this->read_timer.expires_after(limit);
   const std::weak_ptr<CallerSession> weak = this->weak_from_this();
   this->read_timer.async_wait([weak](const error_code& error) {
     const std::shared_ptr<CallerSession> self = weak.lock();
@@ -298,7 +317,7 @@
   error_code ignored;
   this->stream.socket().cancel(ignored);
   if (goes_on) {
-    this->ReadHeader();
+    this->WaitForNext();
   } else {
     this->CloseSocket();
   }
