Wait at most half a second for room

Cause: at 1.5 times the capacity 95 in 100 first tokens took 939 ms, above the 0.82 s that the size to design for asks, because admitted requests had waited up to a second. Change: kRoomLimit 1 s to 0.5 s.

--- a/include/gooseberryturn/entry/request_flow.h
+++ b/include/gooseberryturn/entry/request_flow.h
@@ -56,7 +56,7 @@
   static constexpr Duration kControlPause = std::chrono::milliseconds(100);
   static constexpr Duration kBusyPause = std::chrono::milliseconds(10);
   /// \brief Longest wait for a target with room.
-  static constexpr Duration kRoomLimit = std::chrono::milliseconds(1000);
+  static constexpr Duration kRoomLimit = std::chrono::milliseconds(500);
   static constexpr Duration kSettleLimit = std::chrono::seconds(3);
   static constexpr Duration kUnreachableLimit = std::chrono::seconds(2);
 
