--- a/include/gooseberryturn/agent/group_keeper.h
+++ b/include/gooseberryturn/agent/group_keeper.h
@@ -57,8 +57,8 @@
     return this->assigned;
   }
 
-  static constexpr Duration kAskInterval = std::chrono::milliseconds(200);
-  static constexpr Duration kLease = std::chrono::milliseconds(1000);
+  static constexpr Duration kAskInterval = std::chrono::milliseconds(500);
+  static constexpr Duration kLease = std::chrono::milliseconds(1500);
   static constexpr Duration kMaxDrift = std::chrono::milliseconds(100);
 
  private:
