Split grown files; one main for entry and agent; a directed commit test

Change: files by job (claims, elections, replication, membership, status page, operators' calls, process, HTTP call, relay); app::RunServer, app::ParseOptions, Exchange::HasEnded; entry_of_an_older_term_is_not_committed_by_counting; fwd.h; two example programs. Behaviour stays as it is.

--- a/include/gooseberryturn/app/program.h
+++ b/include/gooseberryturn/app/program.h
@@ -2,8 +2,10 @@
 #define GOOSEBERRYTURN_APP_PROGRAM_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/program_options/options_description.hpp>
 #include <functional>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -33,6 +35,12 @@
                                            const std::string& purpose,
                                            bool has_bootstrap);
 
+/// \brief Parses the options of a small program.
+/// \returns The exit code when the program is to end now: help or a fault.
+[[nodiscard]] std::optional<int> ParseOptions(
+    int argc, char** argv, const std::string& program,
+    const boost::program_options::options_description& known);
+
 /// \brief Prints faults, one a line, to standard error.
 void PrintFaults(const config::Faults& faults, const std::string& file);
 
--- a/include/gooseberryturn/consensus/node.h
+++ b/include/gooseberryturn/consensus/node.h
@@ -69,6 +69,9 @@
   }
 };
 
+/// \brief The error of a proposal at a host that does not lead.
+[[nodiscard]] Error NotLeader(NodeId leader);
+
 /// \brief One replica of the log: the Raft algorithm with pre-vote, learners,
 /// single-host membership changes and a leader lease.
 ///
--- /dev/null
+++ b/include/gooseberryturn/fwd.h
@@ -0,0 +1,143 @@
+#ifndef GOOSEBERRYTURN_FWD_H_
+#define GOOSEBERRYTURN_FWD_H_
+
+#include <cstdint>
+
+/// \brief All types at a glance, one namespace a module.
+namespace gooseberryturn {
+
+struct Clock;
+struct Endpoint;
+struct Error;
+class StreamDigest;
+enum class Outcome : std::uint8_t;
+enum class Reason : std::uint8_t;
+enum class Step : std::uint8_t;
+
+/// Checked settings and documents.
+namespace config {
+struct Fault;
+struct Document;
+struct Service;
+struct Route;
+struct Limits;
+struct Team;
+struct DataCentre;
+struct EntrySettings;
+struct AgentSettings;
+struct ControlSettings;
+class ObjectReader;
+}  // namespace config
+
+/// Messages and frames between processes.
+namespace protocol {
+struct View;
+struct ViewDelta;
+struct Group;
+struct Member;
+struct HandOver;
+struct AnswerHead;
+struct AnswerEnd;
+struct Renew;
+struct RenewReply;
+struct Claim;
+struct ClaimReply;
+struct Settle;
+struct MemberLease;
+class FrameReader;
+}  // namespace protocol
+
+/// HTTP/2 streams over TCP.
+namespace link {
+class Connection;
+class Stream;
+class Channel;
+class ChannelPool;
+class Listener;
+}  // namespace link
+
+/// The replicated log.
+namespace consensus {
+struct Membership;
+struct Entry;
+struct Message;
+struct Ready;
+class Log;
+class Node;
+class Storage;
+}  // namespace consensus
+
+/// The replicated state and what its leader does with it.
+namespace control {
+class State;
+class ClaimTable;
+class Registry;
+class Replica;
+class Server;
+class OperatorApi;
+class ViewClient;
+}  // namespace control
+
+/// Which hosts form which groups.
+namespace placement {
+struct Host;
+struct Inventory;
+struct Move;
+}  // namespace placement
+
+/// Rights that end by themselves.
+namespace lease {
+class ViewLease;
+class GroupLease;
+class MemberPromise;
+}  // namespace lease
+
+/// What a target may be given.
+namespace admission {
+class Gate;
+class WarmLimit;
+class AttemptTable;
+}  // namespace admission
+
+/// Which group gets a request, and whether it is tried again.
+namespace routing {
+class Chooser;
+class RetryBudget;
+class TeamLimiter;
+struct AttemptRecord;
+}  // namespace routing
+
+/// Proof that an answer is whole.
+namespace stream {
+class AnswerCheck;
+}  // namespace stream
+
+/// HTTP towards the target on the same host.
+namespace target {
+class Exchange;
+class Monitor;
+}  // namespace target
+
+/// The process beside each target.
+namespace agent {
+class Agent;
+class GroupKeeper;
+class RunService;
+}  // namespace agent
+
+/// The process that callers talk to.
+namespace entry {
+class Entry;
+class CallerSession;
+class RequestFlow;
+}  // namespace entry
+
+/// Counters, logs and short HTTP answers.
+namespace observe {
+class Metrics;
+class HttpServer;
+}  // namespace observe
+
+}  // namespace gooseberryturn
+
+#endif  // GOOSEBERRYTURN_FWD_H_
--- a/include/gooseberryturn/target/exchange.h
+++ b/include/gooseberryturn/target/exchange.h
@@ -62,6 +62,8 @@
   void ReadHead();
   void ReadBody();
   void Finish(Result<void> result);
+  /// Ends the exchange when `error` is set; true when it is over.
+  [[nodiscard]] bool HasEnded(const boost::system::error_code& error);
   [[nodiscard]] Error Failure(Reason reason, const std::string& message) const;
 
   boost::asio::ip::tcp::socket socket;
--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -1,6 +1,3 @@
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/net/addrinfo.h>
 #include <cxxtools/query_params.h>
 
 #include <boost/program_options.hpp>
@@ -12,24 +9,25 @@
 #include <thread>
 #include <vector>
 
+#include "api.h"
 #include "gooseberryturn/app/program.h"
 #include "gooseberryturn/config/document.h"
 #include "gooseberryturn/config/reader.h"
 #include "gooseberryturn/core/endpoint.h"
 #include "gooseberryturn/core/id.h"
+#include "status_page.h"
 #include "text_diff.h"
 
 namespace {
 
-using namespace gooseberryturn;  // NOLINT(google-build-using-namespace)
+using namespace gooseberryturn;       // NOLINT(google-build-using-namespace)
+using namespace gooseberryturn::ctl;  // NOLINT(google-build-using-namespace)
 namespace options = boost::program_options;
 
 constexpr char kProgram[] = "gooseberryturnctl";
 constexpr int kExitRejected = 3;
 constexpr int kExitNotInForce = 4;
 constexpr int kExitUnreachable = 5;
-constexpr int kTries = 60;
-constexpr std::chrono::milliseconds kTryPause(250);
 constexpr std::chrono::milliseconds kWatchPause(500);
 
 constexpr char kUsage[] = R"(gooseberryturnctl: operates a gooseberryturn fleet
@@ -67,95 +65,6 @@
   bool replaces_any = false;  ///< Whatever version is in force now.
 };
 
-/// \brief An answer of the operators' API.
-struct ApiAnswer {
-  int status = 0;
-  std::string body;
-  config::Tree tree;
-};
-
-std::string Text(const config::Tree& tree, const std::string& name) {
-  std::string value;
-  tree.getMember(name, value);
-  return value;
-}
-
-bool IsTrue(const config::Tree& tree, const std::string& name) {
-  return Text(tree, name) == "true";
-}
-
-std::vector<const config::Tree*> Items(const config::Tree& tree,
-                                       const std::string& name) {
-  std::vector<const config::Tree*> items;
-  const config::Tree* array = tree.findMember(name);
-  if (array != nullptr) {
-    for (auto item = array->begin(); item != array->end(); ++item) {
-      items.push_back(&*item);
-    }
-  }
-  return items;
-}
-
-// ------------------------------------------------------------------- calling
-
-ApiAnswer CallOnce(const Endpoint& host, const std::string& method,
-                   const std::string& path, const cxxtools::QueryParams& query,
-                   const std::string& body) {
-  cxxtools::http::Client client(
-      cxxtools::net::AddrInfo(host.address, host.port));
-  // The client does not send Request::qparams.
-  const std::string text = query.getUrl();
-  cxxtools::http::Request request(text.empty() ? path : path + "?" + text);
-  request.method(method);
-  request.body() << body;
-  ApiAnswer answer;
-  client.execute(request, cxxtools::Milliseconds(10'000),
-                 cxxtools::Milliseconds(1'000));
-  client.readBody();
-  answer.status = static_cast<int>(client.header().httpReturnCode());
-  answer.body = client.body();
-  const tl::expected<config::Tree, config::Faults> tree =
-      config::ParseJson(answer.body);
-  if (tree.has_value()) {
-    answer.tree = *tree;
-  }
-  return answer;
-}
-
-bool IsFromLeader(const ApiAnswer& answer) {
-  return answer.status != 0 && answer.status != 421 && answer.status != 503;
-}
-
-/// Asks the control hosts in turn until the leader answers.
-ApiAnswer Call(const std::vector<Endpoint>& control, const std::string& method,
-               const std::string& path, const cxxtools::QueryParams& query,
-               const std::string& body) {
-  ApiAnswer last;
-  for (int attempt = 0; attempt < kTries; ++attempt) {
-    const Endpoint& host =
-        control[static_cast<std::size_t>(attempt) % control.size()];
-    try {
-      ApiAnswer answer = CallOnce(host, method, path, query, body);
-      if (IsFromLeader(answer)) {
-        return answer;
-      }
-      const std::optional<Endpoint> leader =
-          ParseEndpoint(Text(answer.tree, "leader"));
-      if (leader.has_value()) {
-        answer = CallOnce(*leader, method, path, query, body);
-        if (IsFromLeader(answer)) {
-          return answer;
-        }
-      }
-      last = answer;
-    } catch (const std::exception& error) {
-      last.body = ToString(host) + ": " + error.what();
-    }
-    std::this_thread::sleep_for(kTryPause);
-  }
-  return last;
-}
-
 int Unreachable(const ApiAnswer& answer) {
   std::cerr << kProgram
             << ": no control host leads; check --control and that a majority "
@@ -164,64 +73,6 @@
   return kExitUnreachable;
 }
 
-// ------------------------------------------------------------------ printing
-
-void PrintStatus(const config::Tree& tree) {
-  std::cout << "document version " << Text(tree, "version") << ", digest "
-            << Text(tree, "digest") << "\n\ncontrol hosts\n";
-  for (const config::Tree* host : Items(tree, "control")) {
-    std::cout << "  " << Text(*host, "id") << "  " << Text(*host, "http")
-              << (IsTrue(*host, "voter") ? "  voter" : "  learner")
-              << (IsTrue(*host, "leader") ? ", leads" : "")
-              << (IsTrue(*host, "lost_disk")
-                      ? ", LOST ITS DISK: replace it under a new id"
-                      : "")
-              << ", " << Text(*host, "entries_behind") << " entries behind\n";
-  }
-  std::cout << "\ndata centres\n";
-  for (const config::Tree* place : Items(tree, "data_centres")) {
-    std::cout << "  " << Text(*place, "name") << "  "
-              << (IsTrue(*place, "out") ? "OUT, gets no new work" : "in")
-              << "\n";
-  }
-  std::cout << "\nservices\n";
-  for (const config::Tree* service : Items(tree, "services")) {
-    std::cout << "  " << Text(*service, "name") << "  "
-              << Text(*service, "kind") << ", "
-              << Text(*service, "groups_formed") << " of "
-              << Text(*service, "groups_wanted") << " groups formed\n";
-  }
-  std::cout << "\ngroups\n";
-  for (const config::Tree* group : Items(tree, "groups")) {
-    std::cout << "  " << Text(*group, "name") << "  "
-              << Text(*group, "data_centre") << "/"
-              << Text(*group, "fabric_domain") << "  ";
-    if (IsTrue(*group, "serving")) {
-      std::cout << "serving, " << Text(*group, "in_flight") << " of "
-                << Text(*group, "limit") << " in flight\n";
-    } else {
-      std::cout << "NOT SERVING: " << Text(*group, "why") << "\n";
-    }
-  }
-  std::cout << "\nhosts that need a look\n";
-  for (const config::Tree* host : Items(tree, "hosts")) {
-    const bool is_agent = Text(*host, "role") == "agent";
-    const bool is_ready = !is_agent || IsTrue(*host, "target_ready");
-    if (IsTrue(*host, "alive") && is_ready && !IsTrue(*host, "drained")) {
-      continue;
-    }
-    std::cout << "  " << Text(*host, "name") << "  " << Text(*host, "role")
-              << (IsTrue(*host, "alive") ? "" : ", not heard of")
-              << (is_ready ? "" : ", target not ready")
-              << (IsTrue(*host, "drained") ? ", drained" : "") << "\n";
-  }
-  for (const config::Tree* item : Items(tree, "quarantined")) {
-    std::string fingerprint;
-    item->getValue(fingerprint);
-    std::cout << "\nquarantined request " << fingerprint << "\n";
-  }
-}
-
 int PrintChange(const CtlOptions& given, const ApiAnswer& answer) {
   if (!IsFromLeader(answer)) {
     return Unreachable(answer);
--- a/programs/fakes/engine_main.cc
+++ b/programs/fakes/engine_main.cc
@@ -18,6 +18,7 @@
 #include <string>
 #include <utility>
 
+#include "gooseberryturn/app/program.h"
 #include "gooseberryturn/core/id.h"
 #include "gooseberryturn/core/time.h"
 #include "gooseberryturn/link/listener.h"
@@ -358,17 +359,10 @@
       "dies of a body that contains this")(
       "check-fence", options::bool_switch(&settings.check_fence),
       "refuse old fencing numbers");
-  try {
-    options::variables_map values;
-    options::store(options::parse_command_line(argc, argv, known), values);
-    if (values.count("help") > 0) {
-      std::cout << known;
-      return 0;
-    }
-    options::notify(values);
-  } catch (const std::exception& error) {
-    std::cerr << "fake-engine: " << error.what() << "\n";
-    return 2;
+  const std::optional<int> exit_code =
+      app::ParseOptions(argc, argv, "fake-engine", known);
+  if (exit_code.has_value()) {
+    return *exit_code;
   }
   asio::io_context context;
   Engine engine(context, settings);
--- a/programs/fakes/plain_main.cc
+++ b/programs/fakes/plain_main.cc
@@ -13,6 +13,7 @@
 #include <string>
 #include <thread>
 
+#include "gooseberryturn/app/program.h"
 #include "gooseberryturn/core/id.h"
 #include "gooseberryturn/observe/http_server.h"
 
@@ -79,17 +80,10 @@
       "time of one run")("die-on",
                          options::value<std::string>(&settings.die_on),
                          "dies after running a body that contains this");
-  try {
-    options::variables_map values;
-    options::store(options::parse_command_line(argc, argv, known), values);
-    if (values.count("help") > 0) {
-      std::cout << known;
-      return 0;
-    }
-    options::notify(values);
-  } catch (const std::exception& error) {
-    std::cerr << "fake-plain: " << error.what() << "\n";
-    return 2;
+  const std::optional<int> exit_code =
+      app::ParseOptions(argc, argv, "fake-plain", known);
+  if (exit_code.has_value()) {
+    return *exit_code;
   }
   const std::optional<Endpoint> endpoint = ParseEndpoint(settings.listen);
   if (!endpoint.has_value()) {
--- a/programs/load/main.cc
+++ b/programs/load/main.cc
@@ -22,6 +22,7 @@
 #include <string>
 #include <vector>
 
+#include "gooseberryturn/app/program.h"
 #include "gooseberryturn/core/endpoint.h"
 #include "gooseberryturn/core/time.h"
 
@@ -287,7 +288,8 @@
 void Request::Write() {
   const LoadOptions& options = this->load.options;
   std::string body = "{\"max_tokens\": " + std::to_string(options.tokens) +
-                     ", \"prompt\": \"" + std::to_string(this->load.body_random());
+                     ", \"prompt\": \"" +
+                     std::to_string(this->load.body_random());
   body.resize(std::max<std::size_t>(
                   body.size(), static_cast<std::size_t>(options.body_bytes)),
               'x');
@@ -417,17 +419,10 @@
       "seed", po::value<std::uint64_t>(&given.seed)->default_value(1),
       "seed of the arrivals")("json", po::bool_switch(&given.json),
                               "print one line of JSON");
-  try {
-    po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, known), values);
-    if (values.count("help") > 0) {
-      std::cout << known;
-      return 0;
-    }
-    po::notify(values);
-  } catch (const std::exception& error) {
-    std::cerr << "gooseberryturn-load: " << error.what() << "; see --help\n";
-    return 2;
+  const std::optional<int> exit_code =
+      app::ParseOptions(argc, argv, "gooseberryturn-load", known);
+  if (exit_code.has_value()) {
+    return *exit_code;
   }
   std::istringstream list(targets);
   std::string item;
--- a/src/app/program.cc
+++ b/src/app/program.cc
@@ -7,6 +7,8 @@
 #include <memory>
 #include <utility>
 
+#include "gooseberryturn/fwd.h"
+
 namespace gooseberryturn::app {
 
 namespace options = boost::program_options;
@@ -49,6 +51,24 @@
   return line;
 }
 
+std::optional<int> ParseOptions(int argc, char** argv,
+                                const std::string& program,
+                                const options::options_description& known) {
+  try {
+    options::variables_map values;
+    options::store(options::parse_command_line(argc, argv, known), values);
+    if (values.count("help") > 0) {
+      std::cout << known;
+      return kExitOk;
+    }
+    options::notify(values);
+  } catch (const std::exception& error) {
+    std::cerr << program << ": " << error.what() << "; see --help\n";
+    return kExitUsage;
+  }
+  return std::nullopt;
+}
+
 void PrintFaults(const config::Faults& faults, const std::string& file) {
   for (const config::Fault& fault : faults) {
     std::cerr << config::ToString(fault, file) << "\n";
--- /dev/null
+++ b/src/consensus/node_membership.cc
@@ -0,0 +1,101 @@
+#include <iterator>
+
+#include "gooseberryturn/consensus/node.h"
+#include "gooseberryturn/protocol/codec.h"
+
+namespace gooseberryturn::consensus {
+
+namespace {
+
+std::size_t CountChanges(const Membership& before, const Membership& after) {
+  std::size_t changes = 0;
+  for (const Peer& peer : after.peers) {
+    const Peer* old = before.Find(peer.id);
+    const bool is_same = old != nullptr && old->is_voter == peer.is_voter;
+    changes += is_same ? 0 : 1;
+  }
+  for (const Peer& peer : before.peers) {
+    changes += after.Find(peer.id) == nullptr ? 1 : 0;
+  }
+  return changes;
+}
+
+}  // namespace
+
+void Node::RefreshMembership() {
+  this->members = this->entries.CurrentMembership();
+  if (this->part != NodeRole::kLeader) {
+    return;
+  }
+  for (const Peer& peer : this->members.peers) {
+    // A new host holds nothing; until it has the membership it cannot even
+    // answer, so it is sent everything from the start.
+    if (this->progress.count(peer.id) == 0) {
+      this->progress[peer.id].next = 1;
+    }
+  }
+  for (auto known = this->progress.begin(); known != this->progress.end();) {
+    const bool is_member = this->members.Find(known->first) != nullptr;
+    known = is_member ? std::next(known) : this->progress.erase(known);
+  }
+}
+
+bool Node::HasPendingMembership() const {
+  for (Index index = this->entries.LastIndex(); index > this->commit; --index) {
+    if (this->entries.At(index).kind == EntryKind::kMembership) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void Node::BindDisk(const Message& message) {
+  const Peer* known = this->members.Find(message.from);
+  const bool is_ready = this->part == NodeRole::kLeader &&
+                        this->commit >= this->term_start &&
+                        !this->HasPendingMembership();
+  if (!is_ready || known == nullptr) {
+    return;
+  }
+  Membership next = this->members;
+  bool is_changed = false;
+  const auto bind = [&next, &is_changed](NodeId id, std::uint64_t disk) {
+    Peer* peer = next.Find(id);
+    if (peer != nullptr && peer->disk == 0) {
+      peer->disk = disk;
+      is_changed = true;
+    }
+  };
+  bind(message.from, message.disk);
+  bind(this->settings.id, this->settings.disk);
+  if (is_changed) {
+    this->AppendEntry(EntryKind::kMembership, protocol::Encode(next));
+  }
+}
+
+void Node::StepDownWhenRemoved() {
+  if (!this->members.IsVoter(this->settings.id) &&
+      !this->HasPendingMembership()) {
+    this->BecomeFollower(this->hard.term, 0);
+  }
+}
+
+Result<Index> Node::ChangeMembership(const Membership& next) {
+  if (this->part != NodeRole::kLeader) {
+    return tl::make_unexpected(NotLeader(this->leader_id));
+  }
+  const bool is_busy =
+      this->commit < this->term_start || this->HasPendingMembership();
+  if (is_busy || CountChanges(this->members, next) > 1 ||
+      next.VoterCount() == 0) {
+    const std::string message =
+        is_busy ? "another membership change is in progress; try again"
+                : "a change may add, remove or promote one host";
+    return tl::make_unexpected(Error{Reason::kBadRequest, Step::kCommit,
+                                     Outcome::kNotRun, "", message});
+  }
+  this->AppendEntry(EntryKind::kMembership, protocol::Encode(next));
+  return this->entries.LastIndex();
+}
+
+}  // namespace gooseberryturn::consensus
--- a/src/target/exchange.cc
+++ b/src/target/exchange.cc
@@ -35,6 +35,14 @@
   return {reason, Step::kEngine, outcome, ToString(this->target), message};
 }
 
+bool Exchange::HasEnded(const error_code& error) {
+  if (!this->is_done && error) {
+    this->Finish(tl::make_unexpected(
+        this->Failure(Reason::kTargetFailed, error.message())));
+  }
+  return this->is_done;
+}
+
 void Exchange::Start() {
   const std::shared_ptr<Exchange> self = this->shared_from_this();
   this->timer.expires_after(this->deadline - Clock::now());
@@ -52,15 +60,9 @@
   this->socket.set_option(
       asio::socket_base::receive_buffer_size(kKernelBufferBytes), ignored);
   this->socket.async_connect(place, [self](const error_code& error) {
-    if (self->is_done) {
-      return;
+    if (!self->HasEnded(error)) {
+      self->Write();
     }
-    if (error) {
-      self->Finish(tl::make_unexpected(
-          self->Failure(Reason::kTargetFailed, error.message())));
-      return;
-    }
-    self->Write();
   });
 }
 
@@ -88,12 +90,7 @@
   const std::shared_ptr<Exchange> self = this->shared_from_this();
   http::async_write(this->socket, this->message,
                     [self](const error_code& error, std::size_t /*size*/) {
-                      if (self->is_done) {
-                        return;
-                      }
-                      if (error) {
-                        self->Finish(tl::make_unexpected(self->Failure(
-                            Reason::kTargetFailed, error.message())));
+                      if (self->HasEnded(error)) {
                         return;
                       }
                       self->message.body().clear();
@@ -106,12 +103,7 @@
   http::async_read_header(
       this->socket, this->buffer, this->parser,
       [self](const error_code& error, std::size_t /*size*/) {
-        if (self->is_done) {
-          return;
-        }
-        if (error) {
-          self->Finish(tl::make_unexpected(
-              self->Failure(Reason::kTargetFailed, error.message())));
+        if (self->HasEnded(error)) {
           return;
         }
         self->has_head = true;
@@ -138,15 +130,10 @@
       this->socket, this->buffer, this->parser,
       [self](error_code error, std::size_t /*size*/) {
         self->is_reading = false;
-        if (self->is_done) {
-          return;
-        }
         if (error == http::error::need_buffer) {
           error = {};
         }
-        if (error) {
-          self->Finish(tl::make_unexpected(
-              self->Failure(Reason::kTargetFailed, error.message())));
+        if (self->HasEnded(error)) {
           return;
         }
         const std::size_t size =
--- a/tests/consensus_test.cc
+++ b/tests/consensus_test.cc
@@ -437,3 +437,37 @@
     }
   }
 }
+
+BOOST_AUTO_TEST_CASE(entry_of_an_older_term_is_not_committed_by_counting) {
+  Stored stored;
+  stored.hard_state = {2, 0};
+  for (NodeId id = 1; id <= 3; ++id) {
+    stored.snapshot.membership.peers.push_back({id, {}, {}, true, 0});
+  }
+  stored.entries = {{1, 1, EntryKind::kCommand, "a"},
+                    {2, 2, EntryKind::kCommand, "b"}};
+  Options options;
+  options.id = 1;
+  TimePoint now(std::chrono::hours(1));
+  Node node(options, stored, now);
+  now += options.election_max;
+  node.Tick(now);
+  const auto reply = [&](MessageType type, Index index) {
+    Message message;
+    message.type = type;
+    message.from = 2;
+    message.to = 1;
+    message.term = 3;
+    message.index = index;
+    node.Receive(message, now);
+    node.Persisted(node.TakeReady());
+  };
+  reply(MessageType::kPreVoteReply, 0);
+  reply(MessageType::kVoteReply, 0);
+  BOOST_REQUIRE((node.role() == NodeRole::kLeader));
+  // Two of three hold entry 2 of term 2: another leader may still undo it.
+  reply(MessageType::kAppendReply, 2);
+  BOOST_TEST(node.commit_index() == 0U);
+  reply(MessageType::kAppendReply, 3);
+  BOOST_TEST(node.commit_index() == 3U);
+}
--- /dev/null
+++ b/tests/process.h
@@ -0,0 +1,102 @@
+#ifndef GOOSEBERRYTURN_TESTS_PROCESS_H_
+#define GOOSEBERRYTURN_TESTS_PROCESS_H_
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <fstream>
+#include <functional>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace gooseberryturn::fleet {
+
+inline constexpr std::chrono::seconds kWide(60);
+
+/// Waits until `is_true`, for as long as a busy machine may need.
+inline bool Eventually(const std::function<bool()>& is_true,
+                       std::chrono::milliseconds limit = kWide) {
+  const std::chrono::steady_clock::time_point end =
+      std::chrono::steady_clock::now() + limit;
+  while (std::chrono::steady_clock::now() < end) {
+    if (is_true()) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return false;
+}
+
+/// A child process; killed when the object goes.
+class Process {
+ public:
+  Process(std::vector<std::string> words, const std::string& log_file)
+      : words(std::move(words)), log_file(log_file) {
+    this->Start();
+  }
+  ~Process() { this->Kill(); }
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  void Start() {
+    std::vector<char*> argv;
+    for (std::string& word : this->words) {
+      argv.push_back(word.data());
+    }
+    argv.push_back(nullptr);
+    this->pid = fork();
+    if (this->pid == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
+      const int log =
+          open(this->log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+      dup2(log, 1);
+      dup2(log, 2);
+      execv(argv[0], argv.data());
+      _exit(127);
+    }
+  }
+  void Signal(int number) const { kill(this->pid, number); }
+  void Kill() {
+    if (this->pid > 0) {
+      kill(this->pid, SIGKILL);
+      this->WaitExit();
+    }
+  }
+  /// Exit code, or 128 + signal.
+  int WaitExit() {
+    int status = 0;
+    waitpid(this->pid, &status, 0);
+    this->pid = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  }
+  /// True when it ended by itself.
+  bool HasExited() {
+    int status = 0;
+    if (this->pid > 0 && waitpid(this->pid, &status, WNOHANG) == this->pid) {
+      this->pid = -1;
+    }
+    return this->pid < 0;
+  }
+  [[nodiscard]] std::string Log() const {
+    std::ifstream input(this->log_file);
+    std::ostringstream text;
+    text << input.rdbuf();
+    return text.str();
+  }
+
+ private:
+  std::vector<std::string> words;
+  std::string log_file;
+  pid_t pid = -1;
+};
+
+}  // namespace gooseberryturn::fleet
+
+#endif  // GOOSEBERRYTURN_TESTS_PROCESS_H_
