--- a/programs/agent/main.cc
+++ b/programs/agent/main.cc
@@ -2,9 +2,14 @@
 #include "gooseberryturn/app/server_main.h"
 #include "gooseberryturn/config/settings.h"
 
+namespace {
+
+constexpr char kProgram[] = "gooseberryturn-agent";
+
+}  // namespace
+
 int main(int argc, char** argv) {
   using namespace gooseberryturn;  // NOLINT(google-build-using-namespace)
-  constexpr char kProgram[] = "gooseberryturn-agent";
   const app::CommandLine line = app::ParseCommandLine(
       argc, argv, kProgram, "agent beside one target", false);
   return app::RunProgram<config::AgentSettings>(
