Say that an answer is not kept instead of giving a short one

Cause: found by reading: an answer above 64 KiB was kept without its body and a resend got 200 with nothing in it; above 1 MiB the agent kept a part and gave that. Both are short successes. Change: a kept answer says whether its body is there; a resend of one that is not gets 410 answer_not_kept, outcome ran. Measured: answer_too_long_to_keep_is_never_a_short_success and the claim table's test pass; they were written with the change and were not run without it. Conclusion: kept.

--- a/include/gooseberryturn/agent/run_service.h
+++ b/include/gooseberryturn/agent/run_service.h
@@ -75,6 +75,8 @@
   void HandOver(const RunPtr& run);
   void OnHead(const RunPtr& run, int status, const std::string& type);
   void OnBody(const RunPtr& run, std::string_view bytes);
+  /// Keeps the answer of a call that may not be repeated, for resends.
+  static void Keep(const RunPtr& run, std::string_view bytes);
   void OnDone(const RunPtr& run, const Result<void>& result);
   void Refuse(const RunPtr& run, Error error);
   void SendEnd(const RunPtr& run, const Error& error);
--- a/include/gooseberryturn/core/reason.h
+++ b/include/gooseberryturn/core/reason.h
@@ -37,9 +37,10 @@
   kAnswerCut,
   kSlowCaller,
   kTombstone,
+  kAnswerNotKept,
 };
 
-inline constexpr std::size_t kReasonCount = 27;
+inline constexpr std::size_t kReasonCount = 28;
 
 inline constexpr NameTable<Reason, kReasonCount> kReasonNames = {
     {"none",
@@ -68,7 +69,8 @@
      "quarantined",
      "answer_cut",
      "slow_caller",
-     "tombstone"}};
+     "tombstone",
+     "answer_not_kept"}};
 
 /// \brief HTTP status a caller is given for `reason`.
 [[nodiscard]] int StatusOf(Reason reason) noexcept;
--- a/include/gooseberryturn/protocol/message.h
+++ b/include/gooseberryturn/protocol/message.h
@@ -119,8 +119,14 @@
   int status = 0;
   std::string content_type;
   std::string body;
-
-  MSGPACK_DEFINE(status, content_type, body)
+  bool is_kept = true;  ///< False when the body was too long to keep.
+
+  /// \brief Gives the body up; what is left only tells that the call ran.
+  void DropBody() {
+    this->body.clear();
+    this->is_kept = false;
+  }
+  MSGPACK_DEFINE(status, content_type, body, is_kept)
 };
 
 }  // namespace gooseberryturn::protocol
--- a/programs/fakes/plain_main.cc
+++ b/programs/fakes/plain_main.cc
@@ -53,10 +53,22 @@
       std::_Exit(3);
     }
     return {200, "application/json",
-            "{\"accepted\":true,\"run\":" + std::to_string(number) + "}\n"};
+            "{\"accepted\":true,\"run\":" + std::to_string(number) +
+                ",\"proof\":\"" + ProofFor(call.body) + "\"}\n"};
   }
 
  private:
+  /// Padding as long as the number after "proof=" in the body.
+  static std::string ProofFor(const std::string& body) {
+    const std::string mark = "proof=";
+    const std::size_t found = body.find(mark);
+    if (found == std::string::npos) {
+      return std::string();
+    }
+    const char* digits = body.c_str() + found + mark.size();
+    return std::string(std::strtoull(digits, nullptr, 10), 'x');
+  }
+
   PlainOptions options;
   std::string boot = RandomName();
   std::mutex mutex;
--- a/src/agent/run_service.cc
+++ b/src/agent/run_service.cc
@@ -206,14 +206,24 @@
       protocol::Encode(protocol::AnswerHead{status, type})));
 }
 
+void RunService::Keep(const RunPtr& run, std::string_view bytes) {
+  protocol::KeptAnswer& kept = run->kept;
+  if (run->order.idempotent || !kept.is_kept) {
+    return;
+  }
+  if (kept.body.size() + bytes.size() >
+      admission::AttemptTable::kMaxAnswerBytes) {
+    kept.DropBody();
+    return;
+  }
+  kept.body.append(bytes);
+}
+
 void RunService::OnBody(const RunPtr& run, std::string_view bytes) {
   if (run->length == 0) {
     run->first_token = Clock::now() - run->admitted_at;
   }
-  if (!run->order.idempotent && run->kept.body.size() + bytes.size() <=
-                                    admission::AttemptTable::kMaxAnswerBytes) {
-    run->kept.body.append(bytes);
-  }
+  Keep(run, bytes);
   run->stream->Send(protocol::EncodeChunk(run->length, bytes));
   run->length += bytes.size();
   run->digest.Update(bytes);
--- a/src/control/claim_table.cc
+++ b/src/control/claim_table.cc
@@ -140,7 +140,7 @@
       record.state = KeyState::kFinished;
       record.answer = settle.answer;
       if (record.answer.body.size() > kMaxAnswerBytes) {
-        record.answer.body.clear();
+        record.answer.DropBody();
       }
       this->bytes += Cost(full_key, record);
       break;
--- a/src/core/reason.cc
+++ b/src/core/reason.cc
@@ -14,6 +14,8 @@
       return 408;
     case Reason::kKeyInProgress:
       return 409;
+    case Reason::kAnswerNotKept:
+      return 410;
     case Reason::kTooLarge:
       return 413;
     case Reason::kKeyMismatch:
--- a/src/entry/request_flow_claims.cc
+++ b/src/entry/request_flow_claims.cc
@@ -216,6 +216,11 @@
 }
 
 void RequestFlow::GiveKept(const protocol::KeptAnswer& answer, bool is_replay) {
+  if (!answer.is_kept) {
+    this->Refuse({Reason::kAnswerNotKept, Step::kReply, Outcome::kRan,
+                  std::string(), "it ran, but its answer is too long to keep"});
+    return;
+  }
   this->context.metrics.Add(observe::Metric::kAnswers);
   this->context.metrics.Observe(observe::Timing::kWhole,
                                 Clock::now() - this->started_at);
--- a/tests/at_most_once_test.cc
+++ b/tests/at_most_once_test.cc
@@ -199,3 +199,19 @@
       [&] { return fleet.Post(2, "/order", "o-13", "k-13").status == 200; }));
   BOOST_TEST(fleet.Runs("o-13") == 1);
 }
+
+BOOST_FIXTURE_TEST_CASE(answer_too_long_to_keep_is_never_a_short_success,
+                        Orders) {
+  const Answer whole = fleet.Post(1, "/order", "o-14 proof=100000", "k-14");
+  BOOST_TEST(whole.status == 200);
+  BOOST_TEST(whole.body.size() > 100'000U);
+  const Answer resend = fleet.Post(2, "/order", "o-14 proof=100000", "k-14");
+  BOOST_TEST(resend.status == 410);
+  BOOST_TEST(resend.Says("\"outcome\":\"ran\""));
+  BOOST_TEST(fleet.Runs("o-14") == 1);
+  // Longer than even the agent and the entry keep.
+  const Answer huge = fleet.Post(1, "/order", "o-15 proof=2000000", "k-15");
+  BOOST_TEST(huge.status == 410);
+  BOOST_TEST(huge.Says("\"outcome\":\"ran\""));
+  BOOST_TEST(fleet.Runs("o-15") == 1);
+}
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -163,6 +163,7 @@
   const protocol::ClaimReply reply = Claim("big", 2);
   BOOST_TEST((reply.verdict == V::kFinished));
   BOOST_TEST(reply.answer.body.empty());
+  BOOST_TEST(!reply.answer.is_kept);
   BOOST_TEST(state.claims().kept_bytes() < 2000U);
 }
 
