One reader of named values, one name of the peer, no dead options

Cause: settings and document each looked a name up in a table; WithPeer built a whole error to take its peer; control-bench had an option nothing used and a parser of its own without help. Change: config ReadNamed serves both, RequestFlow::PeerName, app::ParseOptions.

--- a/bench/control_bench.cc
+++ b/bench/control_bench.cc
@@ -14,6 +14,7 @@
 #include <thread>
 #include <vector>
 
+#include "gooseberryturn/app/program.h"
 #include "gooseberryturn/control/view_client.h"
 #include "gooseberryturn/link/channel.h"
 #include "gooseberryturn/observe/log.h"
@@ -37,22 +38,21 @@
 int main(int argc, char** argv) {
   namespace po = boost::program_options;
   std::string control;
-  std::string change_command;
   std::int64_t agents = 100;
   std::int64_t entries = 10;
   double seconds = 5;
-  int changes = 10;
   po::options_description known("control-bench");
-  known.add_options()("control", po::value<std::string>(&control)->required(),
-                      "link address of the control host that leads")(
+  known.add_options()("help", "print this text")(
+      "control", po::value<std::string>(&control)->required(),
+      "link address of the control host that leads")(
       "agents", po::value<std::int64_t>(&agents)->default_value(100), "")(
       "entries", po::value<std::int64_t>(&entries)->default_value(10), "")(
-      "seconds", po::value<double>(&seconds)->default_value(5), "")(
-      "changes", po::value<int>(&changes)->default_value(10),
-      "changes somebody else applies meanwhile; time of each is measured");
-  po::variables_map values;
-  po::store(po::parse_command_line(argc, argv, known), values);
-  po::notify(values);
+      "seconds", po::value<double>(&seconds)->default_value(5), "");
+  const std::optional<int> exit_code =
+      app::ParseOptions(argc, argv, "control-bench", known);
+  if (exit_code.has_value()) {
+    return *exit_code;
+  }
   const std::optional<Endpoint> leader = ParseEndpoint(control);
   if (!leader.has_value()) {
     std::cerr << "control-bench: --control needs IP:PORT\n";
--- a/include/gooseberryturn/entry/request_flow.h
+++ b/include/gooseberryturn/entry/request_flow.h
@@ -101,6 +101,7 @@
   void Over();
 
   void After(Duration pause, std::function<void()> next);
+  [[nodiscard]] std::string PeerName() const;
   [[nodiscard]] Error MakeError(Reason reason, Step step, Outcome outcome,
                                 const std::string& message) const;
   void OnDeadline();
--- a/src/config/document.cc
+++ b/src/config/document.cc
@@ -3,6 +3,8 @@
 #include <optional>
 #include <set>
 
+#include "read_named.h"
+
 namespace gooseberryturn::config {
 
 namespace {
@@ -63,12 +65,7 @@
   ObjectReader reader(tree, path, faults);
   Service service;
   service.name = reader.String("name");
-  const std::string kind = reader.String("kind");
-  const std::optional<ServiceKind> found = kServiceKindNames.Find(kind);
-  if (!found.has_value() && !kind.empty()) {
-    reader.Reject("kind", "\"" + kind + "\"", "\"model\" or \"plain\"");
-  }
-  service.kind = found.value_or(ServiceKind::kModel);
+  service.kind = ReadNamed(reader, "kind", kServiceKindNames);
   service.groups = reader.Integer("groups", kGroupRange);
   service.hosts_per_group =
       reader.Integer("hosts_per_group", kHostsPerGroupRange, 1);
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "gooseberryturn/config/document.h"
+#include "read_named.h"
 
 namespace gooseberryturn::config {
 
@@ -51,24 +52,6 @@
   return endpoints;
 }
 
-/// Value of an enumeration by its name; the names go into the message.
-template <typename Enum, std::size_t Size>
-Enum ReadNamed(ObjectReader& reader, const std::string& key,
-               const NameTable<Enum, Size>& names,
-               const std::optional<std::string>& fallback = std::nullopt) {
-  const std::string name = reader.String(key, fallback);
-  const std::optional<Enum> found = names.Find(name);
-  if (!found.has_value() && !name.empty()) {
-    std::string expected;
-    for (const std::string_view known : names.names) {
-      expected +=
-          (expected.empty() ? "\"" : " or \"") + std::string(known) + "\"";
-    }
-    reader.Reject(key, "\"" + name + "\"", expected);
-  }
-  return found.value_or(Enum{});
-}
-
 CommonSettings ReadCommon(ObjectReader& reader) {
   CommonSettings common;
   common.host = reader.String("host");
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -87,19 +87,19 @@
       });
 }
 
+std::string RequestFlow::PeerName() const {
+  return this->group.members.empty()
+             ? std::string()
+             : this->group.name + " at " + this->group.members.front().host;
+}
+
 Error RequestFlow::MakeError(Reason reason, Step step, Outcome outcome,
                              const std::string& message) const {
-  const std::string peer =
-      this->group.members.empty()
-          ? std::string()
-          : this->group.name + " at " + this->group.members.front().host;
-  return {reason, step, outcome, peer, message};
+  return {reason, step, outcome, this->PeerName(), message};
 }
 
 Error RequestFlow::WithPeer(Error error) const {
-  error.peer =
-      this->MakeError(error.reason, error.step, error.outcome, std::string())
-          .peer;
+  error.peer = this->PeerName();
   return error;
 }
 
