--- a/include/gooseberryturn/consensus/storage.h
+++ b/include/gooseberryturn/consensus/storage.h
@@ -32,6 +32,11 @@
   [[nodiscard]] static Result<Storage> Open(const std::string& folder,
                                             NodeId id);
 
+  /// \brief Opens the folder of whatever id it belongs to; an empty one is
+  /// created for `fresh_id`.
+  [[nodiscard]] static Result<Storage> OpenAny(const std::string& folder,
+                                               NodeId fresh_id);
+
   Storage(Storage&& other) noexcept;
   Storage& operator=(Storage&& other) = delete;
   Storage(const Storage&) = delete;
--- /dev/null
+++ b/include/gooseberryturn/direct/control_host.h
@@ -0,0 +1,139 @@
+#ifndef GOOSEBERRYTURN_DIRECT_CONTROL_HOST_H_
+#define GOOSEBERRYTURN_DIRECT_CONTROL_HOST_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "gooseberryturn/consensus/driver.h"
+#include "gooseberryturn/control/versioned.h"
+#include "gooseberryturn/direct/dialect.h"
+#include "gooseberryturn/direct/fleet_state.h"
+#include "gooseberryturn/direct/follow_client.h"
+#include "gooseberryturn/direct/group_planner.h"
+#include "gooseberryturn/direct/quorum_keeper.h"
+#include "gooseberryturn/direct/registry.h"
+#include "gooseberryturn/direct/short_http.h"
+#include "gooseberryturn/direct/view.h"
+#include "gooseberryturn/link/listener.h"
+#include "gooseberryturn/observe/metrics.h"
+
+namespace gooseberryturn::direct {
+
+/// \brief A control host: its part of the replicated log and, at the leader,
+/// the registry of targets, the keeper of groups and the followers.
+class ControlHost {
+ public:
+  ControlHost(boost::asio::io_context& context, HostSettings settings,
+              Dialect dialect, observe::Metrics& metrics);
+
+  /// \brief Opens the data folder and starts to serve.
+  [[nodiscard]] Result<void> Start();
+  void Stop();
+
+  static constexpr Duration kTick = std::chrono::milliseconds(50);
+  static constexpr Duration kLoadEvery = std::chrono::milliseconds(100);
+  static constexpr Duration kUpdateAtLeastEvery =
+      std::chrono::milliseconds(250);
+  static constexpr Duration kCallLimit = std::chrono::milliseconds(850);
+  static constexpr Duration kOrderLimit = std::chrono::milliseconds(700);
+  static constexpr Duration kProbeLimit = std::chrono::milliseconds(350);
+  static constexpr Duration kJoinEvery = std::chrono::milliseconds(400);
+  static constexpr Duration kFollowerLife = std::chrono::milliseconds(1500);
+  /// A new leader keeps what earlier ones knew until targets spoke up.
+  static constexpr Duration kSettle = std::chrono::milliseconds(2500);
+  static constexpr std::size_t kMaxUnsentBytes = 256U * 1024U;
+
+ private:
+  /// An entry or control host that follows this leader.
+  struct Follower {
+    std::shared_ptr<link::Stream> stream;
+    Hello hello;
+    std::uint64_t sent_revision = 0;
+    std::uint64_t sent_config = 0;
+    std::vector<OpenWork> open_work;
+    TimePoint heard_at;
+    TimePoint sent_at;
+    TimePoint load_sent_at;
+    bool is_first = true;
+    bool has_full = false;  ///< It was told everything at once.
+  };
+
+  [[nodiscard]] Result<std::unique_ptr<consensus::Driver>> OpenLog();
+  [[nodiscard]] consensus::Membership FirstMembership() const;
+  void ServeLinks();
+  void Tick();
+
+  // Calls of operators and targets.
+  void OnCall(ShortCall call, ShortHttpServer::Reply reply);
+  void HandleAsLeader(const ShortCall& call, ShortHttpServer::Reply reply);
+  void Announce(const std::string& id, const ShortCall& call,
+                const ShortHttpServer::Reply& reply);
+  void PutConfiguration(const ShortCall& call, ShortHttpServer::Reply reply);
+  void GetConfiguration(const ShortHttpServer::Reply& reply);
+  void SetEvacuated(const std::string& data_centre, bool is_out,
+                    ShortHttpServer::Reply reply);
+  void Propose(const FleetCommand& command, ShortHttpServer::Reply reply);
+  [[nodiscard]] ShortAnswer Fault(int status, const std::string& why) const;
+
+  // Leader.
+  [[nodiscard]] bool IsLeading() const;
+  void BecomeLeader();
+  void KeepQuorum(TimePoint now);
+  void KeepGroups(TimePoint now);
+  void RefreshGroups();
+  void GiveOrder(const Order& order);
+  void Probe(const std::string& target);
+  void OnFollow(const std::shared_ptr<link::Stream>& stream);
+  void OnReport(Follower& follower, const EntryReport& report);
+  void PushAll(TimePoint now);
+  void Push(Follower& follower, TimePoint now);
+  void PutTarget(const std::string& id);
+  [[nodiscard]] std::vector<OpenWork> SumOpenWork() const;
+  void RefreshConfiguration();
+
+  // Not leading.
+  void FollowLeader();
+  void TakeUpdate(const Update& update);
+  void AskToJoin(TimePoint now);
+
+  boost::asio::io_context& context;
+  boost::asio::steady_timer timer;
+  HostSettings settings;
+  Dialect dialect;
+  observe::Metrics& metrics;
+  link::ChannelPool channels;
+  link::Listener listener;
+  ShortHttpServer server;
+  FollowClient follow;
+  FleetState state;
+  std::unique_ptr<consensus::Driver> driver;
+  std::uint64_t incarnation;
+  consensus::NodeId id = 0;
+  std::uint64_t disk = 0;
+
+  Registry registry;
+  GroupPlanner planner;
+  QuorumKeeper quorum;
+  std::list<std::shared_ptr<Follower>> followers;
+  control::Versioned<TargetView> targets;
+  control::Versioned<GroupView> groups;
+  std::uint64_t revision = 1;
+  std::uint64_t seen_plan_revision = 0;
+  std::optional<Configuration> configuration;
+  std::uint64_t parsed_version = 0;
+  bool is_leading = false;
+  bool has_traffic = false;
+  TimePoint settled_at;
+  TimePoint join_at;
+  TimePoint expire_at;
+  std::size_t next_join_host = 0;
+};
+
+}  // namespace gooseberryturn::direct
+
+#endif  // GOOSEBERRYTURN_DIRECT_CONTROL_HOST_H_
--- /dev/null
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -0,0 +1,164 @@
+#ifndef GOOSEBERRYTURN_DIRECT_GROUP_PLANNER_H_
+#define GOOSEBERRYTURN_DIRECT_GROUP_PLANNER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gooseberryturn/core/time.h"
+#include "gooseberryturn/direct/configuration.h"
+#include "gooseberryturn/direct/dialect.h"
+#include "gooseberryturn/direct/load_limiter.h"
+#include "gooseberryturn/direct/registry.h"
+#include "gooseberryturn/direct/view.h"
+
+namespace gooseberryturn::direct {
+
+/// \brief What the planner wants done.
+struct PlannedWork {
+  std::vector<Order> orders;
+  std::vector<std::string> probes;  ///< Targets to be asked for a report.
+};
+
+/// \brief What the planner looks at.
+struct PlanInput {
+  const Registry& registry;
+  const Configuration& configuration;
+  std::set<std::string> evacuated;
+  std::map<std::string, std::uint32_t> open_work;  ///< By target id.
+  bool has_traffic = false;
+  Duration heartbeat = std::chrono::seconds(1);
+  Duration stall = std::chrono::seconds(5);
+};
+
+/// \brief Forms, opens and dissolves replica groups; one at the leader.
+///
+/// \details Free of sockets and clocks. Invariants:
+/// - a head is ordered to open only after every member reported ready under
+///   the group's name and epoch;
+/// - a member gets another group only after the head of its last one closed,
+///   broke, or is certainly gone;
+/// - names and epochs are never used twice: epochs hold the leader's term.
+class GroupPlanner {
+ public:
+  /// \brief Begins a term with the groups an earlier leader told of.
+  void StartLeading(std::uint64_t term, const std::vector<GroupView>& known,
+                    TimePoint now);
+  /// \brief Decides what is to be done now.
+  [[nodiscard]] PlannedWork Plan(const PlanInput& input, TimePoint now);
+
+  void OrderAnswered(const Order& order, OrderOutcome outcome, TimePoint now);
+  /// \brief Entries saw that nothing comes from the head any more.
+  void GroupStalled(const std::string& group, TimePoint now);
+  /// \brief A probe was answered (`report`) or not.
+  void ProbeAnswered(const std::string& target,
+                     const std::optional<EngineReport>& report, TimePoint now);
+
+  [[nodiscard]] std::vector<GroupView> Groups() const;
+  /// \brief Counts changes of any group.
+  [[nodiscard]] std::uint64_t revision() const noexcept {
+    return this->changes;
+  }
+
+  static constexpr Duration kResendOrder = std::chrono::milliseconds(400);
+  static constexpr Duration kProbeEvery = std::chrono::milliseconds(250);
+  static constexpr int kProbesToSuspect = 2;
+  /// Entries report a stalled group several times a second while it lasts.
+  static constexpr Duration kStallReportLife = std::chrono::milliseconds(500);
+  /// A new leader first lets the targets announce what they hold.
+  static constexpr Duration kSettle = std::chrono::milliseconds(2500);
+  static constexpr Duration kBreakMargin = std::chrono::milliseconds(400);
+  static constexpr Duration kFormingLimit = std::chrono::seconds(8);
+  static constexpr Duration kCloseLimit = std::chrono::seconds(6);
+  /// Covers an order to leave that a member carries out late.
+  static constexpr Duration kOrphanMargin = std::chrono::seconds(3);
+
+ private:
+  /// A group and what was ordered for it.
+  struct Group {
+    GroupView view;
+    std::map<std::string, std::int64_t> lives;  ///< born_ms of each member.
+    std::map<std::string, TimePoint> resend_at;  ///< Of a member's order.
+    std::set<std::string> acknowledged;
+    TimePoint give_up_at;
+    TimePoint close_at;            ///< End of the time to finish work.
+    std::optional<TimePoint> stalled_at;
+    bool may_be_open = false;      ///< The head was ordered to open.
+    bool is_head_closed = false;
+    std::optional<TimePoint> broken_at;  ///< From then on it is broken.
+    int unanswered_leaves = 0;
+  };
+
+  /// Doubts about a target.
+  struct Doubt {
+    int failed_probes = 0;
+    TimePoint probe_at;
+    TimePoint failed_at;
+  };
+
+  void FollowGroup(Group& group, const PlanInput& input, PlannedWork& work,
+                   TimePoint now);
+  void FollowForming(Group& group, const PlanInput& input, PlannedWork& work,
+                     TimePoint now);
+  void FollowOpening(Group& group, const PlanInput& input, PlannedWork& work,
+                     TimePoint now);
+  void FollowOpen(Group& group, const PlanInput& input, PlannedWork& work,
+                  TimePoint now);
+  void FollowClosing(Group& group, const PlanInput& input, TimePoint now);
+  void FollowDissolving(Group& group, const PlanInput& input,
+                        PlannedWork& work, TimePoint now);
+  void SetPhase(Group& group, GroupPhase phase);
+  void ProbeMembers(const Group& group, const PlanInput& input,
+                    PlannedWork& work, TimePoint now);
+  [[nodiscard]] bool IsMemberGone(const Group& group, const std::string& id,
+                                  const PlanInput& input) const;
+  [[nodiscard]] bool IsMemberDead(const Group& group, const std::string& id,
+                                  const PlanInput& input, TimePoint now) const;
+  [[nodiscard]] bool IsSilent(const TargetRecord& record,
+                              const PlanInput& input, TimePoint now) const;
+  void AdoptAnnounced(const PlanInput& input, TimePoint now);
+  void FollowOrphans(const PlanInput& input, PlannedWork& work, TimePoint now);
+  [[nodiscard]] bool IsReleased(const std::string& id,
+                                const TargetRecord& record,
+                                const PlanInput& input, TimePoint now) const;
+
+  void FormGroups(const PlanInput& input, PlannedWork& work, TimePoint now);
+  void FormFor(const Service& service, const PlanInput& input,
+               PlannedWork& work, TimePoint now);
+  [[nodiscard]] std::map<std::string, std::vector<std::string>> FreeByDomain(
+      const Service& service, const PlanInput& input, TimePoint now) const;
+  [[nodiscard]] std::map<std::string, double> Coverage(
+      const Service& service) const;
+  void StartGroup(const Service& service, const ModelProfile& model,
+                  const std::string& domain,
+                  const std::vector<std::string>& members,
+                  const PlanInput& input, PlannedWork& work, TimePoint now);
+  void Rebalance(const Service& service, const PlanInput& input,
+                 TimePoint now);
+  void StageModels(const PlanInput& input, PlannedWork& work, TimePoint now);
+  [[nodiscard]] double JoinSeconds(const TargetRecord& record,
+                                   const ModelProfile& model) const;
+  [[nodiscard]] Order MakeOrder(OrderKind kind, const Group& group,
+                                const std::string& target) const;
+
+  std::uint64_t term = 0;
+  std::uint64_t counter = 0;
+  std::uint64_t changes = 0;
+  TimePoint settled_at;
+  TimePoint rebalance_at;
+  std::map<std::string, Group> groups;
+  std::map<std::string, std::string> group_of;  ///< By target id.
+  std::map<std::string, Doubt> doubts;
+  std::map<std::string, TimePoint> staging_until;
+  std::set<std::uint64_t> closed_epochs;
+  /// Members of groups that nobody knows, with the time they were found.
+  std::map<std::string, TimePoint> orphans;
+  LoadLimiter loads;
+};
+
+}  // namespace gooseberryturn::direct
+
+#endif  // GOOSEBERRYTURN_DIRECT_GROUP_PLANNER_H_
--- /dev/null
+++ b/include/gooseberryturn/direct/load_limiter.h
@@ -0,0 +1,55 @@
+#ifndef GOOSEBERRYTURN_DIRECT_LOAD_LIMITER_H_
+#define GOOSEBERRYTURN_DIRECT_LOAD_LIMITER_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <deque>
+#include <vector>
+
+#include "gooseberryturn/core/time.h"
+#include "gooseberryturn/direct/configuration.h"
+
+namespace gooseberryturn::direct {
+
+/// \brief Keeps loads from the weight store within its published rate.
+class LoadLimiter {
+ public:
+  /// \brief True when `count` loads may start now.
+  [[nodiscard]] bool MayStart(const EngineProfile& engine, std::size_t count,
+                              TimePoint now) {
+    this->Forget(now);
+    const double most = std::max(
+        1.0, engine.loads_per_s * kWindowSeconds * kShareOfRate);
+    const bool is_within_rate =
+        static_cast<double>(this->starts.size() + count) <= most;
+    return is_within_rate && this->ends.size() + count <= engine.loads_at_once;
+  }
+  /// \brief Notes a load that takes until `end`.
+  void Started(TimePoint now, TimePoint end) {
+    this->starts.push_back(now);
+    this->ends.push_back(end);
+  }
+
+ private:
+  void Forget(TimePoint now) {
+    while (!this->starts.empty() && this->starts.front() + kWindow <= now) {
+      this->starts.pop_front();
+    }
+    this->ends.erase(
+        std::remove_if(this->ends.begin(), this->ends.end(),
+                       [now](TimePoint end) { return end <= now; }),
+        this->ends.end());
+  }
+
+  static constexpr double kWindowSeconds = 5;
+  static constexpr Duration kWindow = std::chrono::seconds(5);
+  /// Late orders of an earlier leader may still begin loads.
+  static constexpr double kShareOfRate = 0.7;
+
+  std::deque<TimePoint> starts;
+  std::vector<TimePoint> ends;
+};
+
+}  // namespace gooseberryturn::direct
+
+#endif  // GOOSEBERRYTURN_DIRECT_LOAD_LIMITER_H_
--- /dev/null
+++ b/include/gooseberryturn/direct/target_chooser.h
@@ -0,0 +1,73 @@
+#ifndef GOOSEBERRYTURN_DIRECT_TARGET_CHOOSER_H_
+#define GOOSEBERRYTURN_DIRECT_TARGET_CHOOSER_H_
+
+#include <cstddef>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "gooseberryturn/core/name_table.h"
+#include "gooseberryturn/direct/fleet_view.h"
+#include "gooseberryturn/direct/target_book.h"
+
+namespace gooseberryturn::direct {
+
+/// \brief Why no target was chosen.
+enum class NoChoice : std::uint8_t {
+  kNone,      ///< One was chosen.
+  kNoTarget,  ///< None serves this.
+  kFull,      ///< All that serve it are full.
+};
+
+inline constexpr NameTable<NoChoice, 3> kNoChoiceNames = {
+    {"none", "no_target", "full"}};
+
+/// \brief A request that looks for a target.
+struct ChoiceRequest {
+  std::string service;
+  std::string model;  ///< Empty for plain services.
+  std::vector<std::string> tried;
+  double prompt_tokens = 0;
+};
+
+/// \brief A choice, or why there is none.
+struct Choice {
+  const TargetView* target = nullptr;
+  NoChoice reason = NoChoice::kNone;
+  std::uint32_t load = 0;   ///< Open requests there when it was chosen.
+  double expected_ms = 0;   ///< Until its first event.
+};
+
+/// \brief Chooses the target with the earliest expected first event.
+///
+/// \details Answers the load pattern in which a lost group's work falls on
+/// the others at once: a head takes at most `slots` requests and a short
+/// queue, the rest waits at the entry or is rejected.
+class TargetChooser {
+ public:
+  TargetChooser(std::string data_centre, std::uint64_t seed)
+      : data_centre(std::move(data_centre)), random(seed) {}
+
+  [[nodiscard]] Choice Choose(const ChoiceRequest& request,
+                              const FleetView& view, TargetBook& book,
+                              double cold_factor, TimePoint now);
+
+  /// \brief Requests in front of a head beyond its slots.
+  static constexpr std::uint32_t kQueueAtHead = 2;
+  /// \brief Requests in progress at a plain target for each of its slots.
+  static constexpr std::uint32_t kPlainLimit = 16;
+
+ private:
+  [[nodiscard]] double ExpectedMs(const ChoiceRequest& request,
+                                  const EngineProfile& engine,
+                                  const ModelProfile& model,
+                                  double load) const;
+
+  std::string data_centre;
+  std::mt19937_64 random;
+};
+
+}  // namespace gooseberryturn::direct
+
+#endif  // GOOSEBERRYTURN_DIRECT_TARGET_CHOOSER_H_
--- /dev/null
+++ b/include/gooseberryturn/direct/view.h
@@ -0,0 +1,154 @@
+#ifndef GOOSEBERRYTURN_DIRECT_VIEW_H_
+#define GOOSEBERRYTURN_DIRECT_VIEW_H_
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+#include "gooseberryturn/core/endpoint.h"
+#include "gooseberryturn/direct/announcement.h"
+
+namespace gooseberryturn::direct {
+
+/// \brief Paths of the streams between entries and control hosts.
+inline constexpr char kFollowPath[] = "/follow";
+inline constexpr char kCallPath[] = "/call";
+inline constexpr char kJoinPath[] = "/join";
+
+/// \brief A target as entries see it.
+struct TargetView {
+  std::string name;  ///< Its id.
+  Endpoint address;
+  std::string service;
+  std::string data_centre;
+  std::int64_t born_ms = 0;
+  bool is_leaving = false;
+  bool is_cold = false;
+  EngineReport engine;  ///< Empty for plain targets.
+
+  MSGPACK_DEFINE(name, address, service, data_centre, born_ms, is_leaving,
+                 is_cold, engine)
+};
+
+/// \brief Phase of a group as its keeper sees it.
+enum class GroupPhase : std::uint8_t {
+  kForming,     ///< Members were ordered to join.
+  kOpening,     ///< All are ready; the head was ordered to open.
+  kOpen,        ///< It serves.
+  kClosing,     ///< It gets nothing new; what it runs may end.
+  kDissolving,  ///< It is broken; its members are being freed.
+};
+
+inline constexpr NameTable<GroupPhase, 5> kGroupPhaseNames = {
+    {"forming", "opening", "open", "closing", "dissolving"}};
+
+/// \brief A replica group.
+struct GroupView {
+  std::string name;
+  std::uint64_t epoch = 0;
+  std::string service;
+  std::string model;
+  std::string domain;
+  std::vector<std::string> members;  ///< Ids; the first is the head.
+  GroupPhase phase = GroupPhase::kForming;
+
+  MSGPACK_DEFINE(name, epoch, service, model, domain, members, phase)
+};
+
+/// \brief Requests in progress at one head or plain target.
+struct OpenWork {
+  std::string target;  ///< Id of the target.
+  std::uint32_t requests = 0;
+
+  MSGPACK_DEFINE(target, requests)
+};
+
+/// \brief First message of a follower.
+struct Hello {
+  std::string host;
+  std::string data_centre;
+  std::uint64_t incarnation = 0;
+  std::uint64_t config_version = 0;  ///< Held; 0 for none.
+  bool is_control = false;
+
+  MSGPACK_DEFINE(host, data_centre, incarnation, config_version, is_control)
+};
+
+/// \brief What an entry tells the leader, several times a second.
+struct EntryReport {
+  std::vector<OpenWork> open_work;
+  std::vector<std::string> stalled_groups;
+  std::vector<std::string> dead_targets;  ///< Refused or reset connections.
+  std::vector<std::string> crash_fingerprints;  ///< Held as a target died.
+  bool has_served = false;                ///< Requests have begun.
+  std::uint64_t config_version = 0;
+
+  MSGPACK_DEFINE(open_work, stalled_groups, dead_targets, crash_fingerprints,
+                 has_served, config_version)
+};
+
+/// \brief What the leader tells its followers: changes since the last one.
+struct Update {
+  bool is_leader = true;  ///< False: ask `leader` instead.
+  Endpoint leader;
+  std::uint64_t term = 0;
+  bool is_full = false;  ///< Forget what is not named here.
+  std::uint64_t config_version = 0;
+  std::string config_text;  ///< Empty when the follower holds the version.
+  std::vector<TargetView> targets;
+  std::vector<std::string> removed_targets;
+  std::vector<GroupView> groups;
+  std::vector<std::string> removed_groups;
+  std::vector<std::string> evacuated;  ///< All data centres taken out.
+  std::vector<OpenWork> open_work;     ///< Of all entries together.
+  std::vector<std::string> quarantined;  ///< Fingerprints.
+  std::vector<Endpoint> control_hosts;
+  std::uint32_t entries = 1;  ///< Entries that follow.
+
+  MSGPACK_DEFINE(is_leader, leader, term, is_full, config_version, config_text,
+                 targets, removed_targets, groups, removed_groups, evacuated,
+                 open_work, quarantined, control_hosts, entries)
+};
+
+/// \brief A short call that a control host passes on to the leader.
+struct ForwardedCall {
+  std::string method;
+  std::string path;
+  std::string body;
+
+  MSGPACK_DEFINE(method, path, body)
+};
+
+/// \brief Its answer; status 0 when the host does not lead.
+struct ForwardedAnswer {
+  int status = 0;
+  std::string body;
+
+  MSGPACK_DEFINE(status, body)
+};
+
+/// \brief A control host with an empty disk asks to be taken in.
+struct JoinRequest {
+  std::uint64_t id = 0;
+  std::uint64_t disk = 0;
+  Endpoint link;
+  Endpoint control;  ///< Where operators and targets call.
+
+  MSGPACK_DEFINE(id, disk, link, control)
+};
+
+/// \brief Answer to a JoinRequest.
+struct JoinAnswer {
+  bool is_leader = false;
+  bool is_member = false;
+  std::vector<Endpoint> control_hosts;
+
+  MSGPACK_DEFINE(is_leader, is_member, control_hosts)
+};
+
+}  // namespace gooseberryturn::direct
+
+MSGPACK_ADD_ENUM(gooseberryturn::direct::GroupPhase)
+
+#endif  // GOOSEBERRYTURN_DIRECT_VIEW_H_
--- a/include/gooseberryturn/observe/log.h
+++ b/include/gooseberryturn/observe/log.h
@@ -29,6 +29,13 @@
 [[nodiscard]] bool StartLog(const std::string& program, const std::string& host,
                             const std::string& level);
 
+/// \brief Sets up logging as JSON lines on standard output.
+///
+/// \details A thread writes them in batches; what does not fit into its
+/// buffer while the output is blocked is dropped, counted and told later, so
+/// that a full pipe never holds a decision up.
+void StartJsonLog(const std::string& program, const std::string& host);
+
 /// \brief Writes one line: time, level, program, host, request, event, fields.
 ///
 /// \code
--- a/src/consensus/storage.cc
+++ b/src/consensus/storage.cc
@@ -158,6 +158,16 @@
 }
 
 Result<Storage> Storage::Open(const std::string& folder, NodeId id) {
+  Result<Storage> storage = Storage::OpenAny(folder, id);
+  if (storage.has_value() && storage->owner.id != id) {
+    return tl::make_unexpected(
+        Error{Reason::kBadRequest, Step::kStorage, Outcome::kNotRun, folder,
+              "the folder belongs to id " + std::to_string(storage->owner.id)});
+  }
+  return storage;
+}
+
+Result<Storage> Storage::OpenAny(const std::string& folder, NodeId fresh_id) {
   Storage storage(folder);
   std::error_code error;
   std::filesystem::create_directories(folder, error);
@@ -168,7 +178,7 @@
       return tl::make_unexpected(
           storage.Failure("a log without an identity file"));
     }
-    storage.owner = {id, RandomId()};
+    storage.owner = {fresh_id, RandomId()};
     storage.created = true;
     const Result<void> saved = storage.ReplaceFile(
         kIdentityFile, EncodeRecord(protocol::Encode(storage.owner)));
@@ -186,11 +196,6 @@
     }
     storage.owner = *owner;
   }
-  if (storage.owner.id != id) {
-    return tl::make_unexpected(
-        Error{Reason::kBadRequest, Step::kStorage, Outcome::kNotRun, folder,
-              "the folder belongs to id " + std::to_string(storage.owner.id)});
-  }
   const Result<void> opened = storage.OpenLog();
   if (!opened.has_value()) {
     return tl::make_unexpected(opened.error());
--- /dev/null
+++ b/src/direct/caller_connection.cc
@@ -0,0 +1,275 @@
+#include "gooseberryturn/direct/caller_connection.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <cerrno>
+#include <cstdio>
+#include <utility>
+
+namespace gooseberryturn::direct {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr int kKernelBufferBytes = 32 * 1024;
+constexpr char kLastChunk[] = "0\r\n\r\n";
+
+}  // namespace
+
+CallerConnection::CallerConnection(tcp::socket socket, CallerLimits limits)
+    : socket(std::move(socket)),
+      timer(this->socket.get_executor()),
+      limits(limits) {
+  error_code ignored;
+  this->socket.set_option(tcp::no_delay(true), ignored);
+  // The kernel would otherwise buffer megabytes for a caller that reads slowly.
+  this->socket.set_option(
+      asio::socket_base::send_buffer_size(kKernelBufferBytes), ignored);
+}
+
+void CallerConnection::Start() { this->ReadHead(); }
+
+// ------------------------------------------------------------------ reading
+
+void CallerConnection::StartTimer(TimePoint deadline) {
+  this->timer.expires_after(deadline - Clock::now());
+  const std::weak_ptr<CallerConnection> weak = this->weak_from_this();
+  this->timer.async_wait([weak](const error_code& error) {
+    const std::shared_ptr<CallerConnection> self = weak.lock();
+    if (!error && self != nullptr) {
+      self->Close();
+    }
+  });
+}
+
+void CallerConnection::ReadHead() {
+  this->in_request = false;
+  this->is_answered = false;
+  this->parser.emplace();
+  this->parser->header_limit(
+      static_cast<std::uint32_t>(this->limits.max_header_bytes));
+  this->parser->body_limit(this->limits.max_body_bytes);
+  const std::shared_ptr<CallerConnection> self = this->shared_from_this();
+  this->StartTimer(Clock::now() + Milliseconds(this->limits.idle_timeout_ms));
+  const auto read = [self] {
+    self->begun_at = Clock::now();
+    self->is_reading = true;
+    self->StartTimer(self->begun_at +
+                     Milliseconds(self->limits.header_timeout_ms) +
+                     kWriteLimit);
+    http::async_read(self->socket, self->buffer, *self->parser,
+                     [self](const error_code& error, std::size_t /*size*/) {
+                       self->timer.cancel();
+                       self->is_reading = false;
+                       if (error) {
+                         self->OnReadError(error);
+                       } else {
+                         self->OnMessage();
+                       }
+                     });
+  };
+  if (this->buffer.size() > 0) {
+    read();
+    return;
+  }
+  this->socket.async_wait(tcp::socket::wait_read,
+                          [self, read](const error_code& error) {
+                            if (error) {
+                              self->Close();
+                            } else if (!self->is_closed) {
+                              read();
+                            }
+                          });
+}
+
+void CallerConnection::OnReadError(const error_code& error) {
+  this->keep_alive = false;
+  this->in_request = true;
+  if (error == http::error::body_limit) {
+    this->Refuse(413, "Payload Too Large");
+  } else if (error == http::error::header_limit ||
+             error == http::error::buffer_overflow) {
+    this->Refuse(431, "Request Header Fields Too Large");
+  } else if (error.category() ==
+                 http::make_error_code(http::error::bad_method).category() &&
+             error != http::error::end_of_stream &&
+             error != http::error::partial_message) {
+    this->Refuse(400, "Bad Request");
+  } else {
+    this->Close();
+  }
+}
+
+void CallerConnection::Refuse(int status, const char* reason) {
+  this->Answer("HTTP/1.1 " + std::to_string(status) + " " + reason + "\r\n",
+               "");
+}
+
+void CallerConnection::OnMessage() {
+  this->in_request = true;
+  CallerMessage message = this->parser->release();
+  this->keep_alive = message.keep_alive() && !this->is_leaving;
+  this->Watch();
+  this->on_request(this->shared_from_this(), std::move(message),
+                   this->begun_at);
+}
+
+void CallerConnection::Watch() {
+  const std::weak_ptr<CallerConnection> weak = this->weak_from_this();
+  this->socket.async_wait(
+      tcp::socket::wait_read, [weak](const error_code& error) {
+        const std::shared_ptr<CallerConnection> self = weak.lock();
+        if (self == nullptr || error || !self->in_request || self->is_closed) {
+          return;
+        }
+        char byte = 0;
+        const ssize_t size = recv(self->socket.native_handle(), &byte, 1,
+                                  MSG_PEEK | MSG_DONTWAIT);
+        if (size == 0 || (size < 0 && errno != EAGAIN)) {
+          self->Close();
+        }
+        // Otherwise the next request is already here; it waits its turn.
+      });
+}
+
+// ------------------------------------------------------------------ writing
+
+void CallerConnection::Answer(std::string head, const std::string& body) {
+  head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  head += this->keep_alive && !this->is_leaving ? "\r\n"
+                                                : "Connection: close\r\n\r\n";
+  head += body;
+  this->is_answered = true;
+  this->Send(std::move(head));
+}
+
+void CallerConnection::BeginChunks(std::string head) {
+  head += "Transfer-Encoding: chunked\r\n";
+  head += this->keep_alive && !this->is_leaving ? "\r\n"
+                                                : "Connection: close\r\n\r\n";
+  this->Send(std::move(head));
+}
+
+void CallerConnection::SendChunk(std::string_view bytes) {
+  if (bytes.empty()) {
+    return;
+  }
+  std::array<char, 24> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  std::string chunk = size.data();
+  chunk.append(bytes);
+  chunk += "\r\n";
+  this->Send(std::move(chunk));
+}
+
+void CallerConnection::EndChunks() {
+  this->is_answered = true;
+  this->Send(kLastChunk);
+}
+
+void CallerConnection::Send(std::string bytes) {
+  if (this->is_closed) {
+    return;
+  }
+  this->unsent += bytes.size();
+  if (this->is_writing || this->queue.empty()) {
+    this->queue.push_back(std::move(bytes));
+  } else {
+    this->queue.back() += bytes;
+  }
+  if (!this->is_writing) {
+    this->WriteNext();
+  }
+}
+
+void CallerConnection::WriteNext() {
+  this->is_writing = true;
+  // What gathered while the last write was on its way leaves in one piece.
+  while (this->queue.size() > 1) {
+    this->queue.front() += this->queue[1];
+    this->queue.erase(this->queue.begin() + 1);
+  }
+  this->StartTimer(Clock::now() + kWriteLimit);
+  const std::shared_ptr<CallerConnection> self = this->shared_from_this();
+  asio::async_write(this->socket, asio::buffer(this->queue.front()),
+                    [self](const error_code& error, std::size_t size) {
+                      if (error || self->is_closed) {
+                        self->Close();
+                        return;
+                      }
+                      self->unsent -= size;
+                      self->queue.pop_front();
+                      self->OnWritten();
+                    });
+}
+
+void CallerConnection::OnWritten() {
+  this->is_writing = false;
+  if (!this->queue.empty()) {
+    this->WriteNext();
+    return;
+  }
+  this->timer.cancel();
+  if (!this->is_answered) {
+    if (this->on_writable) {
+      this->on_writable();
+    }
+    return;
+  }
+  this->on_gone = nullptr;
+  this->on_writable = nullptr;
+  if (!this->keep_alive || this->is_leaving) {
+    this->Close();
+    return;
+  }
+  error_code ignored;
+  this->socket.cancel(ignored);
+  this->ReadHead();
+}
+
+void CallerConnection::Abort() {
+  // What was passed on still leaves; without its last chunk or its whole
+  // length the answer cannot look complete.
+  this->keep_alive = false;
+  this->is_answered = true;
+  this->on_gone = nullptr;
+  if (!this->is_writing) {
+    this->Close();
+  }
+}
+
+void CallerConnection::Leave() {
+  this->is_leaving = true;
+  if (!this->in_request && !this->is_reading) {
+    this->Close();
+  }
+}
+
+void CallerConnection::Close() {
+  if (this->is_closed) {
+    return;
+  }
+  this->is_closed = true;
+  this->timer.cancel();
+  error_code ignored;
+  this->socket.shutdown(tcp::socket::shutdown_both, ignored);
+  this->socket.close(ignored);
+  const std::function<void()> gone = std::exchange(this->on_gone, nullptr);
+  if (gone && this->in_request && !this->is_answered) {
+    gone();
+  }
+  this->on_writable = nullptr;
+  const std::function<void()> closed = std::exchange(this->on_closed, nullptr);
+  if (closed) {
+    closed();
+  }
+}
+
+}  // namespace gooseberryturn::direct
--- /dev/null
+++ b/src/direct/control_host.cc
@@ -0,0 +1,781 @@
+#include "gooseberryturn/direct/control_host.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "gooseberryturn/core/id.h"
+#include "gooseberryturn/observe/log.h"
+#include "gooseberryturn/protocol/codec.h"
+
+namespace gooseberryturn::direct {
+
+using observe::Level;
+using observe::LogEvent;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr int kAccepted = 202;
+constexpr int kConflict = 409;
+constexpr int kPreconditionFailed = 412;
+constexpr int kMisdirected = 421;
+
+OrderOutcome OutcomeOf(int status) {
+  switch (status) {
+    case kOk:
+      return OrderOutcome::kDone;
+    case kAccepted:
+      return OrderOutcome::kBegun;
+    case kPreconditionFailed:
+      return OrderOutcome::kStale;
+    case kMisdirected:
+      return OrderOutcome::kOtherTarget;
+    default:
+      return status >= 500 ? OrderOutcome::kNoAnswer : OrderOutcome::kConflict;
+  }
+}
+
+/// Identity of a first voter, the same on all control hosts.
+consensus::NodeId FirstId(const Endpoint& control) {
+  const std::string digest = Digest(ToString(control));
+  return std::stoull(digest.substr(0, 15), nullptr, 16) | 1U;
+}
+
+}  // namespace
+
+ControlHost::ControlHost(boost::asio::io_context& context,
+                         HostSettings settings, Dialect dialect,
+                         observe::Metrics& metrics)
+    : context(context),
+      timer(context),
+      settings(std::move(settings)),
+      dialect(std::move(dialect)),
+      metrics(metrics),
+      channels(context),
+      listener(context),
+      server(context,
+             [this](ShortCall call, ShortHttpServer::Reply reply) {
+               this->OnCall(std::move(call), std::move(reply));
+             }),
+      follow(context, this->channels, {}),
+      incarnation(RandomId()) {}
+
+// -------------------------------------------------------------------- start
+
+consensus::Membership ControlHost::FirstMembership() const {
+  consensus::Membership membership;
+  for (const Endpoint& control : this->settings.control_hosts) {
+    const Endpoint link = {control.address, this->settings.first_link_port};
+    membership.peers.push_back({FirstId(control), link, control, true, 0});
+  }
+  return membership;
+}
+
+Result<std::unique_ptr<consensus::Driver>> ControlHost::OpenLog() {
+  const bool is_first_voter =
+      this->settings.is_first_start &&
+      std::find(this->settings.control_hosts.begin(),
+                this->settings.control_hosts.end(),
+                *this->settings.control) != this->settings.control_hosts.end();
+  const consensus::NodeId fresh_id =
+      is_first_voter ? FirstId(*this->settings.control) : RandomId();
+  Result<consensus::Storage> storage =
+      consensus::Storage::OpenAny(this->settings.data_folder, fresh_id);
+  if (!storage.has_value()) {
+    return tl::make_unexpected(storage.error());
+  }
+  this->id = storage->identity().id;
+  this->disk = storage->identity().disk;
+  Result<consensus::Stored> stored = storage->Load();
+  if (!stored.has_value()) {
+    return tl::make_unexpected(stored.error());
+  }
+  if (storage->is_new() && is_first_voter) {
+    stored->snapshot.membership = this->FirstMembership();
+    const Result<void> saved = storage->SaveSnapshot(stored->snapshot, {});
+    if (!saved.has_value()) {
+      return tl::make_unexpected(saved.error());
+    }
+  }
+  LogEvent(Level::kInfo, "", "log_opened",
+           {{"id", std::to_string(this->id)},
+            {"is_new", storage->is_new() ? "true" : "false"},
+            {"last_index", std::to_string(stored->snapshot.index +
+                                          stored->entries.size())},
+            {"term", std::to_string(stored->hard_state.term)}});
+  consensus::Options options;
+  options.id = this->id;
+  options.disk = this->disk;
+  options.seed = RandomId();
+  consensus::Node node(options, std::move(*stored), Clock::now());
+  consensus::StateMachine machine;
+  machine.apply = [this](const consensus::Entry& entry) {
+    this->state.Apply(entry);
+  };
+  machine.save = [this] { return this->state.Save(); };
+  machine.load = [this](const std::string& bytes) {
+    return this->state.Load(bytes);
+  };
+  machine.applied_index = [this] { return this->state.applied_index(); };
+  return std::make_unique<consensus::Driver>(
+      this->context, this->channels, std::move(*storage), std::move(node),
+      std::move(machine), this->metrics);
+}
+
+Result<void> ControlHost::Start() {
+  Result<std::unique_ptr<consensus::Driver>> opened = this->OpenLog();
+  if (!opened.has_value()) {
+    return tl::make_unexpected(opened.error());
+  }
+  this->driver = std::move(*opened);
+  if (!this->driver->Restore()) {
+    return tl::make_unexpected(
+        Error{Reason::kTargetFailed, Step::kStorage, Outcome::kNotRun,
+              this->settings.data_folder, "the snapshot cannot be read"});
+  }
+  this->driver->on_lead = [this] { this->BecomeLeader(); };
+  this->driver->on_applied = [this] { this->RefreshConfiguration(); };
+  this->driver->on_heard = [this](consensus::NodeId peer) {
+    this->quorum.Heard(peer, Clock::now());
+  };
+  this->RefreshConfiguration();
+  this->follow.make_hello = [this] {
+    Hello hello;
+    hello.host = this->settings.host;
+    hello.data_centre = this->settings.data_centre;
+    hello.incarnation = this->incarnation;
+    hello.is_control = true;
+    // Configurations come through the log.
+    hello.config_version = ~std::uint64_t{0};
+    return hello;
+  };
+  this->follow.on_update = [this](const Update& update) {
+    this->TakeUpdate(update);
+  };
+  this->ServeLinks();
+  this->driver->Start(this->listener);
+  const Endpoint link = {this->settings.address,
+                         this->settings.first_link_port};
+  const Result<void> listening = this->listener.Start(link);
+  if (!listening.has_value()) {
+    return listening;
+  }
+  this->Tick();
+  return this->server.Start(*this->settings.control);
+}
+
+void ControlHost::Stop() {
+  this->timer.cancel();
+  this->server.Stop();
+  this->follow.Stop();
+  this->listener.GoAway();
+  this->driver->Stop();
+}
+
+void ControlHost::ServeLinks() {
+  this->listener.Serve(kFollowPath,
+                       [this](const std::shared_ptr<link::Stream>& stream) {
+                         this->OnFollow(stream);
+                       });
+  this->listener.ServeMessage(
+      kCallPath, [this](const std::shared_ptr<link::Stream>& stream,
+                        std::string_view payload) {
+        const std::optional<ForwardedCall> call =
+            protocol::Decode<ForwardedCall>(payload);
+        if (!call.has_value() || !this->IsLeading()) {
+          link::Reply(*stream, ForwardedAnswer{});
+          return;
+        }
+        this->HandleAsLeader(
+            {call->method, call->path, call->body},
+            [stream](const ShortAnswer& answer) {
+              link::Reply(*stream,
+                          ForwardedAnswer{answer.status, answer.body});
+            });
+      });
+  this->listener.ServeMessage(
+      kJoinPath, [this](const std::shared_ptr<link::Stream>& stream,
+                        std::string_view payload) {
+        const std::optional<JoinRequest> request =
+            protocol::Decode<JoinRequest>(payload);
+        JoinAnswer answer;
+        answer.is_leader = this->IsLeading();
+        for (const consensus::Peer& peer :
+             this->driver->node().membership().peers) {
+          answer.control_hosts.push_back(peer.link);
+        }
+        if (request.has_value() && answer.is_leader) {
+          answer.is_member = this->driver->node().membership().Find(
+                                 request->id) != nullptr;
+          this->quorum.Joining(*request, Clock::now());
+        }
+        link::Reply(*stream, answer);
+      });
+}
+
+// -------------------------------------------------------------------- calls
+
+ShortAnswer ControlHost::Fault(int status, const std::string& why) const {
+  return {status, "application/json", this->dialect.write_fault(why)};
+}
+
+bool ControlHost::IsLeading() const {
+  return this->is_leading && this->driver->HasLease(Clock::now());
+}
+
+void ControlHost::OnCall(ShortCall call, ShortHttpServer::Reply reply) {
+  if (this->IsLeading()) {
+    this->HandleAsLeader(call, std::move(reply));
+    return;
+  }
+  const consensus::Peer* leader = this->driver->Leader();
+  if (leader == nullptr || leader->id == this->id) {
+    reply(this->Fault(kUnavailable, "no leader is known"));
+    return;
+  }
+  const ForwardedCall forwarded = {call.method, call.path, call.body};
+  this->channels.Get(leader->link)
+      ->Call(kCallPath, protocol::Encode(forwarded), Clock::now() + kCallLimit,
+             [this, reply = std::move(reply)](Result<std::string> answered) {
+               const std::optional<ForwardedAnswer> answer =
+                   answered.has_value()
+                       ? protocol::Decode<ForwardedAnswer>(*answered)
+                       : std::nullopt;
+               if (answer.has_value() && answer->status != 0) {
+                 reply({answer->status, "application/json", answer->body});
+               } else {
+                 reply(this->Fault(kUnavailable, "the leader did not answer"));
+               }
+             });
+}
+
+void ControlHost::HandleAsLeader(const ShortCall& call,
+                                 ShortHttpServer::Reply reply) {
+  const ControlCall decoded = this->dialect.read_control_call(call);
+  switch (decoded.kind) {
+    case ControlCallKind::kAnnounce:
+      this->Announce(decoded.name, call, reply);
+      break;
+    case ControlCallKind::kWithdraw:
+      this->registry.Withdrawn(decoded.name, Clock::now());
+      this->PutTarget(decoded.name);
+      LogEvent(Level::kInfo, "", "target_withdrawn",
+               {{"target", decoded.name}});
+      reply({kOk, "application/json", "{}"});
+      break;
+    case ControlCallKind::kPutConfiguration:
+      this->PutConfiguration(call, std::move(reply));
+      break;
+    case ControlCallKind::kGetConfiguration:
+      this->GetConfiguration(reply);
+      break;
+    case ControlCallKind::kEvacuate:
+    case ControlCallKind::kReturn:
+      this->SetEvacuated(decoded.name,
+                         decoded.kind == ControlCallKind::kEvacuate,
+                         std::move(reply));
+      break;
+    case ControlCallKind::kUnknown:
+      reply(this->Fault(kNotFound, "no such call"));
+      break;
+  }
+}
+
+void ControlHost::Announce(const std::string& target, const ShortCall& call,
+                           const ShortHttpServer::Reply& reply) {
+  const Result<Announcement> announcement =
+      this->dialect.read_announcement(target, call.body);
+  if (!announcement.has_value()) {
+    LogEvent(Level::kWarn, "", "announcement_rejected",
+             {{"target", target}, {"why", announcement.error().message}});
+    reply(this->Fault(kBadRequest, announcement.error().message));
+    return;
+  }
+  const HeardAs heard = this->registry.Heard(*announcement, Clock::now());
+  if (heard == HeardAs::kNew || heard == HeardAs::kChanged) {
+    this->PutTarget(target);
+    LogEvent(Level::kInfo, "", "target_heard",
+             {{"target", target},
+              {"as", std::string(kHeardAsNames.Name(heard))},
+              {"sequence", std::to_string(announcement->sequence)},
+              {"leaving", announcement->is_leaving ? "true" : "false"}});
+  }
+  for (const std::string& removed : this->registry.TakeRemoved()) {
+    this->PutTarget(removed);
+  }
+  reply({kOk, "application/json",
+         this->dialect.write_announce_answer(*this->settings.control)});
+}
+
+void ControlHost::PutConfiguration(const ShortCall& call,
+                                   ShortHttpServer::Reply reply) {
+  const Result<Configuration> read =
+      this->dialect.read_configuration(call.body);
+  const Result<void> checked =
+      read.has_value() ? Validate(*read) : tl::make_unexpected(read.error());
+  if (!checked.has_value()) {
+    LogEvent(Level::kWarn, "", "configuration_rejected",
+             {{"why", checked.error().message}});
+    reply(this->Fault(kBadRequest, checked.error().message));
+    return;
+  }
+  if (read->version <= this->state.version()) {
+    LogEvent(Level::kInfo, "", "configuration_overtaken",
+             {{"version", std::to_string(read->version)},
+              {"held", std::to_string(this->state.version())}});
+    this->GetConfiguration([reply](const ShortAnswer& answer) {
+      // Acknowledged only by a leader that is sure of what it holds.
+      reply({answer.status, "application/json", "{}"});
+    });
+    return;
+  }
+  FleetCommand command;
+  command.kind = FleetCommandKind::kPutConfiguration;
+  command.version = read->version;
+  command.text = call.body;
+  this->Propose(command, std::move(reply));
+}
+
+void ControlHost::GetConfiguration(const ShortHttpServer::Reply& reply) {
+  const bool is_current =
+      this->IsLeading() &&
+      this->state.applied_index() >= this->driver->node().commit_index();
+  if (!is_current || this->state.version() == 0) {
+    reply(this->Fault(kUnavailable, "not sure of the newest configuration"));
+    return;
+  }
+  reply({kOk, "application/json", this->state.text()});
+}
+
+void ControlHost::SetEvacuated(const std::string& data_centre, bool is_out,
+                               ShortHttpServer::Reply reply) {
+  FleetCommand command;
+  command.kind = FleetCommandKind::kEvacuate;
+  command.data_centre = data_centre;
+  command.is_out = is_out;
+  this->Propose(command, std::move(reply));
+}
+
+void ControlHost::Propose(const FleetCommand& command,
+                          ShortHttpServer::Reply reply) {
+  this->driver->Propose(
+      protocol::Encode(command),
+      [this, command,
+       reply = std::move(reply)](const Result<consensus::Index>& applied) {
+        LogEvent(applied.has_value() ? Level::kInfo : Level::kWarn, "",
+                 std::string(kFleetCommandKindNames.Name(command.kind)),
+                 {{"version", std::to_string(command.version)},
+                  {"data_centre", command.data_centre},
+                  {"out", command.is_out ? "true" : "false"},
+                  {"outcome", applied.has_value()
+                                  ? "applied"
+                                  : applied.error().message}});
+        if (applied.has_value()) {
+          this->PushAll(Clock::now());
+          reply({kOk, "application/json", "{}"});
+        } else {
+          reply(this->Fault(kUnavailable, applied.error().message));
+        }
+      });
+}
+
+// ------------------------------------------------------------------- leader
+
+void ControlHost::RefreshConfiguration() {
+  if (this->parsed_version == this->state.version()) {
+    return;
+  }
+  const Result<Configuration> read =
+      this->dialect.read_configuration(this->state.text());
+  if (read.has_value()) {
+    this->configuration = *read;
+  }
+  this->parsed_version = this->state.version();
+  LogEvent(Level::kInfo, "", "configuration_in_force",
+           {{"version", std::to_string(this->parsed_version)}});
+}
+
+void ControlHost::BecomeLeader() {
+  const TimePoint now = Clock::now();
+  this->is_leading = true;
+  this->settled_at = now + kSettle;
+  this->follow.Stop();
+  this->followers.clear();
+  this->registry = Registry();
+  for (const auto& slot : this->targets.slots) {
+    this->registry.Adopt(slot.second.item, now);
+  }
+  std::vector<GroupView> known;
+  for (const auto& slot : this->groups.slots) {
+    known.push_back(slot.second.item);
+  }
+  this->has_traffic |= !known.empty();
+  const consensus::Node& node = this->driver->node();
+  this->planner.StartLeading(node.term(), known, now);
+  this->quorum.StartLeading(node.membership(), now);
+  LogEvent(Level::kInfo, "", "leading",
+           {{"term", std::to_string(node.term())},
+            {"targets_known", std::to_string(this->targets.slots.size())},
+            {"groups_known", std::to_string(known.size())}});
+}
+
+void ControlHost::PutTarget(const std::string& target) {
+  this->revision += 1;
+  const TargetRecord* record = this->registry.Find(target);
+  if (record == nullptr) {
+    this->targets.Remove(target, this->revision);
+  } else {
+    this->targets.Put(record->view, this->revision);
+  }
+}
+
+void ControlHost::RefreshGroups() {
+  if (this->seen_plan_revision == this->planner.revision()) {
+    return;
+  }
+  this->seen_plan_revision = this->planner.revision();
+  this->revision += 1;
+  std::map<std::string, GroupView> next;
+  for (const GroupView& view : this->planner.Groups()) {
+    next[view.name] = view;
+  }
+  std::vector<std::string> gone;
+  for (const auto& slot : this->groups.slots) {
+    if (next.count(slot.first) == 0) {
+      gone.push_back(slot.first);
+    }
+  }
+  for (const std::string& name : gone) {
+    this->groups.Remove(name, this->revision);
+  }
+  for (const std::pair<const std::string, GroupView>& entry : next) {
+    const GroupView* old = this->groups.Find(entry.first);
+    if (old == nullptr || old->phase != entry.second.phase) {
+      this->groups.Put(entry.second, this->revision);
+    }
+  }
+}
+
+void ControlHost::KeepQuorum(TimePoint now) {
+  const consensus::Node& node = this->driver->node();
+  const QuorumInput input = {
+      node.membership(), this->id, node.commit_index(),
+      [&node](consensus::NodeId peer) { return node.MatchIndex(peer); },
+      this->settings.tolerated_hosts};
+  const std::optional<consensus::Membership> next =
+      this->quorum.Next(input, now);
+  if (!next.has_value()) {
+    return;
+  }
+  const Result<void> changed = this->driver->ChangeMembership(*next);
+  if (changed.has_value()) {
+    LogEvent(Level::kInfo, "", "quorum_changed",
+             {{"hosts", std::to_string(next->peers.size())},
+              {"voters", std::to_string(next->VoterCount())}});
+  }
+}
+
+void ControlHost::KeepGroups(TimePoint now) {
+  if (!this->configuration.has_value()) {
+    return;
+  }
+  PlanInput input = {this->registry,     *this->configuration,
+                     this->state.evacuated(), {},
+                     this->has_traffic,  this->settings.heartbeat,
+                     this->settings.stall};
+  for (const OpenWork& work : this->SumOpenWork()) {
+    input.open_work[work.target] = work.requests;
+  }
+  const PlannedWork work = this->planner.Plan(input, now);
+  for (const Order& order : work.orders) {
+    this->GiveOrder(order);
+  }
+  for (const std::string& target : work.probes) {
+    this->Probe(target);
+  }
+  this->RefreshGroups();
+}
+
+void ControlHost::GiveOrder(const Order& order) {
+  const TargetRecord* record = this->registry.Find(order.target);
+  if (record == nullptr) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  CallShort(this->context, record->view.address,
+            this->dialect.write_order(order),
+            {{this->dialect.headers.target, order.target}}, now + kOrderLimit,
+            [this, order](const Result<ShortAnswer>& answer) {
+              const OrderOutcome outcome =
+                  answer.has_value() ? OutcomeOf(answer->status)
+                                     : OrderOutcome::kNoAnswer;
+              LogEvent(Level::kInfo, "", "order_given",
+                       {{"order", std::string(kOrderKindNames.Name(order.kind))},
+                        {"target", order.target},
+                        {"group", order.group},
+                        {"outcome",
+                         std::string(kOrderOutcomeNames.Name(outcome))}});
+              if (this->is_leading) {
+                this->planner.OrderAnswered(order, outcome, Clock::now());
+              }
+            });
+}
+
+void ControlHost::Probe(const std::string& target) {
+  const TargetRecord* record = this->registry.Find(target);
+  if (record == nullptr) {
+    return;
+  }
+  CallShort(this->context, record->view.address,
+            this->dialect.write_report_call(),
+            {{this->dialect.headers.target, target}},
+            Clock::now() + kProbeLimit,
+            [this, target](const Result<ShortAnswer>& answer) {
+              std::optional<EngineReport> report;
+              if (answer.has_value() && answer->status == kOk) {
+                const Result<EngineReport> read =
+                    this->dialect.read_report(answer->body);
+                if (read.has_value()) {
+                  report = *read;
+                }
+              }
+              LogEvent(Level::kInfo, "", "target_probed",
+                       {{"target", target},
+                        {"answered", report.has_value() ? "true" : "false"}});
+              if (this->is_leading) {
+                this->planner.ProbeAnswered(target, report, Clock::now());
+              }
+            });
+}
+
+// ---------------------------------------------------------------- followers
+
+void ControlHost::OnFollow(const std::shared_ptr<link::Stream>& stream) {
+  const std::shared_ptr<Follower> follower = std::make_shared<Follower>();
+  follower->stream = stream;
+  const std::weak_ptr<Follower> weak = follower;
+  stream->on_frame = [this, weak](protocol::FrameType /*type*/,
+                                  std::string_view payload) {
+    const std::shared_ptr<Follower> held = weak.lock();
+    if (held == nullptr) {
+      return;
+    }
+    if (held->hello.host.empty()) {
+      const std::optional<Hello> hello = protocol::Decode<Hello>(payload);
+      if (!hello.has_value()) {
+        return;
+      }
+      held->hello = *hello;
+      held->sent_config = hello->config_version;
+      held->heard_at = Clock::now();
+      this->Push(*held, held->heard_at);
+      return;
+    }
+    const std::optional<EntryReport> report =
+        protocol::Decode<EntryReport>(payload);
+    if (report.has_value()) {
+      this->OnReport(*held, *report);
+    }
+  };
+  stream->on_close = [this, weak](link::CloseReason /*reason*/) {
+    const std::shared_ptr<Follower> held = weak.lock();
+    this->followers.remove(held);
+  };
+  this->followers.push_back(follower);
+}
+
+void ControlHost::OnReport(Follower& follower, const EntryReport& report) {
+  const TimePoint now = Clock::now();
+  follower.heard_at = now;
+  follower.open_work = report.open_work;
+  this->has_traffic |= report.has_served;
+  for (const std::string& group : report.stalled_groups) {
+    this->planner.GroupStalled(group, now);
+  }
+}
+
+std::vector<OpenWork> ControlHost::SumOpenWork() const {
+  std::map<std::string, std::uint32_t> sums;
+  const TimePoint now = Clock::now();
+  for (const std::shared_ptr<Follower>& follower : this->followers) {
+    if (now >= follower->heard_at + kFollowerLife) {
+      continue;
+    }
+    for (const OpenWork& work : follower->open_work) {
+      sums[work.target] += work.requests;
+    }
+  }
+  std::vector<OpenWork> result;
+  result.reserve(sums.size());
+  for (const std::pair<const std::string, std::uint32_t>& entry : sums) {
+    result.push_back({entry.first, entry.second});
+  }
+  return result;
+}
+
+void ControlHost::PushAll(TimePoint now) {
+  const std::list<std::shared_ptr<Follower>> all = this->followers;
+  for (const std::shared_ptr<Follower>& follower : all) {
+    if (!follower->hello.host.empty()) {
+      this->Push(*follower, now);
+    }
+  }
+}
+
+void ControlHost::Push(Follower& follower, TimePoint now) {
+  Update update;
+  update.is_leader = this->IsLeading();
+  if (!update.is_leader) {
+    const consensus::Peer* leader = this->driver->Leader();
+    if (leader != nullptr && leader->id != this->id) {
+      update.leader = leader->link;
+    }
+    follower.stream->Send(protocol::EncodeFrame(protocol::FrameType::kMessage,
+                                                protocol::Encode(update)));
+    follower.stream->Finish();
+    return;
+  }
+  const bool is_settled = now >= this->settled_at;
+  const bool is_full_due = is_settled && !follower.has_full;
+  const bool has_changes = follower.is_first || is_full_due ||
+                           follower.sent_revision < this->revision ||
+                           follower.sent_config < this->state.version();
+  const bool is_load_due = now >= follower.load_sent_at + kLoadEvery &&
+                           !follower.hello.is_control;
+  if (!has_changes && !is_load_due &&
+      now < follower.sent_at + kUpdateAtLeastEvery) {
+    return;
+  }
+  if (follower.stream->unsent_bytes() > kMaxUnsentBytes) {
+    return;
+  }
+  update.term = this->driver->node().term();
+  update.is_full = is_full_due;
+  update.config_version = this->state.version();
+  if (follower.sent_config < update.config_version) {
+    update.config_text = this->state.text();
+    follower.sent_config = update.config_version;
+  }
+  const std::uint64_t from =
+      follower.is_first || is_full_due ? 0 : follower.sent_revision;
+  this->targets.Since(from, update.targets, update.removed_targets);
+  this->groups.Since(from, update.groups, update.removed_groups);
+  update.evacuated.assign(this->state.evacuated().begin(),
+                          this->state.evacuated().end());
+  if (is_load_due) {
+    update.open_work = this->SumOpenWork();
+    follower.load_sent_at = now;
+  }
+  for (const consensus::Peer& peer :
+       this->driver->node().membership().peers) {
+    update.control_hosts.push_back(peer.link);
+  }
+  std::uint32_t entries = 0;
+  for (const std::shared_ptr<Follower>& other : this->followers) {
+    entries += other->hello.is_control ? 0 : 1;
+  }
+  update.entries = std::max<std::uint32_t>(1, entries);
+  follower.is_first = false;
+  follower.has_full |= is_full_due;
+  follower.sent_revision = this->revision;
+  follower.sent_at = now;
+  follower.stream->Send(protocol::EncodeFrame(protocol::FrameType::kMessage,
+                                              protocol::Encode(update)));
+}
+
+// -------------------------------------------------------------- not leading
+
+void ControlHost::TakeUpdate(const Update& update) {
+  this->revision += 1;
+  if (update.is_full) {
+    this->targets = {};
+    this->groups = {};
+  }
+  for (const TargetView& view : update.targets) {
+    this->targets.Put(view, this->revision);
+  }
+  for (const std::string& name : update.removed_targets) {
+    this->targets.Remove(name, this->revision);
+  }
+  for (const GroupView& view : update.groups) {
+    this->groups.Put(view, this->revision);
+  }
+  for (const std::string& name : update.removed_groups) {
+    this->groups.Remove(name, this->revision);
+  }
+}
+
+void ControlHost::FollowLeader() {
+  const consensus::Peer* leader = this->driver->Leader();
+  if (leader != nullptr && leader->id != this->id) {
+    this->follow.SetControlHosts({leader->link});
+    this->follow.Start();
+  }
+}
+
+void ControlHost::AskToJoin(TimePoint now) {
+  const bool is_member =
+      this->driver->node().membership().Find(this->id) != nullptr;
+  if (is_member || now < this->join_at) {
+    return;
+  }
+  this->join_at = now + kJoinEvery;
+  std::vector<Endpoint> hosts;
+  for (const Endpoint& control : this->settings.control_hosts) {
+    hosts.push_back({control.address, this->settings.first_link_port});
+  }
+  for (const consensus::Peer& peer :
+       this->driver->node().membership().peers) {
+    hosts.push_back(peer.link);
+  }
+  const Endpoint link = {this->settings.address,
+                         this->settings.first_link_port};
+  const JoinRequest request = {this->id, this->disk, link,
+                               *this->settings.control};
+  for (const Endpoint& host : hosts) {
+    if (host != link) {
+      this->channels.Get(host)->Call(
+          kJoinPath, protocol::Encode(request), now + kCallLimit,
+          [](const Result<std::string>& /*answered*/) {});
+    }
+  }
+}
+
+void ControlHost::Tick() {
+  const TimePoint now = Clock::now();
+  const bool is_leader =
+      this->driver->node().role() == consensus::NodeRole::kLeader;
+  if (!is_leader && this->is_leading) {
+    this->is_leading = false;
+    LogEvent(Level::kWarn, "", "leadership_lost");
+  }
+  if (this->IsLeading()) {
+    if (now >= this->expire_at) {
+      this->expire_at = now + std::chrono::milliseconds(200);
+      for (const std::string& changed : this->registry.Expire(now)) {
+        this->PutTarget(changed);
+      }
+      for (const std::string& removed : this->registry.TakeRemoved()) {
+        this->PutTarget(removed);
+      }
+    }
+    this->KeepQuorum(now);
+    this->KeepGroups(now);
+  } else if (!is_leader) {
+    this->FollowLeader();
+    this->AskToJoin(now);
+  }
+  this->PushAll(now);
+  this->timer.expires_after(kTick);
+  this->timer.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      this->Tick();
+    }
+  });
+}
+
+}  // namespace gooseberryturn::direct
--- /dev/null
+++ b/src/direct/fleet_state.cc
@@ -0,0 +1,47 @@
+#include "gooseberryturn/direct/fleet_state.h"
+
+#include <optional>
+
+#include "gooseberryturn/protocol/codec.h"
+
+namespace gooseberryturn::direct {
+
+void FleetState::Apply(const consensus::Entry& entry) {
+  this->applied = entry.index;
+  if (entry.kind != consensus::EntryKind::kCommand) {
+    return;
+  }
+  const std::optional<FleetCommand> command =
+      protocol::Decode<FleetCommand>(entry.data);
+  if (!command.has_value()) {
+    return;
+  }
+  switch (command->kind) {
+    case FleetCommandKind::kPutConfiguration:
+      if (command->version > this->config_version) {
+        this->config_version = command->version;
+        this->config_text = command->text;
+      }
+      break;
+    case FleetCommandKind::kEvacuate:
+      if (command->is_out) {
+        this->out.insert(command->data_centre);
+      } else {
+        this->out.erase(command->data_centre);
+      }
+      break;
+  }
+}
+
+std::string FleetState::Save() const { return protocol::Encode(*this); }
+
+bool FleetState::Load(const std::string& bytes) {
+  const std::optional<FleetState> loaded = protocol::Decode<FleetState>(bytes);
+  if (!loaded.has_value()) {
+    return false;
+  }
+  *this = *loaded;
+  return true;
+}
+
+}  // namespace gooseberryturn::direct
--- /dev/null
+++ b/src/direct/fleet_view.cc
@@ -0,0 +1,96 @@
+#include "gooseberryturn/direct/fleet_view.h"
+
+#include <utility>
+
+namespace gooseberryturn::direct {
+
+void FleetView::Apply(const Update& update,
+                      std::shared_ptr<const RouteTable> configuration) {
+  if (configuration != nullptr &&
+      update.config_version > this->config_version) {
+    this->table = std::move(configuration);
+    this->config_version = update.config_version;
+  }
+  if (update.is_full) {
+    this->targets.clear();
+    this->groups.clear();
+  }
+  for (const TargetView& view : update.targets) {
+    this->targets[view.name] = view;
+  }
+  for (const std::string& name : update.removed_targets) {
+    this->targets.erase(name);
+  }
+  for (const GroupView& view : update.groups) {
+    this->groups[view.name] = view;
+  }
+  for (const std::string& name : update.removed_groups) {
+    this->groups.erase(name);
+  }
+  this->evacuated = {update.evacuated.begin(), update.evacuated.end()};
+  this->quarantined = {update.quarantined.begin(), update.quarantined.end()};
+  this->entry_count = update.entries;
+}
+
+const TargetView* FleetView::FindTarget(const std::string& id) const {
+  const auto found = this->targets.find(id);
+  return found == this->targets.end() ? nullptr : &found->second;
+}
+
+std::vector<const TargetView*> FleetView::Heads(
+    const std::string& service, const std::string& model) const {
+  std::vector<const TargetView*> heads;
+  for (const std::pair<const std::string, GroupView>& entry : this->groups) {
+    const GroupView& group = entry.second;
+    if (group.phase != GroupPhase::kOpen || group.service != service ||
+        group.model != model) {
+      continue;
+    }
+    const TargetView* head = this->FindTarget(group.members.front());
+    if (head != nullptr && !head->is_leaving &&
+        this->evacuated.count(head->data_centre) == 0) {
+      heads.push_back(head);
+    }
+  }
+  return heads;
+}
+
+std::vector<const TargetView*> FleetView::PlainTargets(
+    const std::string& service) const {
+  std::vector<const TargetView*> found;
+  for (const std::pair<const std::string, TargetView>& entry :
+       this->targets) {
+    const TargetView& target = entry.second;
+    if (target.service == service && !target.is_leaving &&
+        this->evacuated.count(target.data_centre) == 0) {
+      found.push_back(&target);
+    }
+  }
+  return found;
+}
+
+const GroupView* FleetView::GroupOfHead(const std::string& target) const {
+  for (const std::pair<const std::string, GroupView>& entry : this->groups) {
+    if (entry.second.members.front() == target &&
+        entry.second.phase != GroupPhase::kDissolving) {
+      return &entry.second;
+    }
+  }
+  return nullptr;
+}
+
+bool FleetView::IsBroken(const std::string& target) const {
+  bool is_broken = false;
+  for (const std::pair<const std::string, GroupView>& entry : this->groups) {
+    if (entry.second.members.front() != target) {
+      continue;
+    }
+    if (entry.second.phase != GroupPhase::kDissolving) {
+      return false;
+    }
+    is_broken = true;
+  }
+  return is_broken;
+}
+
+}  // namespace gooseberryturn::direct
--- /dev/null
+++ b/src/direct/quorum_keeper.cc
@@ -0,0 +1,93 @@
+#include "gooseberryturn/direct/quorum_keeper.h"
+
+#include <algorithm>
+
+namespace gooseberryturn::direct {
+
+namespace {
+
+consensus::Membership Without(const consensus::Membership& membership,
+                              consensus::NodeId id) {
+  consensus::Membership next = membership;
+  next.peers.erase(
+      std::remove_if(
+          next.peers.begin(), next.peers.end(),
+          [id](const consensus::Peer& peer) { return peer.id == id; }),
+      next.peers.end());
+  return next;
+}
+
+}  // namespace
+
+void QuorumKeeper::StartLeading(const consensus::Membership& membership,
+                                TimePoint now) {
+  this->heard_at.clear();
+  for (const consensus::Peer& peer : membership.peers) {
+    this->heard_at[peer.id] = now;
+  }
+}
+
+void QuorumKeeper::Joining(const JoinRequest& request, TimePoint now) {
+  this->joiners[request.id] = {request, now};
+}
+
+void QuorumKeeper::Heard(consensus::NodeId peer, TimePoint now) {
+  this->heard_at[peer] = now;
+}
+
+bool QuorumKeeper::IsAlive(const QuorumInput& input, consensus::NodeId peer,
+                           TimePoint now) const {
+  const auto heard = this->heard_at.find(peer);
+  return peer == input.self ||
+         (heard != this->heard_at.end() &&
+          now < heard->second + kSilentAfter);
+}
+
+std::optional<consensus::Membership> QuorumKeeper::Next(
+    const QuorumInput& input, TimePoint now) const {
+  std::size_t live_voters = 0;
+  for (const consensus::Peer& peer : input.membership.peers) {
+    live_voters +=
+        peer.is_voter && this->IsAlive(input, peer.id, now) ? 1 : 0;
+  }
+  for (const consensus::Peer& peer : input.membership.peers) {
+    const bool is_caught_up = input.match(peer.id) >= input.commit;
+    if (peer.is_voter || !is_caught_up ||
+        !this->IsAlive(input, peer.id, now)) {
+      continue;
+    }
+    // The identity that the address had before is gone with its disk.
+    for (const consensus::Peer& old : input.membership.peers) {
+      if (old.id != peer.id && old.link == peer.link &&
+          old.id != input.self) {
+        return Without(input.membership, old.id);
+      }
+    }
+    consensus::Membership next = input.membership;
+    next.Find(peer.id)->is_voter = true;
+    return next;
+  }
+  const std::size_t needed = 2 * input.tolerated + 1;
+  for (const consensus::Peer& peer : input.membership.peers) {
+    if (this->IsAlive(input, peer.id, now)) {
+      continue;
+    }
+    if (!peer.is_voter || live_voters >= needed) {
+      return Without(input.membership, peer.id);
+    }
+  }
+  for (const std::pair<const consensus::NodeId, Joiner>& entry :
+       this->joiners) {
+    const bool is_current = now < entry.second.asked_at + kJoinLife;
+    if (is_current && input.membership.Find(entry.first) == nullptr) {
+      consensus::Membership next = input.membership;
+      next.peers.push_back({entry.first, entry.second.request.link,
+                            entry.second.request.control, false,
+                            entry.second.request.disk});
+      return next;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace gooseberryturn::direct
--- /dev/null
+++ b/src/direct/registry.cc
@@ -0,0 +1,152 @@
+#include "gooseberryturn/direct/registry.h"
+
+#include <iterator>
+#include <utility>
+
+namespace gooseberryturn::direct {
+
+namespace {
+
+bool IsSameView(const TargetView& a, const TargetView& b) {
+  const bool has_same_membership =
+      a.engine.membership.has_value() == b.engine.membership.has_value() &&
+      (!a.engine.membership.has_value() ||
+       (a.engine.membership->group == b.engine.membership->group &&
+        a.engine.membership->epoch == b.engine.membership->epoch &&
+        a.engine.membership->rank == b.engine.membership->rank &&
+        a.engine.membership->state == b.engine.membership->state));
+  return has_same_membership && a.address == b.address &&
+         a.service == b.service && a.data_centre == b.data_centre &&
+         a.born_ms == b.born_ms && a.is_leaving == b.is_leaving &&
+         a.is_cold == b.is_cold && a.engine.domain == b.engine.domain &&
+         a.engine.staged == b.engine.staged &&
+         a.engine.loaded_model == b.engine.loaded_model;
+}
+
+}  // namespace
+
+bool Registry::IsOutlived(const Announcement& announcement) const {
+  for (const std::pair<const std::string, TargetRecord>& entry :
+       this->records) {
+    if (entry.first != announcement.id &&
+        entry.second.view.address == announcement.address &&
+        entry.second.view.born_ms > announcement.born_ms) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void Registry::RemoveOlderAt(const Endpoint& address, const std::string& id,
+                             std::int64_t born_ms) {
+  for (auto entry = this->records.begin(); entry != this->records.end();) {
+    const bool is_older = entry->first != id &&
+                          entry->second.view.address == address &&
+                          entry->second.view.born_ms <= born_ms;
+    if (is_older) {
+      this->removed.push_back(entry->first);
+      entry = this->records.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+}
+
+HeardAs Registry::Heard(const Announcement& announcement, TimePoint now) {
+  const auto grave = this->tombstones.find(announcement.id);
+  const bool has_left = grave != this->tombstones.end() &&
+                        announcement.born_ms <= grave->second.born_ms;
+  const auto known = this->records.find(announcement.id);
+  if (known != this->records.end()) {
+    const TargetRecord& record = known->second;
+    const bool is_older_life = announcement.born_ms < record.view.born_ms;
+    const bool is_late = announcement.born_ms == record.view.born_ms &&
+                         announcement.sequence <= record.sequence;
+    if (is_older_life || is_late) {
+      return HeardAs::kOld;
+    }
+  } else if (has_left || this->IsOutlived(announcement)) {
+    return HeardAs::kOld;
+  }
+  this->RemoveOlderAt(announcement.address, announcement.id,
+                      announcement.born_ms);
+  const bool is_new_life = known == this->records.end() ||
+                           known->second.view.born_ms != announcement.born_ms;
+  TargetRecord& record = this->records[announcement.id];
+  const TargetView before = record.view;
+  record.view.name = announcement.id;
+  record.view.address = announcement.address;
+  record.view.service = announcement.service;
+  record.view.data_centre = announcement.data_centre;
+  record.view.born_ms = announcement.born_ms;
+  record.view.is_leaving = announcement.is_leaving || has_left ||
+                           (before.is_leaving && !is_new_life);
+  record.view.is_cold = announcement.cold_left_ms > 0;
+  record.view.engine = announcement.engine.value_or(EngineReport{});
+  record.slots = announcement.slots;
+  record.sequence = announcement.sequence;
+  record.heard_at = now;
+  record.is_adopted = false;
+  record.cold_until = now + Milliseconds(announcement.cold_left_ms);
+  if (is_new_life) {
+    return HeardAs::kNew;
+  }
+  return IsSameView(before, record.view) ? HeardAs::kSame : HeardAs::kChanged;
+}
+
+void Registry::Withdrawn(const std::string& id, TimePoint now) {
+  const auto known = this->records.find(id);
+  if (known == this->records.end()) {
+    return;
+  }
+  known->second.view.is_leaving = true;
+  this->tombstones[id] = {known->second.view.born_ms, now + kForgetAfter};
+}
+
+void Registry::Adopt(const TargetView& view, TimePoint now) {
+  if (this->records.count(view.name) > 0) {
+    return;
+  }
+  TargetRecord record;
+  record.view = view;
+  record.heard_at = now;
+  record.cold_until = now;
+  record.is_adopted = true;
+  this->records[view.name] = record;
+}
+
+std::vector<std::string> Registry::Expire(TimePoint now) {
+  std::vector<std::string> changed;
+  for (auto entry = this->records.begin(); entry != this->records.end();) {
+    TargetRecord& record = entry->second;
+    if (record.view.is_cold && now >= record.cold_until) {
+      record.view.is_cold = false;
+      changed.push_back(entry->first);
+    }
+    const Duration limit =
+        record.view.is_leaving ? kForgetLeftAfter : kForgetAfter;
+    if (now >= record.heard_at + limit) {
+      this->removed.push_back(entry->first);
+      entry = this->records.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+  for (auto grave = this->tombstones.begin();
+       grave != this->tombstones.end();) {
+    const bool is_over = now >= grave->second.forget_at;
+    grave = is_over ? this->tombstones.erase(grave) : std::next(grave);
+  }
+  return changed;
+}
+
+const TargetRecord* Registry::Find(const std::string& id) const {
+  const auto found = this->records.find(id);
+  return found == this->records.end() ? nullptr : &found->second;
+}
+
+std::vector<std::string> Registry::TakeRemoved() {
+  return std::exchange(this->removed, {});
+}
+
+}  // namespace gooseberryturn::direct
--- /dev/null
+++ b/src/direct/request_flow.cc
@@ -0,0 +1,589 @@
+#include "gooseberryturn/direct/request_flow.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+#include "gooseberryturn/direct/entry_host.h"
+#include "gooseberryturn/observe/log.h"
+
+namespace gooseberryturn::direct {
+
+namespace http = boost::beast::http;
+using observe::Level;
+using observe::LogEvent;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kMisdirected = 421;
+constexpr int kServerError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr char kBearer[] = "Bearer ";
+constexpr char kLastEventId[] = "Last-Event-ID";
+constexpr char kEventStream[] = "text/event-stream";
+/// Rank at the engine of a stream that goes on after a break: its caller has
+/// waited already.
+constexpr char kResumedPriority[] = "2";
+/// Share of a route's time after which a silent plain target is given up.
+constexpr double kSilentShare = 0.42;
+constexpr double kPercent = 100;
+constexpr double kShortestRetryAfterS = 0.15;
+constexpr double kLongestRetryAfterS = 0.7;
+/// Callers honour a pause of at most a third of the time they have left.
+constexpr double kRetryAfterShare = 0.25;
+
+bool IsHopHeader(std::string_view name) {
+  static constexpr std::array<std::string_view, 9> kNames = {
+      "connection",        "keep-alive", "proxy-connection",
+      "transfer-encoding", "te",         "trailer",
+      "upgrade",           "content-length", "proxy-authorization"};
+  return std::any_of(kNames.begin(), kNames.end(), [name](std::string_view hop) {
+    return boost::beast::iequals(
+        boost::beast::string_view(name.data(), name.size()),
+        boost::beast::string_view(hop.data(), hop.size()));
+  });
+}
+
+bool IsSameName(std::string_view a, std::string_view b) {
+  return boost::beast::iequals(boost::beast::string_view(a.data(), a.size()),
+                               boost::beast::string_view(b.data(), b.size()));
+}
+
+std::string_view ToView(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+std::int64_t ReadNumber(std::string_view text, std::int64_t fallback) {
+  std::int64_t value = 0;
+  const std::from_chars_result read =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  return read.ec == std::errc() ? value : fallback;
+}
+
+}  // namespace
+
+RequestFlow::RequestFlow(EntryHost& host, std::uint64_t number,
+                         std::shared_ptr<CallerConnection> caller,
+                         CallerMessage message, TimePoint begun_at)
+    : host(host),
+      number(number),
+      caller(std::move(caller)),
+      message(std::move(message)),
+      table(host.view.routes()),
+      begun_at(begun_at),
+      deadline(begun_at),
+      objective_at(begun_at),
+      give_up_at(begun_at) {}
+
+// ---------------------------------------------------------------- admission
+
+void RequestFlow::Start() {
+  const std::weak_ptr<RequestFlow> weak = this->weak_from_this();
+  this->caller->on_gone = [weak] {
+    const std::shared_ptr<RequestFlow> self = weak.lock();
+    if (self != nullptr) {
+      self->Finish("caller_gone");
+    }
+  };
+  this->caller->on_writable = [weak] {
+    const std::shared_ptr<RequestFlow> self = weak.lock();
+    if (self != nullptr && self->connection != nullptr) {
+      self->connection->SetPaused(false);
+    }
+  };
+  if (this->Admit()) {
+    this->Dispatch();
+  }
+}
+
+bool RequestFlow::Admit() {
+  const HeaderNames& names = this->host.dialect.headers;
+  this->id = std::string(this->message[names.attempt]);
+  if (this->table == nullptr) {
+    this->Refuse(kUnavailable, "no_configuration");
+    return false;
+  }
+  std::string_view path = ToView(this->message.target());
+  path = path.substr(0, path.find('?'));
+  this->route =
+      this->table->FindRoute(ToView(this->message[http::field::host]), path);
+  if (this->route == nullptr) {
+    this->Refuse(kNotFound, "no_route");
+    return false;
+  }
+  if (this->table->configuration().has_teams && !this->route->is_public) {
+    std::string_view key = ToView(this->message[http::field::authorization]);
+    const std::size_t prefix = sizeof(kBearer) - 1;
+    const bool is_bearer = key.substr(0, prefix) == kBearer;
+    this->team =
+        is_bearer ? this->table->FindTeam(key.substr(prefix)) : nullptr;
+    if (this->team == nullptr) {
+      this->Refuse(kUnauthorized, "unknown_key");
+      return false;
+    }
+  }
+  std::uniform_real_distribution<double> draw(0, 1);
+  this->service = PickService(*this->route, draw(this->host.random));
+  this->model = std::string(this->message[names.model]);
+  this->prompt_tokens = static_cast<double>(
+      ReadNumber(ToView(this->message[names.tokens]), 0));
+  const std::int64_t caller_ms = ReadNumber(
+      ToView(this->message[names.deadline]), this->route->timeout_ms);
+  this->deadline =
+      this->begun_at +
+      Milliseconds(std::min(caller_ms, this->route->timeout_ms));
+  this->objective_at =
+      this->begun_at + Milliseconds(this->route->objective_ms);
+  this->give_up_at = std::min(this->deadline, this->begun_at + kPatience);
+  this->host.BudgetOf(this->service)
+      .FirstAttempt(static_cast<std::int64_t>(
+          kPercent * this->host.settings.retry_share));
+  return true;
+}
+
+std::string RequestFlow::Lane() const {
+  return this->service + "/" + this->model;
+}
+
+// ------------------------------------------------------------------ sending
+
+void RequestFlow::Dispatch() {
+  const int priority = this->team != nullptr && this->team->priority
+                           ? *this->team->priority
+                           : this->route->priority;
+  const TimePoint now = Clock::now();
+  // Nobody overtakes those that wait for the same room and are more urgent.
+  const bool must_wait =
+      !this->is_sent_head &&
+      this->host.line.CountAhead(this->Lane(), priority, this->objective_at,
+                                 now) > 0;
+  if (!must_wait && this->TryAgain()) {
+    return;
+  }
+  if (this->is_done) {
+    return;
+  }
+  this->is_waiting = true;
+  this->host.line.Add({this->number, this->Lane(), priority,
+                       this->objective_at, this->give_up_at});
+}
+
+bool RequestFlow::TryAgain() {
+  if (this->is_done) {
+    return true;
+  }
+  ChoiceRequest request;
+  request.service = this->service;
+  request.model = this->model;
+  request.tried = this->tried;
+  request.prompt_tokens = this->prompt_tokens;
+  const Choice choice =
+      this->host.chooser.Choose(request, this->host.view, this->host.book,
+                                this->host.settings.cold_factor, Clock::now());
+  if (choice.target == nullptr) {
+    if (choice.reason == NoChoice::kNoTarget && this->model.empty() &&
+        !this->is_sent_head) {
+      this->OnFailedTry("no_target", false);
+      return true;
+    }
+    return false;
+  }
+  this->is_waiting = false;
+  this->host.line.Remove(this->number);
+  this->Run(choice.target->name);
+  return true;
+}
+
+std::string RequestFlow::RequestBytes(const std::string& to) const {
+  const HeaderNames& names = this->host.dialect.headers;
+  std::string bytes = std::string(this->message.method_string()) + " " +
+                      std::string(this->message.target()) + " HTTP/1.1\r\n";
+  const auto add = [&bytes](std::string_view name, std::string_view value) {
+    bytes.append(name).append(": ").append(value).append("\r\n");
+  };
+  for (const http::fields::value_type& field : this->message) {
+    const std::string_view name = ToView(field.name_string());
+    const bool is_own = IsSameName(name, names.deadline) ||
+                        IsSameName(name, names.team) ||
+                        IsSameName(name, names.target) ||
+                        IsSameName(name, names.priority) ||
+                        IsSameName(name, "authorization");
+    const bool is_replaced =
+        this->last_event.has_value() && IsSameName(name, kLastEventId);
+    if (!IsHopHeader(name) && !is_own && !is_replaced) {
+      add(name, ToView(field.value()));
+    }
+  }
+  add(names.deadline,
+      std::to_string(std::max<std::int64_t>(
+          1, RemainingMs(this->deadline, Clock::now()))));
+  add(names.target, to);
+  if (this->team != nullptr) {
+    add(names.team, this->team->name);
+  }
+  if (this->last_event.has_value()) {
+    add(kLastEventId, std::to_string(*this->last_event));
+    add(names.priority, kResumedPriority);
+  }
+  const bool has_body =
+      !this->message.body().empty() ||
+      this->message.find(http::field::content_length) != this->message.end() ||
+      this->message.chunked();
+  if (has_body) {
+    add("Content-Length", std::to_string(this->message.body().size()));
+  }
+  bytes += "\r\n";
+  bytes += this->message.body();
+  return bytes;
+}
+
+void RequestFlow::Run(const std::string& to) {
+  const TargetView* view = this->host.view.FindTarget(to);
+  const TimePoint now = Clock::now();
+  this->target = to;
+  this->tried.push_back(to);
+  this->tried_at = now;
+  this->progress_at = now;
+  this->is_streaming = false;
+  this->body.clear();
+  this->splitter.Reset();
+  this->host.book.Begin(to, now);
+  this->connection = this->host.pool.Take(to, view->address);
+  ExchangeHooks hooks;
+  const std::shared_ptr<RequestFlow> self = this->shared_from_this();
+  hooks.on_head = [self](const AnswerHead& answer) { self->OnHead(answer); };
+  hooks.on_body = [self](std::string_view bytes) { self->OnBody(bytes); };
+  hooks.on_end = [self](ExchangeEnd end, const std::string& why) {
+    self->OnEnd(end, why);
+  };
+  this->connection->Exchange(this->RequestBytes(to),
+                             this->host.dialect.headers.attempt, this->id,
+                             std::move(hooks));
+}
+
+// ---------------------------------------------------------------- answering
+
+void RequestFlow::OnHead(const AnswerHead& answer) {
+  this->host.book.Progress(this->target, Clock::now());
+  this->progress_at = Clock::now();
+  this->head = answer;
+  const HeaderNames& names = this->host.dialect.headers;
+  const std::string_view type = ToView(answer[http::field::content_type]);
+  this->is_streaming = answer.result_int() == kOk &&
+                       this->route->kind == RouteKind::kStreaming &&
+                       !answer[names.proof].empty() &&
+                       answer[http::field::content_encoding].empty() &&
+                       type.substr(0, sizeof(kEventStream) - 1) ==
+                           kEventStream;
+}
+
+void RequestFlow::OnBody(std::string_view bytes) {
+  const TimePoint now = Clock::now();
+  this->host.book.Progress(this->target, now);
+  this->progress_at = now;
+  if (!this->is_streaming) {
+    this->body.append(bytes);
+    if (this->body.size() > kMaxBufferedBytes) {
+      this->connection->Cancel();
+    }
+    return;
+  }
+  const bool is_bounded =
+      this->splitter.Feed(bytes, [this](const StreamEvent& event) {
+        this->OnEvent(event);
+      });
+  if (!is_bounded) {
+    this->connection->Cancel();
+  } else if (this->caller->unsent_bytes() >
+             CallerConnection::kHighWaterBytes) {
+    this->connection->SetPaused(true);
+  }
+}
+
+void RequestFlow::OnEvent(const StreamEvent& event) {
+  const bool is_repeated = event.id.has_value() &&
+                           this->last_event.has_value() &&
+                           *event.id <= *this->last_event;
+  if (is_repeated || this->is_done) {
+    return;
+  }
+  if (!this->is_sent_head) {
+    this->is_sent_head = true;
+    this->caller->BeginChunks(this->HeadLines());
+    LogEvent(Level::kDebug, this->id, "first_event",
+             {{"target", this->target}});
+  }
+  if (event.id.has_value()) {
+    this->last_event = event.id;
+  }
+  this->events += 1;
+  this->caller->SendChunk(event.bytes);
+}
+
+void RequestFlow::OnEnd(ExchangeEnd end, const std::string& why) {
+  const std::shared_ptr<RequestFlow> self = this->shared_from_this();
+  const std::shared_ptr<TargetConnection> used =
+      std::exchange(this->connection, nullptr);
+  const TimePoint now = Clock::now();
+  const bool is_full =
+      end == ExchangeEnd::kComplete &&
+      !this->head[this->host.dialect.headers.not_run].empty();
+  Evidence evidence = Evidence::kBad;
+  if (end == ExchangeEnd::kCancelled || is_full) {
+    evidence = Evidence::kNone;
+  } else if (end == ExchangeEnd::kComplete) {
+    evidence = Evidence::kGood;
+  }
+  this->host.book.End(this->target, evidence, now);
+  this->host.pool.Give(this->target, used);
+  if (this->is_done) {
+    return;
+  }
+  if (end != ExchangeEnd::kComplete && end != ExchangeEnd::kCancelled) {
+    LogEvent(Level::kInfo, this->id, "try_failed",
+             {{"target", this->target},
+              {"end", std::string(kExchangeEndNames.Name(end))},
+              {"why", why}});
+  }
+  if (this->is_streaming) {
+    this->OnStreamEnd(end, why);
+  } else if (end == ExchangeEnd::kComplete) {
+    this->OnWholeAnswer();
+  } else {
+    this->OnFailedTry(why, end != ExchangeEnd::kNotSent);
+  }
+  this->host.TryWaiters();
+}
+
+void RequestFlow::OnStreamEnd(ExchangeEnd end, const std::string& why) {
+  if (end != ExchangeEnd::kComplete) {
+    this->OnFailedTry(why, true);
+    return;
+  }
+  if (!this->is_sent_head) {
+    this->is_sent_head = true;
+    this->caller->BeginChunks(this->HeadLines());
+  }
+  this->caller->SendChunk(this->splitter.rest());
+  this->caller->EndChunks();
+  this->Finish("served");
+}
+
+void RequestFlow::OnWholeAnswer() {
+  const HeaderNames& names = this->host.dialect.headers;
+  const int status = static_cast<int>(this->head.result_int());
+  const bool is_not_run =
+      status == kMisdirected || !this->head[names.not_run].empty();
+  if (is_not_run) {
+    this->OnFailedTry("not_run_" + std::to_string(status), false);
+    return;
+  }
+  const bool is_success = status >= kOk && status < 300;
+  const bool is_own = !this->head[names.proof].empty() &&
+                      this->head[http::field::content_encoding].empty();
+  if (this->is_sent_head || (is_success && !is_own)) {
+    this->OnFailedTry("unusable_" + std::to_string(status), true);
+    return;
+  }
+  if (status >= kServerError && this->route->IsIdempotent() &&
+      this->MayTryAgain(true)) {
+    LogEvent(Level::kInfo, this->id, "try_failed",
+             {{"target", this->target}, {"end", std::to_string(status)}});
+    this->runs += 1;
+    this->Dispatch();
+    return;
+  }
+  this->PassOnAnswer();
+}
+
+bool RequestFlow::MayTryAgain(bool may_have_run) {
+  if (may_have_run) {
+    if (!this->route->IsIdempotent() ||
+        this->runs + 1 >= this->route->attempts) {
+      return false;
+    }
+  }
+  const bool has_time = Clock::now() < this->deadline;
+  return has_time && this->tried.size() < kMaxTries &&
+         this->host.BudgetOf(this->service).TakeRetry();
+}
+
+void RequestFlow::OnFailedTry(const std::string& why, bool may_have_run) {
+  const bool has_tried = !this->tried.empty();
+  if (has_tried && this->MayTryAgain(may_have_run)) {
+    this->runs += may_have_run ? 1 : 0;
+    this->give_up_at =
+        std::min(this->deadline, Clock::now() + kPatience);
+    this->Dispatch();
+    return;
+  }
+  this->runs += may_have_run ? 1 : 0;
+  this->GiveUp();
+  (void)why;
+}
+
+void RequestFlow::PassOnAnswer() {
+  this->caller->Answer(this->HeadLines(), this->body);
+  this->Finish("answered_" + std::to_string(this->head.result_int()));
+}
+
+std::string RequestFlow::HeadLines() const {
+  std::string lines = "HTTP/1.1 " + std::to_string(this->head.result_int()) +
+                      " " + std::string(this->head.reason()) + "\r\n";
+  for (const http::fields::value_type& field : this->head) {
+    const std::string_view name = ToView(field.name_string());
+    if (!IsHopHeader(name)) {
+      lines.append(name).append(": ").append(ToView(field.value()));
+      lines += "\r\n";
+    }
+  }
+  return lines;
+}
+
+// ------------------------------------------------------------------- ending
+
+void RequestFlow::GiveUp() {
+  if (this->is_done) {
+    return;
+  }
+  if (this->is_sent_head) {
+    this->caller->Abort();
+    this->Finish("cut");
+  } else if (this->runs > 0) {
+    this->Refuse(kBadGateway, "may_have_run");
+  } else {
+    this->Refuse(kUnavailable, "no_room");
+  }
+}
+
+void RequestFlow::Refuse(int status, const std::string& why) {
+  const http::status code = http::int_to_status(static_cast<unsigned>(status));
+  std::string lines = "HTTP/1.1 " + std::to_string(status) + " " +
+                      std::string(http::obsolete_reason(code)) + "\r\n";
+  if (!this->id.empty()) {
+    lines += this->host.dialect.headers.attempt + ": " + this->id + "\r\n";
+  }
+  if (status == kUnavailable) {
+    const double left_s =
+        std::chrono::duration<double>(this->deadline - Clock::now()).count();
+    std::uniform_real_distribution<double> draw(kShortestRetryAfterS,
+                                                kLongestRetryAfterS);
+    const double pause =
+        std::min(draw(this->host.random),
+                 std::max(0.0, left_s) * kRetryAfterShare);
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", pause);
+    lines += std::string("Retry-After: ") + text.data() + "\r\n";
+  }
+  this->caller->Answer(std::move(lines), "");
+  this->Finish("refused_" + std::to_string(status) + "_" + why);
+}
+
+void RequestFlow::Detach() {
+  this->host.line.Remove(this->number);
+  this->is_waiting = false;
+  const std::shared_ptr<TargetConnection> used =
+      std::exchange(this->connection, nullptr);
+  if (used != nullptr) {
+    used->Cancel();
+  }
+}
+
+void RequestFlow::Finish(const std::string& outcome) {
+  if (this->is_done) {
+    return;
+  }
+  const std::shared_ptr<RequestFlow> self = this->shared_from_this();
+  this->is_done = true;
+  this->Detach();
+  this->caller->on_gone = nullptr;
+  this->caller->on_writable = nullptr;
+  const std::int64_t total_ms =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - this->begun_at)
+          .count();
+  LogEvent(Level::kInfo, this->id, "request_ended",
+           {{"outcome", outcome},
+            {"route", this->route == nullptr ? "" : this->route->name},
+            {"target", this->target},
+            {"tries", std::to_string(this->tried.size())},
+            {"runs", std::to_string(this->runs)},
+            {"events", std::to_string(this->events)},
+            {"ms", std::to_string(total_ms)},
+            {"config_version", std::to_string(this->host.view.version())}});
+  this->host.FlowEnded(this->number);
+}
+
+void RequestFlow::Break() {
+  if (this->is_done) {
+    return;
+  }
+  if (this->connection != nullptr) {
+    this->runs += 1;
+  }
+  this->Detach();
+  this->GiveUp();
+}
+
+void RequestFlow::Tick(TimePoint now) {
+  if (this->is_done) {
+    return;
+  }
+  if (now >= this->deadline) {
+    if (this->is_sent_head) {
+      this->caller->Abort();
+      this->Finish("deadline");
+    } else if (this->connection != nullptr || this->runs > 0) {
+      this->Refuse(kGatewayTimeout, "deadline");
+    } else {
+      this->Refuse(kUnavailable, "deadline");
+    }
+    return;
+  }
+  if (this->connection == nullptr || !this->route->IsIdempotent()) {
+    return;
+  }
+  bool is_lost = false;
+  if (this->route->kind == RouteKind::kStreaming) {
+    const bool is_broken = this->host.view.IsBroken(this->target);
+    const bool is_silent = now >= this->progress_at + kResumeAfter &&
+                           this->host.book.IsStalled(this->target, now);
+    is_lost = is_broken || is_silent;
+  } else {
+    const Duration limit = std::chrono::duration_cast<Duration>(
+        kSilentShare * (this->deadline - this->begun_at));
+    is_lost = now >= this->tried_at + limit;
+  }
+  if (!is_lost || !this->MayTryAgain(true)) {
+    return;
+  }
+  LogEvent(Level::kInfo, this->id, "target_given_up",
+           {{"target", this->target},
+            {"events", std::to_string(this->events)},
+            {"silent_ms",
+             std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                now - this->progress_at)
+                                .count())}});
+  this->runs += 1;
+  const std::shared_ptr<TargetConnection> used =
+      std::exchange(this->connection, nullptr);
+  const std::string lost = this->target;
+  // The end of the exchange must not be taken for an answer.
+  this->is_done = true;
+  used->Cancel();
+  this->is_done = false;
+  if (this->route->kind != RouteKind::kStreaming) {
+    this->host.book.Begin(lost, now);
+    this->host.book.End(lost, Evidence::kBad, now);
+  }
+  this->give_up_at = std::min(this->deadline, now + kPatience);
+  this->Dispatch();
+}
+
+}  // namespace gooseberryturn::direct
--- /dev/null
+++ b/src/direct/target_book.cc
@@ -0,0 +1,108 @@
+#include "gooseberryturn/direct/target_book.h"
+
+#include <algorithm>
+
+namespace gooseberryturn::direct {
+
+void TargetBook::Begin(const std::string& target, TimePoint now) {
+  Entry& entry = this->entries[target];
+  if (entry.own == 0) {
+    entry.progress_at = now;
+  }
+  entry.own += 1;
+}
+
+void TargetBook::End(const std::string& target, Evidence evidence,
+                     TimePoint now) {
+  Entry& entry = this->entries[target];
+  entry.own -= entry.own > 0 ? 1 : 0;
+  if (evidence == Evidence::kGood) {
+    entry.bad_in_row = 0;
+    entry.progress_at = now;
+  } else if (evidence == Evidence::kBad) {
+    entry.bad_in_row += 1;
+    if (entry.bad_in_row >= kBadToAvoid) {
+      const int doublings = std::min(entry.bad_in_row - kBadToAvoid, 3);
+      entry.avoid_until =
+          now + std::min(kLongestAvoid, kFirstAvoid * (1 << doublings));
+    }
+  }
+}
+
+void TargetBook::Progress(const std::string& target, TimePoint now) {
+  this->entries[target].progress_at = now;
+}
+
+void TargetBook::SetTotals(const std::vector<OpenWork>& totals) {
+  for (std::pair<const std::string, Entry>& entry : this->entries) {
+    entry.second.total = 0;
+  }
+  for (const OpenWork& work : totals) {
+    this->entries[work.target].total = work.requests;
+  }
+}
+
+std::vector<OpenWork> TargetBook::Report() {
+  std::vector<OpenWork> work;
+  for (std::pair<const std::string, Entry>& entry : this->entries) {
+    entry.second.reported = entry.second.own;
+    if (entry.second.own > 0) {
+      work.push_back({entry.first, entry.second.own});
+    }
+  }
+  return work;
+}
+
+std::uint32_t TargetBook::Load(const std::string& target) const {
+  const auto found = this->entries.find(target);
+  if (found == this->entries.end()) {
+    return 0;
+  }
+  const Entry& entry = found->second;
+  const std::uint32_t others =
+      entry.total > entry.reported ? entry.total - entry.reported : 0;
+  return entry.own + others;
+}
+
+std::uint32_t TargetBook::OwnLoad(const std::string& target) const {
+  const auto found = this->entries.find(target);
+  return found == this->entries.end() ? 0 : found->second.own;
+}
+
+bool TargetBook::IsStalled(const std::string& target, TimePoint now) const {
+  const auto found = this->entries.find(target);
+  return found != this->entries.end() && found->second.own > 0 &&
+         now >= found->second.progress_at + kStallAfter;
+}
+
+std::vector<std::string> TargetBook::Stalled(TimePoint now) const {
+  std::vector<std::string> stalled;
+  for (const std::pair<const std::string, Entry>& entry : this->entries) {
+    if (this->IsStalled(entry.first, now)) {
+      stalled.push_back(entry.first);
+    }
+  }
+  return stalled;
+}
+
+bool TargetBook::IsAvoided(const std::string& target, TimePoint now) const {
+  const auto found = this->entries.find(target);
+  return found != this->entries.end() &&
+         (now < found->second.avoid_until || this->IsStalled(target, now));
+}
+
+bool TargetBook::TakeCold(const std::string& target, double per_s,
+                          TimePoint now) {
+  Entry& entry = this->entries[target];
+  const double since =
+      std::chrono::duration<double>(now - entry.cold_at).count();
+  entry.cold_credit = std::min(1.0, entry.cold_credit + since * per_s);
+  entry.cold_at = now;
+  if (entry.cold_credit < 1.0) {
+    return false;
+  }
+  entry.cold_credit -= 1.0;
+  return true;
+}
+
+}  // namespace gooseberryturn::direct
--- /dev/null
+++ b/src/direct/target_chooser.cc
@@ -0,0 +1,115 @@
+#include "gooseberryturn/direct/target_chooser.h"
+
+#include <algorithm>
+
+namespace gooseberryturn::direct {
+
+namespace {
+
+constexpr double kMsPerSecond = 1000.0;
+/// Bytes between data centres have a price: a little more load is borne at
+/// home before a request goes elsewhere.
+constexpr double kAwayPenaltyMs = 12.0;
+constexpr double kTieNoiseMs = 4.0;
+/// An avoided target is used only when there is no other.
+constexpr double kAvoidedPenaltyMs = 100'000.0;
+constexpr double kPlainRequestMs = 10.0;
+/// Share of a cold target's rate that all entries together use.
+constexpr double kColdShare = 0.8;
+/// A view may name fewer entries than there are.
+constexpr double kLeastEntries = 8;
+
+/// A target that could take the request.
+struct Candidate {
+  const TargetView* target = nullptr;
+  std::uint32_t load = 0;
+  double expected_ms = 0;
+  double score = 0;
+};
+
+}  // namespace
+
+double TargetChooser::ExpectedMs(const ChoiceRequest& request,
+                                 const EngineProfile& engine,
+                                 const ModelProfile& model,
+                                 double load) const {
+  const double slots = static_cast<double>(engine.slots);
+  const double writers = std::min(load, slots);
+  const double step = engine.step_ms + engine.per_writer_ms * writers;
+  const double read_ms = request.prompt_tokens * kMsPerSecond /
+                         std::max(1.0, engine.read_tokens_per_s);
+  const double usual_read_ms = engine.usual_prompt * kMsPerSecond /
+                               std::max(1.0, engine.read_tokens_per_s);
+  const double service_ms = engine.usual_answer * step + slots * usual_read_ms;
+  const double departure_ms = service_ms / std::max(1.0, slots);
+  const double waiting = std::max(0.0, load - slots + 1);
+  // Prompts of others are read first; about one in `writers` is still unread.
+  const double backlog_ms = usual_read_ms * writers / slots;
+  return model.pace *
+         (waiting * departure_ms + backlog_ms + read_ms +
+          static_cast<double>(engine.stride) * step);
+}
+
+Choice TargetChooser::Choose(const ChoiceRequest& request,
+                             const FleetView& view, TargetBook& book,
+                             double cold_factor, TimePoint now) {
+  const RouteTable& table = *view.routes();
+  const Service* service = table.configuration().FindService(request.service);
+  Choice choice;
+  choice.reason = NoChoice::kNoTarget;
+  if (service == nullptr) {
+    return choice;
+  }
+  const ModelProfile* model =
+      service->engine ? service->engine->FindModel(request.model) : nullptr;
+  const std::vector<const TargetView*> candidates =
+      service->engine ? view.Heads(request.service, request.model)
+                      : view.PlainTargets(request.service);
+  std::vector<Candidate> scored;
+  std::uniform_real_distribution<double> noise(0, kTieNoiseMs);
+  for (const TargetView* target : candidates) {
+    if (std::find(request.tried.begin(), request.tried.end(), target->name) !=
+        request.tried.end()) {
+      continue;
+    }
+    const std::uint32_t load = book.Load(target->name);
+    const bool is_avoided = book.IsAvoided(target->name, now);
+    const bool is_full =
+        model != nullptr
+            ? is_avoided || load >= service->engine->slots + kQueueAtHead
+            : load >= kPlainLimit;
+    if (is_full) {
+      choice.reason = NoChoice::kFull;
+      continue;
+    }
+    const double expected =
+        model != nullptr ? this->ExpectedMs(request, *service->engine, *model,
+                                            static_cast<double>(load))
+                         : kPlainRequestMs * static_cast<double>(load);
+    double score = expected + noise(this->random);
+    score += target->data_centre == this->data_centre ? 0 : kAwayPenaltyMs;
+    score += is_avoided ? kAvoidedPenaltyMs : 0;
+    scored.push_back({target, load, expected, score});
+  }
+  std::sort(scored.begin(), scored.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.score < b.score;
+            });
+  const double entries =
+      std::max(kLeastEntries, static_cast<double>(view.entries()));
+  const double cold_rate =
+      service->cold_requests_per_s * cold_factor * kColdShare / entries;
+  for (const Candidate& candidate : scored) {
+    const bool is_limited = candidate.target->is_cold && cold_rate > 0;
+    if (is_limited &&
+        !book.TakeCold(candidate.target->name, cold_rate, now)) {
+      choice.reason = NoChoice::kFull;
+      continue;
+    }
+    return {candidate.target, NoChoice::kNone, candidate.load,
+            candidate.expected_ms};
+  }
+  return choice;
+}
+
+}  // namespace gooseberryturn::direct
--- a/src/observe/log.cc
+++ b/src/observe/log.cc
@@ -9,6 +9,8 @@
 #include <memory>
 #include <optional>
 
+#include "json_lines.h"
+
 namespace gooseberryturn::observe {
 
 namespace {
@@ -44,8 +46,19 @@
   return quoted + "\"";
 }
 
+/// The writer of JSON lines, once StartJsonLog was called.
+std::unique_ptr<JsonLines>& JsonOutput() {
+  static std::unique_ptr<JsonLines> output;
+  return output;
+}
+
 }  // namespace
 
+void StartJsonLog(const std::string& program, const std::string& host) {
+  static const log4cplus::Initializer initializer;
+  JsonOutput() = std::make_unique<JsonLines>(program, host);
+}
+
 bool StartLog(const std::string& program, const std::string& host,
               const std::string& level) {
   const std::optional<Level> found = kLevelNames.Find(level);
@@ -67,6 +80,12 @@
 
 void LogEvent(Level level, std::string_view request_id, std::string_view event,
               const std::vector<Field>& fields) {
+  if (JsonOutput() != nullptr) {
+    if (level != Level::kDebug) {
+      JsonOutput()->Write(kLevelNames.Name(level), request_id, event, fields);
+    }
+    return;
+  }
   log4cplus::Logger logger = log4cplus::Logger::getRoot();
   const log4cplus::LogLevel log_level = LevelOf(level);
   if (!logger.isEnabledFor(log_level)) {
