Groups come back from staged copies; suspects are left out; faster detection

Cause: survivors of a lost group were joined with hosts that needed a load of 12 to 16 s, dead members were chosen again, and a head's members never got the other model staged. Change: the last model of each target is remembered, every host stages the other model, hosts are never joined while they need a load, suspects are left out, a stall is told at once and probed within 120 ms, the planner runs on events. Ruled out: joining an empty host together with survivors (held them 12 s).

--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -41,7 +41,7 @@
       std::chrono::milliseconds(250);
   static constexpr Duration kCallLimit = std::chrono::milliseconds(850);
   static constexpr Duration kOrderLimit = std::chrono::milliseconds(700);
-  static constexpr Duration kProbeLimit = std::chrono::milliseconds(350);
+  static constexpr Duration kProbeLimit = std::chrono::milliseconds(220);
   static constexpr Duration kJoinEvery = std::chrono::milliseconds(400);
   static constexpr Duration kFollowerLife = std::chrono::milliseconds(1500);
   /// A new leader keeps what earlier ones knew until targets spoke up.
@@ -85,6 +85,8 @@
   void BecomeLeader();
   void KeepQuorum(TimePoint now);
   void KeepGroups(TimePoint now);
+  /// Plans again once the events at hand are taken.
+  void PlanSoon();
   void RefreshGroups();
   void GiveOrder(const Order& order);
   void Probe(const std::string& target);
@@ -128,6 +130,7 @@
   std::uint64_t parsed_version = 0;
   bool is_leading = false;
   bool has_traffic = false;
+  bool is_plan_due = false;
   TimePoint settled_at;
   TimePoint join_at;
   TimePoint expire_at;
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -83,6 +83,7 @@
   std::uint64_t incarnation;
   std::mt19937_64 random;
   TimePoint report_at;
+  std::size_t reported_stalls = 0;
   bool has_served = false;
   bool is_leaving = false;
   bool is_trying_waiters = false;
--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -64,12 +64,16 @@
   }
 
   static constexpr Duration kResendOrder = std::chrono::milliseconds(400);
-  static constexpr Duration kProbeEvery = std::chrono::milliseconds(250);
+  static constexpr Duration kProbeEvery = std::chrono::milliseconds(120);
   static constexpr int kProbesToSuspect = 2;
   /// Entries report a stalled group several times a second while it lasts.
   static constexpr Duration kStallReportLife = std::chrono::milliseconds(500);
   /// A new leader first lets the targets announce what they hold.
   static constexpr Duration kSettle = std::chrono::milliseconds(2500);
+  /// With no groups yet: until every target has announced itself once.
+  static constexpr Duration kFirstSettle = std::chrono::milliseconds(1700);
+  /// With known groups: what targets announce themselves is enough to form.
+  static constexpr Duration kFormAfter = std::chrono::milliseconds(700);
   static constexpr Duration kBreakMargin = std::chrono::milliseconds(400);
   static constexpr Duration kFormingLimit = std::chrono::seconds(8);
   static constexpr Duration kCloseLimit = std::chrono::seconds(6);
@@ -115,6 +119,8 @@
                     PlannedWork& work, TimePoint now);
   [[nodiscard]] bool IsMemberGone(const Group& group, const std::string& id,
                                   const PlanInput& input) const;
+  [[nodiscard]] bool IsSuspect(const std::string& id,
+                               const TargetRecord& record) const;
   [[nodiscard]] bool IsMemberDead(const Group& group, const std::string& id,
                                   const PlanInput& input, TimePoint now) const;
   [[nodiscard]] bool IsSilent(const TargetRecord& record,
@@ -138,6 +144,10 @@
                   const PlanInput& input, PlannedWork& work, TimePoint now);
   void Rebalance(const Service& service, const PlanInput& input,
                  TimePoint now);
+  [[nodiscard]] const ModelProfile* ModelToStage(
+      const TargetRecord& record, const Service& service,
+      const std::map<std::string, std::vector<std::string>>& free,
+      const PlanInput& input) const;
   void StageModels(const PlanInput& input, PlannedWork& work, TimePoint now);
   [[nodiscard]] double JoinSeconds(const TargetRecord& record,
                                    const ModelProfile& model) const;
@@ -148,6 +158,7 @@
   std::uint64_t counter = 0;
   std::uint64_t changes = 0;
   TimePoint settled_at;
+  TimePoint form_at;
   TimePoint rebalance_at;
   std::map<std::string, Group> groups;
   std::map<std::string, std::string> group_of;  ///< By target id.
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -62,6 +62,8 @@
   void PassOnAnswer();
   void Refuse(int status, const std::string& why);
   void Finish(const std::string& outcome);
+  /// Ends the try in progress without looking at its end.
+  void Abandon(Evidence evidence);
   void Detach();
   [[nodiscard]] bool MayTryAgain(bool may_have_run);
   [[nodiscard]] std::string HeadLines() const;
@@ -88,6 +90,7 @@
   std::shared_ptr<TargetConnection> connection;
   TimePoint tried_at;
   TimePoint progress_at;
+  std::uint64_t try_number = 0;
   int runs = 0;  ///< Tries that may have run.
   bool is_waiting = false;
   bool is_done = false;
--- a/include/gooseberryturn/direct/target_book.h
+++ b/include/gooseberryturn/direct/target_book.h
@@ -49,7 +49,7 @@
                               TimePoint now);
   void Forget(const std::string& target) { this->entries.erase(target); }
 
-  static constexpr Duration kStallAfter = std::chrono::milliseconds(550);
+  static constexpr Duration kStallAfter = std::chrono::milliseconds(320);
   static constexpr Duration kFirstAvoid = std::chrono::milliseconds(500);
   static constexpr Duration kLongestAvoid = std::chrono::seconds(4);
   static constexpr int kBadToAvoid = 2;
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -26,9 +26,10 @@
   bool is_leaving = false;
   bool is_cold = false;
   EngineReport engine;  ///< Empty for plain targets.
+  std::string last_model;  ///< Of the last group since its start.
 
   MSGPACK_DEFINE(name, address, service, data_centre, born_ms, is_leaving,
-                 is_cold, engine)
+                 is_cold, engine, last_model)
 };
 
 /// \brief Phase of a group as its keeper sees it.
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -1,6 +1,7 @@
 #include "gooseberryturn/direct/control_host.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <map>
 #include <utility>
 
@@ -39,6 +40,23 @@
   }
 }
 
+/// An engine's state in a few words for the log.
+std::string Describe(const std::optional<EngineReport>& report) {
+  if (!report.has_value()) {
+    return "plain";
+  }
+  std::string text = "loaded=" + report->loaded_model + " staged=";
+  for (const std::string& model : report->staged) {
+    text += model + ",";
+  }
+  if (report->membership.has_value()) {
+    text += " group=" + report->membership->group + " rank=" +
+            std::to_string(report->membership->rank) + " state=" +
+            std::string(kMemberStateNames.Name(report->membership->state));
+  }
+  return text;
+}
+
 /// Identity of a first voter, the same on all control hosts.
 consensus::NodeId FirstId(const Endpoint& control) {
   const std::string digest = Digest(ToString(control));
@@ -298,10 +316,12 @@
   const HeardAs heard = this->registry.Heard(*announcement, Clock::now());
   if (heard == HeardAs::kNew || heard == HeardAs::kChanged) {
     this->PutTarget(target);
+    this->PlanSoon();
     LogEvent(Level::kInfo, "", "target_heard",
              {{"target", target},
               {"as", std::string(kHeardAsNames.Name(heard))},
               {"sequence", std::to_string(announcement->sequence)},
+              {"engine", Describe(announcement->engine)},
               {"leaving", announcement->is_leaving ? "true" : "false"}});
   }
   for (const std::string& removed : this->registry.TakeRemoved()) {
@@ -433,6 +453,24 @@
   }
 }
 
+void ControlHost::PlanSoon() {
+  if (this->is_plan_due) {
+    return;
+  }
+  this->is_plan_due = true;
+  boost::asio::post(this->context, [this] {
+    this->is_plan_due = false;
+    if (this->IsLeading()) {
+      const TimePoint now = Clock::now();
+      const std::uint64_t before = this->revision;
+      this->KeepGroups(now);
+      if (this->revision != before) {
+        this->PushAll(now);
+      }
+    }
+  });
+}
+
 void ControlHost::RefreshGroups() {
   if (this->seen_plan_revision == this->planner.revision()) {
     return;
@@ -521,6 +559,7 @@
                          std::string(kOrderOutcomeNames.Name(outcome))}});
               if (this->is_leading) {
                 this->planner.OrderAnswered(order, outcome, Clock::now());
+                this->PlanSoon();
               }
             });
 }
@@ -548,6 +587,7 @@
                         {"answered", report.has_value() ? "true" : "false"}});
               if (this->is_leading) {
                 this->planner.ProbeAnswered(target, report, Clock::now());
+                this->PlanSoon();
               }
             });
 }
@@ -595,6 +635,7 @@
   this->has_traffic |= report.has_served;
   for (const std::string& group : report.stalled_groups) {
     this->planner.GroupStalled(group, now);
+    this->PlanSoon();
   }
 }
 
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -160,10 +160,6 @@
 }
 
 void EntryHost::SendReport(TimePoint now) {
-  if (now < this->report_at) {
-    return;
-  }
-  this->report_at = now + kReportEvery;
   EntryReport report;
   for (const std::string& target : this->book.Stalled(now)) {
     const GroupView* group = this->view.GroupOfHead(target);
@@ -171,6 +167,13 @@
       report.stalled_groups.push_back(group->name);
     }
   }
+  const bool is_new_stall =
+      report.stalled_groups.size() > this->reported_stalls;
+  if (now < this->report_at && !is_new_stall) {
+    return;
+  }
+  this->report_at = now + kReportEvery;
+  this->reported_stalls = report.stalled_groups.size();
   report.open_work = this->book.Report();
   report.has_served = this->has_served;
   report.config_version = this->view.version();
--- a/src/direct/group_planner.cc
+++ b/src/direct/group_planner.cc
@@ -26,6 +26,8 @@
 constexpr Duration kRebalanceEvery = std::chrono::seconds(3);
 /// Time to form a group counts against its gain by this scale.
 constexpr double kFormingScaleSeconds = 4;
+/// A load may take this much longer than published before it is repeated.
+constexpr double kStagingPatience = 1.5;
 /// Loads take this share of their time before traffic begins.
 constexpr double kEarlyLoadShare = 0.1;
 
@@ -54,7 +56,8 @@
                                 TimePoint now) {
   *this = GroupPlanner();
   this->term = leader_term;
-  this->settled_at = now + kSettle;
+  this->settled_at = now + (known.empty() ? kFirstSettle : kSettle);
+  this->form_at = now + (known.empty() ? kFirstSettle : kFormAfter);
   for (const GroupView& view : known) {
     Group group;
     group.view = view;
@@ -182,18 +185,21 @@
          (life != group.lives.end() && life->second != record->view.born_ms);
 }
 
+bool GroupPlanner::IsSuspect(const std::string& id,
+                             const TargetRecord& record) const {
+  const auto doubt = this->doubts.find(id);
+  return doubt != this->doubts.end() &&
+         doubt->second.failed_probes >= kProbesToSuspect &&
+         record.heard_at < doubt->second.failed_at;
+}
+
 bool GroupPlanner::IsMemberDead(const Group& group, const std::string& id,
                                 const PlanInput& input, TimePoint now) const {
   if (this->IsMemberGone(group, id, input)) {
     return true;
   }
-  const auto doubt = this->doubts.find(id);
   const TargetRecord& record = *input.registry.Find(id);
-  const bool is_suspect =
-      doubt != this->doubts.end() &&
-      doubt->second.failed_probes >= kProbesToSuspect &&
-      record.heard_at < doubt->second.failed_at;
-  if (!is_suspect) {
+  if (!this->IsSuspect(id, record)) {
     return false;
   }
   const bool is_stalled = group.stalled_at.has_value() &&
@@ -347,7 +353,8 @@
     work.orders.push_back(this->MakeOrder(OrderKind::kLeave, group, head));
   }
   // A head that cannot be reached breaks some time after a member left it.
-  const bool is_unreachable = group.unanswered_leaves > 0;
+  const bool is_unreachable = group.unanswered_leaves > 0 ||
+                              this->IsMemberDead(group, head, input, now);
   if (!is_unreachable || group.broken_at.has_value()) {
     return;
   }
@@ -498,8 +505,7 @@
     this->AdoptAnnounced(input, now);
     this->FollowOrphans(input, work, now);
   }
-  // At the first start nothing can be adopted: nobody has been in a group.
-  if (now >= this->settled_at || !input.has_traffic) {
+  if (now >= this->form_at) {
     this->FormGroups(input, work, now);
     this->StageModels(input, work, now);
   }
@@ -510,7 +516,7 @@
 
 double GroupPlanner::JoinSeconds(const TargetRecord& record,
                                  const ModelProfile& model) const {
-  if (record.view.engine.loaded_model == model.name) {
+  if (record.view.last_model == model.name) {
     return kSameModelSeconds;
   }
   return HasStaged(record.view.engine, model.name) ? model.warm_s
@@ -527,7 +533,8 @@
         record.view.service == service.name && !record.view.is_leaving &&
         !record.is_adopted && !this->IsSilent(record, input, now) &&
         this->group_of.count(entry.first) == 0 &&
-        input.evacuated.count(record.view.data_centre) == 0;
+        input.evacuated.count(record.view.data_centre) == 0 &&
+        !this->IsSuspect(entry.first, record);
     if (is_usable && this->IsReleased(entry.first, record, input, now)) {
       free[record.view.engine.domain].push_back(entry.first);
     }
@@ -591,9 +598,6 @@
     const TargetRecord& record = *input.registry.Find(id);
     const double join = this->JoinSeconds(record, model);
     seconds = std::max(seconds, join);
-    if (join >= model.load_s && input.has_traffic) {
-      this->loads.Started(now, now + FromSeconds(join));
-    }
     group.lives[id] = record.view.born_ms;
     group.resend_at[id] = now + kResendOrder;
     this->group_of[id] = group.view.name;
@@ -641,8 +645,9 @@
         }
         if (!input.has_traffic) {
           seconds *= kEarlyLoadShare;
-        } else if (load_count > 0 &&
-                   !this->loads.MayStart(*service.engine, load_count, now)) {
+        } else if (load_count > 0) {
+          // A copy is staged first, so that hosts which need no load are not
+          // held up by those that do.
           continue;
         }
         const double need = 1.0 / (1.0 + coverage.at(model.name));
@@ -728,47 +733,95 @@
   }
 }
 
+const ModelProfile* GroupPlanner::ModelToStage(
+    const TargetRecord& record, const Service& service,
+    const std::map<std::string, std::vector<std::string>>& free,
+    const PlanInput& input) const {
+  const EngineReport& report = record.view.engine;
+  const auto group = this->group_of.find(record.view.name);
+  if (group != this->group_of.end() &&
+      this->groups.at(group->second).view.phase != GroupPhase::kOpen) {
+    return nullptr;
+  }
+  const bool has_other_copy =
+      std::any_of(report.staged.begin(), report.staged.end(),
+                  [&record](const std::string& model) {
+                    return model != record.view.last_model;
+                  });
+  if (has_other_copy) {
+    return nullptr;
+  }
+  const std::map<std::string, double> coverage = this->Coverage(service);
+  const auto spares = free.find(report.domain);
+  const ModelProfile* best = nullptr;
+  double best_need = 0;
+  for (const ModelProfile& model : service.engine->models) {
+    // The last model needs no copy: its host rejoins it at once.
+    if (model.name == record.view.last_model) {
+      continue;
+    }
+    std::size_t capable = 1;
+    if (spares != free.end()) {
+      for (const std::string& id : spares->second) {
+        const double join =
+            this->JoinSeconds(*input.registry.Find(id), model);
+        capable += id != record.view.name && join < model.load_s ? 1 : 0;
+      }
+    }
+    const double fits = capable >= model.size ? 2.0 : 1.0;
+    const double need =
+        fits / (1.0 + coverage.at(model.name)) /
+        static_cast<double>(std::max<std::size_t>(1, model.size));
+    if (need > best_need) {
+      best_need = need;
+      best = &model;
+    }
+  }
+  return best;
+}
+
 void GroupPlanner::StageModels(const PlanInput& input, PlannedWork& work,
                                TimePoint now) {
-  for (const std::pair<const std::string, TargetRecord>& entry :
-       input.registry.targets()) {
-    const TargetRecord& record = entry.second;
-    const Service* service =
-        input.configuration.FindService(record.view.service);
-    const bool is_usable = service != nullptr && service->engine &&
-                           !record.view.is_leaving && !record.is_adopted &&
-                           !this->IsSilent(record, input, now);
-    const EngineReport& report = record.view.engine;
-    const auto staging = this->staging_until.find(entry.first);
-    const bool is_staging =
-        staging != this->staging_until.end() && now < staging->second;
-    // The model in memory needs no copy: its host rejoins it at once.
-    const bool is_at_rest =
-        !report.loaded_model.empty() && report.membership.has_value() &&
-        report.membership->state == MemberState::kOpen;
-    if (!is_usable || is_staging || !is_at_rest) {
+  for (const Service& service : input.configuration.services) {
+    if (!service.engine.has_value()) {
       continue;
     }
-    for (const ModelProfile& model : service->engine->models) {
-      if (model.name == report.loaded_model ||
-          HasStaged(report, model.name)) {
+    const std::map<std::string, std::vector<std::string>> free =
+        this->FreeByDomain(service, input, now);
+    for (const std::pair<const std::string, TargetRecord>& entry :
+         input.registry.targets()) {
+      const TargetRecord& record = entry.second;
+      const auto staging = this->staging_until.find(entry.first);
+      const bool is_staging =
+          staging != this->staging_until.end() && now < staging->second;
+      const bool is_usable = record.view.service == service.name &&
+                             !record.view.is_leaving && !record.is_adopted &&
+                             !this->IsSilent(record, input, now) &&
+                             !this->IsSuspect(entry.first, record);
+      if (!is_usable || is_staging) {
         continue;
       }
-      if (input.has_traffic &&
-          !this->loads.MayStart(*service->engine, 1, now)) {
-        return;
+      const ModelProfile* model =
+          this->ModelToStage(record, service, free, input);
+      if (model == nullptr) {
+        continue;
       }
+      const double seconds =
+          input.has_traffic ? model->load_s : kEarlyLoadShare * model->load_s;
       if (input.has_traffic) {
-        this->loads.Started(now, now + FromSeconds(model.load_s));
+        if (!this->loads.MayStart(*service.engine, 1, now)) {
+          return;
+        }
+        this->loads.Started(now, now + FromSeconds(seconds));
       }
       Order order;
       order.kind = OrderKind::kStage;
       order.target = entry.first;
-      order.model = model.name;
+      order.model = model->name;
       order.fence = this->term;
       work.orders.push_back(order);
-      this->staging_until[entry.first] = now + FromSeconds(2 * model.load_s);
-      break;
+      this->staging_until[entry.first] =
+          now + FromSeconds(kStagingPatience * seconds) + kResendOrder;
     }
   }
 }
--- a/src/direct/registry.cc
+++ b/src/direct/registry.cc
@@ -83,6 +83,11 @@
                            (before.is_leaving && !is_new_life);
   record.view.is_cold = announcement.cold_left_ms > 0;
   record.view.engine = announcement.engine.value_or(EngineReport{});
+  if (!record.view.engine.loaded_model.empty()) {
+    record.view.last_model = record.view.engine.loaded_model;
+  } else if (is_new_life) {
+    record.view.last_model.clear();
+  }
   record.slots = announcement.slots;
   record.sequence = announcement.sequence;
   record.heard_at = now;
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -258,10 +258,14 @@
   this->connection = this->host.pool.Take(to, view->address);
   ExchangeHooks hooks;
   const std::shared_ptr<RequestFlow> self = this->shared_from_this();
+  this->try_number += 1;
   hooks.on_head = [self](const AnswerHead& answer) { self->OnHead(answer); };
   hooks.on_body = [self](std::string_view bytes) { self->OnBody(bytes); };
-  hooks.on_end = [self](ExchangeEnd end, const std::string& why) {
-    self->OnEnd(end, why);
+  hooks.on_end = [self, attempt = this->try_number](ExchangeEnd end,
+                                                    const std::string& why) {
+    if (attempt == self->try_number) {
+      self->OnEnd(end, why);
+    }
   };
   this->connection->Exchange(this->RequestBytes(to),
                              this->host.dialect.headers.attempt, this->id,
@@ -486,16 +490,22 @@
   this->Finish("refused_" + std::to_string(status) + "_" + why);
 }
 
-void RequestFlow::Detach() {
-  this->host.line.Remove(this->number);
-  this->is_waiting = false;
+void RequestFlow::Abandon(Evidence evidence) {
   const std::shared_ptr<TargetConnection> used =
       std::exchange(this->connection, nullptr);
   if (used != nullptr) {
+    this->try_number += 1;
+    this->host.book.End(this->target, evidence, Clock::now());
     used->Cancel();
   }
 }
 
+void RequestFlow::Detach() {
+  this->host.line.Remove(this->number);
+  this->is_waiting = false;
+  this->Abandon(Evidence::kNone);
+}
+
 void RequestFlow::Finish(const std::string& outcome) {
   if (this->is_done) {
     return;
@@ -571,17 +581,7 @@
                                 now - this->progress_at)
                                 .count())}});
   this->runs += 1;
-  const std::shared_ptr<TargetConnection> used =
-      std::exchange(this->connection, nullptr);
-  const std::string lost = this->target;
-  // The end of the exchange must not be taken for an answer.
-  this->is_done = true;
-  used->Cancel();
-  this->is_done = false;
-  if (this->route->kind != RouteKind::kStreaming) {
-    this->host.book.Begin(lost, now);
-    this->host.book.End(lost, Evidence::kBad, now);
-  }
+  this->Abandon(Evidence::kBad);
   this->give_up_at = std::min(this->deadline, now + kPatience);
   this->Dispatch();
 }
--- a/src/direct/target_connection.cc
+++ b/src/direct/target_connection.cc
@@ -1,6 +1,7 @@
 #include "gooseberryturn/direct/target_connection.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <charconv>
@@ -16,6 +17,8 @@
 namespace {
 
 constexpr std::uint32_t kMaxHeadBytes = 64U * 1024U;
+/// Boost 1.74 takes no limit at all for an exceeded one.
+constexpr std::uint64_t kNoLimit = std::uint64_t{1} << 40U;
 constexpr std::string_view kTimeoutField = "timeout=";
 
 /// Time a connection may rest, from a Keep-Alive header; a fifth is left for
@@ -122,7 +125,7 @@
 void TargetConnection::ReadHead() {
   this->parser.emplace();
   this->parser->header_limit(kMaxHeadBytes);
-  this->parser->body_limit(boost::none);
+  this->parser->body_limit(kNoLimit);
   const std::shared_ptr<TargetConnection> self = this->shared_from_this();
   http::async_read_header(
       this->socket, this->buffer, *this->parser,
@@ -238,8 +241,11 @@
   if (!this->reusable) {
     this->Close();
   }
-  const ExchangeHooks done = std::exchange(this->hooks, ExchangeHooks());
-  done.on_end(end, why);
+  // One of the hooks may be running: they live until it has returned.
+  const std::shared_ptr<ExchangeHooks> done =
+      std::make_shared<ExchangeHooks>(std::exchange(this->hooks, {}));
+  asio::post(this->socket.get_executor(), [done] {});
+  done->on_end(end, why);
 }
 
 void TargetConnection::Cancel() {
