Unread prompts bound what a head is given; groups are closed only for a gain

Cause: a head with free slots can still hold seconds of unread prompts, so requests waited in engines until their callers left; rebalancing closed pairs and formed pairs again. Ruled out: slots as the bound (34 were never all taken while reads queued).

--- a/include/gooseberryturn/direct/configuration.h
+++ b/include/gooseberryturn/direct/configuration.h
@@ -66,6 +66,7 @@
   double step_ms = 0;             ///< A step of one token for all writers.
   double per_writer_ms = 0;       ///< Added to a step for each writer.
   double read_tokens_per_s = 0;   ///< Prompt tokens read.
+  double chunk_tokens = 1;        ///< Prompt tokens read in one piece.
   std::size_t stride = 1;         ///< Steps of a pass, tokens of an event.
   double loads_per_s = 0;         ///< Loads that may start, of all hosts.
   std::size_t loads_at_once = 1;  ///< Beyond it each load takes longer.
--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -96,6 +96,12 @@
     int unanswered_leaves = 0;
   };
 
+  /// Hosts of a domain are kept for a model until its group is formed.
+  struct Reservation {
+    std::string model;
+    TimePoint until;
+  };
+
   /// Doubts about a target.
   struct Doubt {
     int failed_probes = 0;
@@ -142,6 +148,12 @@
                   const std::string& domain,
                   const std::vector<std::string>& members,
                   const PlanInput& input, PlannedWork& work, TimePoint now);
+  /// Groups of other models whose members, with the spares of `domain`, make
+  /// a group of `poor`; empty when they do not, or none is needed.
+  [[nodiscard]] std::vector<std::string> GroupsToClose(
+      const Service& service, const ModelProfile& poor,
+      const std::string& domain, const std::vector<std::string>& spares,
+      const PlanInput& input) const;
   void Rebalance(const Service& service, const PlanInput& input,
                  TimePoint now);
   [[nodiscard]] const ModelProfile* ModelToStage(
@@ -164,6 +176,7 @@
   std::map<std::string, std::string> group_of;  ///< By target id.
   std::map<std::string, Doubt> doubts;
   std::map<std::string, TimePoint> staging_until;
+  std::map<std::string, Reservation> reserved;  ///< By fabric domain.
   std::set<std::uint64_t> closed_epochs;
   /// Members of groups that nobody knows, with the time they were found.
   std::map<std::string, TimePoint> orphans;
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -52,6 +52,8 @@
   void Dispatch();
   void Run(const std::string& target);
   [[nodiscard]] std::string RequestBytes(const std::string& target) const;
+  /// The target has read the prompt, or never will.
+  void NoteRead();
   void OnHead(const AnswerHead& head);
   void OnBody(std::string_view bytes);
   void OnEvent(const StreamEvent& event);
@@ -80,6 +82,7 @@
   std::string service;
   std::string model;
   double prompt_tokens = 0;
+  std::uint32_t unread_tokens = 0;  ///< Of the try in progress.
   TimePoint begun_at;
   TimePoint deadline;
   TimePoint objective_at;
--- a/include/gooseberryturn/direct/target_book.h
+++ b/include/gooseberryturn/direct/target_book.h
@@ -28,7 +28,10 @@
 /// of the other entries, which the leader tells some 100 ms late.
 class TargetBook {
  public:
-  void Begin(const std::string& target, TimePoint now);
+  void Begin(const std::string& target, std::uint32_t prompt_tokens,
+             TimePoint now);
+  /// \brief The first event of a request came: its prompt was read.
+  void Read(const std::string& target, std::uint32_t prompt_tokens);
   void End(const std::string& target, Evidence evidence, TimePoint now);
   /// \brief Bytes came from the target.
   void Progress(const std::string& target, TimePoint now);
@@ -38,7 +41,8 @@
   [[nodiscard]] std::vector<OpenWork> Report();
   /// \brief Open requests of all entries at `target`.
   [[nodiscard]] std::uint32_t Load(const std::string& target) const;
-  [[nodiscard]] std::uint32_t OwnLoad(const std::string& target) const;
+  /// \brief Prompt tokens of all entries that `target` has not read yet.
+  [[nodiscard]] std::uint32_t Unread(const std::string& target) const;
   /// \brief Targets with work from which nothing came for kStallAfter.
   [[nodiscard]] std::vector<std::string> Stalled(TimePoint now) const;
   [[nodiscard]] bool IsStalled(const std::string& target, TimePoint now) const;
@@ -59,6 +63,9 @@
     std::uint32_t own = 0;
     std::uint32_t reported = 0;
     std::uint32_t total = 0;
+    std::uint32_t unread = 0;
+    std::uint32_t unread_reported = 0;
+    std::uint32_t unread_total = 0;
     TimePoint progress_at;
     int bad_in_row = 0;
     TimePoint avoid_until;
--- a/include/gooseberryturn/direct/target_chooser.h
+++ b/include/gooseberryturn/direct/target_chooser.h
@@ -29,6 +29,8 @@
   std::string model;  ///< Empty for plain services.
   std::vector<std::string> tried;
   double prompt_tokens = 0;
+  /// Longest wait for prompts in front of its own, milliseconds.
+  double most_queue_ms = 0;
 };
 
 /// \brief A choice, or why there is none.
@@ -53,16 +55,10 @@
                               const FleetView& view, TargetBook& book,
                               double cold_factor, TimePoint now);
 
-  /// \brief Requests in front of a head beyond its slots.
-  static constexpr std::uint32_t kQueueAtHead = 2;
   /// \brief Requests in progress at a plain target for each of its slots.
   static constexpr std::uint32_t kPlainLimit = 16;
 
  private:
-  [[nodiscard]] double ExpectedMs(const ChoiceRequest& request,
-                                  const EngineProfile& engine,
-                                  const ModelProfile& model,
-                                  double load) const;
 
   std::string data_centre;
   std::mt19937_64 random;
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -61,8 +61,9 @@
 struct OpenWork {
   std::string target;  ///< Id of the target.
   std::uint32_t requests = 0;
+  std::uint32_t unread_tokens = 0;  ///< Prompts without a first event yet.
 
-  MSGPACK_DEFINE(target, requests)
+  MSGPACK_DEFINE(target, requests, unread_tokens)
 };
 
 /// \brief First message of a follower.
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -640,20 +640,23 @@
 }
 
 std::vector<OpenWork> ControlHost::SumOpenWork() const {
-  std::map<std::string, std::uint32_t> sums;
+  std::map<std::string, OpenWork> sums;
   const TimePoint now = Clock::now();
   for (const std::shared_ptr<Follower>& follower : this->followers) {
     if (now >= follower->heard_at + kFollowerLife) {
       continue;
     }
     for (const OpenWork& work : follower->open_work) {
-      sums[work.target] += work.requests;
+      OpenWork& sum = sums[work.target];
+      sum.target = work.target;
+      sum.requests += work.requests;
+      sum.unread_tokens += work.unread_tokens;
     }
   }
   std::vector<OpenWork> result;
   result.reserve(sums.size());
-  for (const std::pair<const std::string, std::uint32_t>& entry : sums) {
-    result.push_back({entry.first, entry.second});
+  for (const std::pair<const std::string, OpenWork>& entry : sums) {
+    result.push_back(entry.second);
   }
   return result;
 }
--- a/src/direct/group_planner.cc
+++ b/src/direct/group_planner.cc
@@ -21,9 +21,9 @@
 /// A target that is this long silent and answers no probe is dead, also when
 /// no entry sends to it.
 constexpr double kDeadHeartbeats = 3.5;
-/// A model whose coverage is below this share of another's takes hosts of it.
-constexpr double kRebalanceBelow = 0.55;
-constexpr Duration kRebalanceEvery = std::chrono::seconds(3);
+/// The worst covered model must gain by this factor when groups are closed.
+constexpr double kRebalanceGain = 1.15;
+constexpr Duration kRebalanceEvery = std::chrono::milliseconds(2500);
 /// Time to form a group counts against its gain by this scale.
 constexpr double kFormingScaleSeconds = 4;
 /// A load may take this much longer than published before it is repeated.
@@ -626,7 +626,11 @@
     for (std::pair<const std::string, std::vector<std::string>>& domain :
          free) {
       for (const ModelProfile& model : service.engine->models) {
-        if (domain.second.size() < model.size) {
+        const auto kept = this->reserved.find(domain.first);
+        const bool is_kept_for_other =
+            kept != this->reserved.end() && now < kept->second.until &&
+            kept->second.model != model.name;
+        if (domain.second.size() < model.size || is_kept_for_other) {
           continue;
         }
         std::vector<std::string> ids = domain.second;
@@ -680,10 +684,42 @@
                               TimePoint now) {
   for (const Service& service : input.configuration.services) {
     if (service.engine.has_value()) {
-      this->FormFor(service, input, work, now);
       this->Rebalance(service, input, now);
+      this->FormFor(service, input, work, now);
+    }
+  }
+}
+
+std::vector<std::string> GroupPlanner::GroupsToClose(
+    const Service& service, const ModelProfile& poor, const std::string& domain,
+    const std::vector<std::string>& spares, const PlanInput& input) const {
+  const auto is_capable = [this, &input, &poor](const std::string& id) {
+    const TargetRecord* record = input.registry.Find(id);
+    return record != nullptr &&
+           this->JoinSeconds(*record, poor) < poor.load_s;
+  };
+  std::size_t capable = static_cast<std::size_t>(
+      std::count_if(spares.begin(), spares.end(), is_capable));
+  std::vector<std::string> closed;
+  for (const std::pair<const std::string, Group>& entry : this->groups) {
+    const GroupView& view = entry.second.view;
+    if (capable >= poor.size) {
+      break;
+    }
+    const bool is_other =
+        view.service == service.name && view.domain == domain &&
+        view.model != poor.name && view.phase == GroupPhase::kOpen;
+    const std::size_t gain = static_cast<std::size_t>(std::count_if(
+        view.members.begin(), view.members.end(), is_capable));
+    if (is_other && gain > 0) {
+      closed.push_back(entry.first);
+      capable += gain;
     }
   }
+  if (capable < poor.size) {
+    closed.clear();
+  }
+  return closed;
 }
 
 void GroupPlanner::Rebalance(const Service& service, const PlanInput& input,
@@ -693,43 +729,61 @@
   }
   const std::map<std::string, double> coverage = this->Coverage(service);
   const ModelProfile* poor = nullptr;
-  const ModelProfile* rich = nullptr;
   for (const ModelProfile& model : service.engine->models) {
-    const double value = coverage.at(model.name);
-    poor = poor == nullptr || value < coverage.at(poor->name) ? &model : poor;
-    rich = rich == nullptr || value > coverage.at(rich->name) ? &model : rich;
-  }
-  const bool is_uneven =
-      poor != rich &&
-      coverage.at(poor->name) < kRebalanceBelow * coverage.at(rich->name);
-  if (!is_uneven) {
+    const bool is_poorer = poor == nullptr ||
+                           coverage.at(model.name) < coverage.at(poor->name);
+    poor = model.share > 0 && is_poorer ? &model : poor;
+  }
+  if (poor == nullptr) {
     return;
   }
-  const std::map<std::string, std::vector<std::string>> free =
+  const double before = coverage.at(poor->name);
+  std::map<std::string, std::vector<std::string>> domains =
       this->FreeByDomain(service, input, now);
-  Group* best = nullptr;
-  std::size_t best_free = 0;
-  for (std::pair<const std::string, Group>& entry : this->groups) {
-    Group& group = entry.second;
-    if (group.view.phase != GroupPhase::kOpen ||
-        group.view.model != rich->name) {
+  for (const std::pair<const std::string, Group>& entry : this->groups) {
+    if (entry.second.view.service == service.name) {
+      domains.insert({entry.second.view.domain, {}});
+    }
+  }
+  double best = before * kRebalanceGain;
+  std::string best_domain;
+  std::vector<std::string> best_closed;
+  for (const std::pair<const std::string, std::vector<std::string>>& domain :
+       domains) {
+    const std::vector<std::string> closed = this->GroupsToClose(
+        service, *poor, domain.first, domain.second, input);
+    if (closed.empty()) {
       continue;
     }
-    const auto spare = free.find(group.view.domain);
-    const std::size_t spares = spare == free.end() ? 0 : spare->second.size();
-    const bool is_enough =
-        spares + group.view.members.size() >= poor->size;
-    if (is_enough && (best == nullptr || spares > best_free)) {
-      best = &group;
-      best_free = spares;
+    std::map<std::string, double> after = coverage;
+    after[poor->name] += static_cast<double>(poor->size) / poor->share;
+    for (const std::string& name : closed) {
+      const GroupView& view = this->groups.at(name).view;
+      const ModelProfile* model = service.engine->FindModel(view.model);
+      after[view.model] -=
+          static_cast<double>(view.members.size()) / model->share;
+    }
+    double least = after.begin()->second;
+    for (const std::pair<const std::string, double>& value : after) {
+      least = std::min(least, value.second);
+    }
+    if (least > best) {
+      best = least;
+      best_domain = domain.first;
+      best_closed = closed;
     }
   }
-  if (best != nullptr) {
-    this->rebalance_at = now + kRebalanceEvery;
+  for (const std::string& name : best_closed) {
+    Group& group = this->groups.at(name);
     LogEvent(Level::kInfo, "", "group_rebalanced",
-             {{"group", best->view.name}, {"for_model", poor->name}});
-    this->SetPhase(*best, GroupPhase::kClosing);
-    best->close_at = now + kCloseLimit;
+             {{"group", name},
+              {"for_model", poor->name},
+              {"least_coverage_before", std::to_string(before)},
+              {"least_coverage_after", std::to_string(best)}});
+    this->SetPhase(group, GroupPhase::kClosing);
+    group.close_at = now + kCloseLimit;
+    this->rebalance_at = now + kRebalanceEvery;
+    this->reserved[best_domain] = {poor->name, now + kRebalanceEvery};
   }
 }
 
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -33,6 +33,10 @@
 constexpr char kResumedPriority[] = "2";
 /// Share of a route's time after which a silent plain target is given up.
 constexpr double kSilentShare = 0.42;
+/// Share of its objective that a request may wait behind other prompts at a
+/// head; one that is late already leaves room for those that are not.
+constexpr double kQueueShare = 0.45;
+constexpr double kLateQueueShare = 0.25;
 constexpr double kPercent = 100;
 constexpr double kShortestRetryAfterS = 0.15;
 constexpr double kLongestRetryAfterS = 0.7;
@@ -184,6 +188,10 @@
   request.model = this->model;
   request.tried = this->tried;
   request.prompt_tokens = this->prompt_tokens;
+  const double objective_ms = static_cast<double>(this->route->objective_ms);
+  request.most_queue_ms =
+      objective_ms * (Clock::now() < this->objective_at ? kQueueShare
+                                                        : kLateQueueShare);
   const Choice choice =
       this->host.chooser.Choose(request, this->host.view, this->host.book,
                                 this->host.settings.cold_factor, Clock::now());
@@ -254,7 +262,9 @@
   this->is_streaming = false;
   this->body.clear();
   this->splitter.Reset();
-  this->host.book.Begin(to, now);
+  this->unread_tokens = static_cast<std::uint32_t>(
+      std::max(0.0, this->prompt_tokens));
+  this->host.book.Begin(to, this->unread_tokens, now);
   this->connection = this->host.pool.Take(to, view->address);
   ExchangeHooks hooks;
   const std::shared_ptr<RequestFlow> self = this->shared_from_this();
@@ -274,6 +284,10 @@
 
 // ---------------------------------------------------------------- answering
 
+void RequestFlow::NoteRead() {
+  this->host.book.Read(this->target, std::exchange(this->unread_tokens, 0));
+}
+
 void RequestFlow::OnHead(const AnswerHead& answer) {
   this->host.book.Progress(this->target, Clock::now());
   this->progress_at = Clock::now();
@@ -292,6 +306,7 @@
   const TimePoint now = Clock::now();
   this->host.book.Progress(this->target, now);
   this->progress_at = now;
+  this->NoteRead();
   if (!this->is_streaming) {
     this->body.append(bytes);
     if (this->body.size() > kMaxBufferedBytes) {
@@ -345,6 +360,7 @@
   } else if (end == ExchangeEnd::kComplete) {
     evidence = Evidence::kGood;
   }
+  this->NoteRead();
   this->host.book.End(this->target, evidence, now);
   this->host.pool.Give(this->target, used);
   if (this->is_done) {
@@ -495,6 +511,7 @@
       std::exchange(this->connection, nullptr);
   if (used != nullptr) {
     this->try_number += 1;
+    this->NoteRead();
     this->host.book.End(this->target, evidence, Clock::now());
     used->Cancel();
   }
--- a/src/direct/target_book.cc
+++ b/src/direct/target_book.cc
@@ -4,12 +4,28 @@
 
 namespace gooseberryturn::direct {
 
-void TargetBook::Begin(const std::string& target, TimePoint now) {
+namespace {
+
+/// What other entries hold: the sum less this entry's part of it.
+std::uint32_t Others(std::uint32_t total, std::uint32_t reported) {
+  return total > reported ? total - reported : 0;
+}
+
+}  // namespace
+
+void TargetBook::Begin(const std::string& target, std::uint32_t prompt_tokens,
+                       TimePoint now) {
   Entry& entry = this->entries[target];
   if (entry.own == 0) {
     entry.progress_at = now;
   }
   entry.own += 1;
+  entry.unread += prompt_tokens;
+}
+
+void TargetBook::Read(const std::string& target, std::uint32_t prompt_tokens) {
+  Entry& entry = this->entries[target];
+  entry.unread -= std::min(entry.unread, prompt_tokens);
 }
 
 void TargetBook::End(const std::string& target, Evidence evidence,
@@ -36,9 +52,12 @@
 void TargetBook::SetTotals(const std::vector<OpenWork>& totals) {
   for (std::pair<const std::string, Entry>& entry : this->entries) {
     entry.second.total = 0;
+    entry.second.unread_total = 0;
   }
   for (const OpenWork& work : totals) {
-    this->entries[work.target].total = work.requests;
+    Entry& entry = this->entries[work.target];
+    entry.total = work.requests;
+    entry.unread_total = work.unread_tokens;
   }
 }
 
@@ -46,8 +65,9 @@
   std::vector<OpenWork> work;
   for (std::pair<const std::string, Entry>& entry : this->entries) {
     entry.second.reported = entry.second.own;
+    entry.second.unread_reported = entry.second.unread;
     if (entry.second.own > 0) {
-      work.push_back({entry.first, entry.second.own});
+      work.push_back({entry.first, entry.second.own, entry.second.unread});
     }
   }
   return work;
@@ -59,14 +79,16 @@
     return 0;
   }
   const Entry& entry = found->second;
-  const std::uint32_t others =
-      entry.total > entry.reported ? entry.total - entry.reported : 0;
-  return entry.own + others;
+  return entry.own + Others(entry.total, entry.reported);
 }
 
-std::uint32_t TargetBook::OwnLoad(const std::string& target) const {
+std::uint32_t TargetBook::Unread(const std::string& target) const {
   const auto found = this->entries.find(target);
-  return found == this->entries.end() ? 0 : found->second.own;
+  if (found == this->entries.end()) {
+    return 0;
+  }
+  const Entry& entry = found->second;
+  return entry.unread + Others(entry.unread_total, entry.unread_reported);
 }
 
 bool TargetBook::IsStalled(const std::string& target, TimePoint now) const {
--- a/src/direct/target_chooser.cc
+++ b/src/direct/target_chooser.cc
@@ -27,29 +27,25 @@
   double score = 0;
 };
 
-}  // namespace
+/// Milliseconds of a step that writes one token for each writer.
+double StepMs(const EngineProfile& engine, double load) {
+  const double writers = std::min(load, static_cast<double>(engine.slots));
+  return engine.step_ms + engine.per_writer_ms * writers;
+}
 
-double TargetChooser::ExpectedMs(const ChoiceRequest& request,
-                                 const EngineProfile& engine,
-                                 const ModelProfile& model,
-                                 double load) const {
-  const double slots = static_cast<double>(engine.slots);
-  const double writers = std::min(load, slots);
-  const double step = engine.step_ms + engine.per_writer_ms * writers;
-  const double read_ms = request.prompt_tokens * kMsPerSecond /
-                         std::max(1.0, engine.read_tokens_per_s);
-  const double usual_read_ms = engine.usual_prompt * kMsPerSecond /
-                               std::max(1.0, engine.read_tokens_per_s);
-  const double service_ms = engine.usual_answer * step + slots * usual_read_ms;
-  const double departure_ms = service_ms / std::max(1.0, slots);
-  const double waiting = std::max(0.0, load - slots + 1);
-  // Prompts of others are read first; about one in `writers` is still unread.
-  const double backlog_ms = usual_read_ms * writers / slots;
-  return model.pace *
-         (waiting * departure_ms + backlog_ms + read_ms +
-          static_cast<double>(engine.stride) * step);
+/// Milliseconds until `tokens` of prompts are read: between two pieces of
+/// prompts the engine writes `stride` tokens for its writers.
+double ReadMs(const EngineProfile& engine, double load, double tokens) {
+  const double plain = kMsPerSecond / std::max(1.0, engine.read_tokens_per_s);
+  const double writing = load > 0 ? static_cast<double>(engine.stride) *
+                                        StepMs(engine, load) /
+                                        std::max(1.0, engine.chunk_tokens)
+                                  : 0;
+  return tokens * (plain + writing);
 }
 
+}  // namespace
+
 Choice TargetChooser::Choose(const ChoiceRequest& request,
                              const FleetView& view, TargetBook& book,
                              double cold_factor, TimePoint now) {
@@ -74,18 +70,23 @@
     }
     const std::uint32_t load = book.Load(target->name);
     const bool is_avoided = book.IsAvoided(target->name, now);
-    const bool is_full =
-        model != nullptr
-            ? is_avoided || load >= service->engine->slots + kQueueAtHead
-            : load >= kPlainLimit;
+    bool is_full = load >= kPlainLimit;
+    double expected = kPlainRequestMs * static_cast<double>(load);
+    if (model != nullptr) {
+      const EngineProfile& engine = *service->engine;
+      const double queue_ms =
+          model->pace * ReadMs(engine, load, book.Unread(target->name));
+      is_full = is_avoided || load >= engine.slots ||
+                queue_ms > request.most_queue_ms;
+      expected = queue_ms +
+                 model->pace * (ReadMs(engine, load, request.prompt_tokens) +
+                                static_cast<double>(engine.stride) *
+                                    StepMs(engine, load));
+    }
     if (is_full) {
       choice.reason = NoChoice::kFull;
       continue;
     }
-    const double expected =
-        model != nullptr ? this->ExpectedMs(request, *service->engine, *model,
-                                            static_cast<double>(load))
-                         : kPlainRequestMs * static_cast<double>(load);
     double score = expected + noise(this->random);
     score += target->data_centre == this->data_centre ? 0 : kAwayPenaltyMs;
     score += is_avoided ? kAvoidedPenaltyMs : 0;
