SIGHUP and changed settings are taken without a stop

Change: settings are read again at SIGHUP and every 2 s; a fault in them is logged and changes nothing. Ruled out: crashes of the code itself (no other end code was seen).

--- a/include/gooseberryturn/direct/caller_connection.h
+++ b/include/gooseberryturn/direct/caller_connection.h
@@ -28,8 +28,7 @@
 /// \details One request at a time; what a caller sends ahead waits in the
 /// kernel. Unsent bytes are bounded by kHighWaterBytes: `on_writable` tells
 /// when there is room again.
-class CallerConnection
-    : public std::enable_shared_from_this<CallerConnection> {
+class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
   CallerConnection(boost::asio::ip::tcp::socket socket, CallerLimits limits);
 
@@ -82,8 +81,8 @@
   boost::asio::steady_timer timer;
   CallerLimits limits;
   boost::beast::flat_buffer buffer;
-  std::optional<boost::beast::http::request_parser<
-      boost::beast::http::string_body>>
+  std::optional<
+      boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser;
   std::deque<std::string> queue;
   std::size_t unsent = 0;
--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -34,6 +34,10 @@
   /// \brief Opens the data folder and starts to serve.
   [[nodiscard]] Result<void> Start();
   void Stop();
+  /// \brief Takes over what may change while it runs: the control hosts.
+  void Reload(const HostSettings& changed) {
+    this->settings.control_hosts = changed.control_hosts;
+  }
 
   static constexpr Duration kTick = std::chrono::milliseconds(50);
   static constexpr Duration kLoadEvery = std::chrono::milliseconds(100);
--- a/include/gooseberryturn/direct/dialect.h
+++ b/include/gooseberryturn/direct/dialect.h
@@ -17,18 +17,18 @@
 
 /// \brief Names of the headers spoken with callers and targets.
 struct HeaderNames {
-  std::string attempt;       ///< Id of one attempt of a caller.
-  std::string deadline;      ///< Milliseconds left.
-  std::string target;        ///< Id of the target that is meant.
-  std::string team;          ///< Set for targets only.
-  std::string proof;         ///< Mark of a target's own answer.
-  std::string not_run;       ///< The target vouches that it did not run.
-  std::string model;         ///< Model that is asked for.
-  std::string tokens;        ///< Prompt tokens and most output tokens.
-  std::string output_hint;   ///< The caller's estimate of output tokens.
-  std::string priority;      ///< Rank at the engine, 0 first.
-  std::string cold;          ///< Milliseconds a target stays cold.
-  std::string faulty_member; ///< Member that an engine holds at fault.
+  std::string attempt;        ///< Id of one attempt of a caller.
+  std::string deadline;       ///< Milliseconds left.
+  std::string target;         ///< Id of the target that is meant.
+  std::string team;           ///< Set for targets only.
+  std::string proof;          ///< Mark of a target's own answer.
+  std::string not_run;        ///< The target vouches that it did not run.
+  std::string model;          ///< Model that is asked for.
+  std::string tokens;         ///< Prompt tokens and most output tokens.
+  std::string output_hint;    ///< The caller's estimate of output tokens.
+  std::string priority;       ///< Rank at the engine, 0 first.
+  std::string cold;           ///< Milliseconds a target stays cold.
+  std::string faulty_member;  ///< Member that an engine holds at fault.
 };
 
 /// \brief Kind of an order to an engine.
@@ -50,12 +50,12 @@
 
 /// \brief How an engine took an order.
 enum class OrderOutcome : std::uint8_t {
-  kBegun,       ///< Accepted, it is being carried out.
-  kDone,        ///< The state already holds.
-  kConflict,    ///< It does not fit the engine's state.
-  kStale,       ///< A higher fence or epoch is known there.
-  kOtherTarget, ///< Another target has the address.
-  kNoAnswer,    ///< Nobody knows; it may be carried out later.
+  kBegun,        ///< Accepted, it is being carried out.
+  kDone,         ///< The state already holds.
+  kConflict,     ///< It does not fit the engine's state.
+  kStale,        ///< A higher fence or epoch is known there.
+  kOtherTarget,  ///< Another target has the address.
+  kNoAnswer,     ///< Nobody knows; it may be carried out later.
 };
 
 inline constexpr NameTable<OrderOutcome, 6> kOrderOutcomeNames = {
@@ -118,8 +118,8 @@
   std::string data_folder;
   std::size_t tolerated_hosts = 1;  ///< Control hosts that may be lost.
   Duration heartbeat = std::chrono::seconds(1);
-  Duration stall = std::chrono::seconds(5);   ///< Until a stalled group breaks.
-  Duration grace = std::chrono::seconds(8);   ///< From SIGTERM to SIGKILL.
+  Duration stall = std::chrono::seconds(5);  ///< Until a stalled group breaks.
+  Duration grace = std::chrono::seconds(8);  ///< From SIGTERM to SIGKILL.
   double retry_share = 0.2;
   double retry_burst = 20;  ///< Of one service, all entries together.
   double cold_factor = 1;
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -36,6 +36,8 @@
             Dialect dialect, observe::Metrics& metrics);
 
   [[nodiscard]] Result<void> Start();
+  /// \brief Takes over what may change while it runs: the control hosts.
+  void Reload(const HostSettings& changed);
   /// \brief Takes no new work and calls `on_done` once the open requests are
   /// answered or the time to stop is nearly over.
   void Leave(std::function<void()> on_done);
@@ -44,8 +46,7 @@
   static constexpr Duration kTick = std::chrono::milliseconds(50);
   static constexpr Duration kReportEvery = std::chrono::milliseconds(100);
   /// The balancer sends nothing new after two missed questions.
-  static constexpr Duration kAcceptAfterLeave =
-      std::chrono::milliseconds(2300);
+  static constexpr Duration kAcceptAfterLeave = std::chrono::milliseconds(2300);
   static constexpr Duration kLeaveMargin = std::chrono::milliseconds(900);
 
  private:
--- a/include/gooseberryturn/direct/follow_client.h
+++ b/include/gooseberryturn/direct/follow_client.h
@@ -38,9 +38,7 @@
   /// \brief Sends a report; false when no leader is followed.
   bool Send(const EntryReport& report);
   /// \brief True while updates come from a leader.
-  [[nodiscard]] bool is_connected() const noexcept {
-    return this->has_update;
-  }
+  [[nodiscard]] bool is_connected() const noexcept { return this->has_update; }
   [[nodiscard]] TimePoint heard_at() const noexcept { return this->last_heard; }
   /// \brief Replaces the known control hosts, keeping the one in use.
   void SetControlHosts(const std::vector<Endpoint>& hosts);
--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -84,13 +84,13 @@
   /// A group and what was ordered for it.
   struct Group {
     GroupView view;
-    std::map<std::string, std::int64_t> lives;  ///< born_ms of each member.
+    std::map<std::string, std::int64_t> lives;   ///< born_ms of each member.
     std::map<std::string, TimePoint> resend_at;  ///< Of a member's order.
     std::set<std::string> acknowledged;
     TimePoint give_up_at;
-    TimePoint close_at;            ///< End of the time to finish work.
+    TimePoint close_at;  ///< End of the time to finish work.
     std::optional<TimePoint> stalled_at;
-    bool may_be_open = false;      ///< The head was ordered to open.
+    bool may_be_open = false;  ///< The head was ordered to open.
     bool is_head_closed = false;
     std::optional<TimePoint> broken_at;  ///< From then on it is broken.
     int unanswered_leaves = 0;
@@ -118,8 +118,8 @@
   void FollowOpen(Group& group, const PlanInput& input, PlannedWork& work,
                   TimePoint now);
   void FollowClosing(Group& group, const PlanInput& input, TimePoint now);
-  void FollowDissolving(Group& group, const PlanInput& input,
-                        PlannedWork& work, TimePoint now);
+  void FollowDissolving(Group& group, const PlanInput& input, PlannedWork& work,
+                        TimePoint now);
   void SetPhase(Group& group, GroupPhase phase);
   void ProbeMembers(const Group& group, const PlanInput& input,
                     PlannedWork& work, TimePoint now);
@@ -154,8 +154,7 @@
       const Service& service, const ModelProfile& poor,
       const std::string& domain, const std::vector<std::string>& spares,
       const PlanInput& input) const;
-  void Rebalance(const Service& service, const PlanInput& input,
-                 TimePoint now);
+  void Rebalance(const Service& service, const PlanInput& input, TimePoint now);
   [[nodiscard]] const ModelProfile* ModelToStage(
       const TargetRecord& record, const Service& service,
       const std::map<std::string, std::vector<std::string>>& free,
--- a/include/gooseberryturn/direct/load_limiter.h
+++ b/include/gooseberryturn/direct/load_limiter.h
@@ -18,8 +18,8 @@
   [[nodiscard]] bool MayStart(const EngineProfile& engine, std::size_t count,
                               TimePoint now) {
     this->Forget(now);
-    const double most = std::max(
-        1.0, engine.loads_per_s * kWindowSeconds * kShareOfRate);
+    const double most =
+        std::max(1.0, engine.loads_per_s * kWindowSeconds * kShareOfRate);
     const bool is_within_rate =
         static_cast<double>(this->starts.size() + count) <= most;
     return is_within_rate && this->ends.size() + count <= engine.loads_at_once;
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -97,8 +97,8 @@
   int runs = 0;  ///< Tries that may have run.
   bool is_waiting = false;
   bool is_done = false;
-  bool is_sent_head = false;   ///< The caller got the head of a stream.
-  bool is_streaming = false;   ///< The answer in progress is a stream.
+  bool is_sent_head = false;  ///< The caller got the head of a stream.
+  bool is_streaming = false;  ///< The answer in progress is a stream.
   AnswerHead head;
   std::string body;
   EventSplitter splitter;
--- a/include/gooseberryturn/direct/target_book.h
+++ b/include/gooseberryturn/direct/target_book.h
@@ -14,9 +14,9 @@
 
 /// \brief What an exchange says of the health of its target.
 enum class Evidence : std::uint8_t {
-  kNone,     ///< The caller left, or the target was merely full.
-  kGood,     ///< A whole answer came.
-  kBad,      ///< Cut, mute, invalid or no connection.
+  kNone,  ///< The caller left, or the target was merely full.
+  kGood,  ///< A whole answer came.
+  kBad,   ///< Cut, mute, invalid or no connection.
 };
 
 inline constexpr NameTable<Evidence, 3> kEvidenceNames = {
--- a/include/gooseberryturn/direct/target_chooser.h
+++ b/include/gooseberryturn/direct/target_chooser.h
@@ -37,8 +37,8 @@
 struct Choice {
   const TargetView* target = nullptr;
   NoChoice reason = NoChoice::kNone;
-  std::uint32_t load = 0;   ///< Open requests there when it was chosen.
-  double expected_ms = 0;   ///< Until its first event.
+  std::uint32_t load = 0;  ///< Open requests there when it was chosen.
+  double expected_ms = 0;  ///< Until its first event.
 };
 
 /// \brief Chooses the target with the earliest expected first event.
@@ -59,7 +59,6 @@
   static constexpr std::uint32_t kPlainLimit = 16;
 
  private:
-
   std::string data_centre;
   std::mt19937_64 random;
 };
--- a/include/gooseberryturn/direct/target_connection.h
+++ b/include/gooseberryturn/direct/target_connection.h
@@ -25,11 +25,11 @@
 
 /// \brief How an exchange with a target ended.
 enum class ExchangeEnd : std::uint8_t {
-  kComplete,  ///< The whole answer came.
-  kNotSent,   ///< No byte of the request left: it has not run.
-  kCut,       ///< The connection broke; the request may have run.
-  kInvalid,   ///< Bytes that are no answer to this request.
-  kCancelled, ///< Given up on this side.
+  kComplete,   ///< The whole answer came.
+  kNotSent,    ///< No byte of the request left: it has not run.
+  kCut,        ///< The connection broke; the request may have run.
+  kInvalid,    ///< Bytes that are no answer to this request.
+  kCancelled,  ///< Given up on this side.
 };
 
 inline constexpr NameTable<ExchangeEnd, 5> kExchangeEndNames = {
@@ -48,8 +48,7 @@
 };
 
 /// \brief One HTTP/1.1 connection to a target; one request at a time.
-class TargetConnection
-    : public std::enable_shared_from_this<TargetConnection> {
+class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
  public:
   TargetConnection(boost::asio::io_context& context, Endpoint peer);
 
@@ -95,8 +94,8 @@
   std::string id;
   ExchangeHooks hooks;
   boost::beast::flat_buffer buffer;
-  std::optional<boost::beast::http::response_parser<
-      boost::beast::http::buffer_body>>
+  std::optional<
+      boost::beast::http::response_parser<boost::beast::http::buffer_body>>
       parser;
   std::array<char, 8192> piece;
   std::function<void()> on_lost;
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -25,7 +25,7 @@
   std::int64_t born_ms = 0;
   bool is_leaving = false;
   bool is_cold = false;
-  EngineReport engine;  ///< Empty for plain targets.
+  EngineReport engine;     ///< Empty for plain targets.
   std::string last_model;  ///< Of the last group since its start.
 
   MSGPACK_DEFINE(name, address, service, data_centre, born_ms, is_leaving,
@@ -83,7 +83,7 @@
   std::vector<std::string> stalled_groups;
   std::vector<std::string> dead_targets;  ///< Refused or reset connections.
   std::vector<std::string> crash_fingerprints;  ///< Held as a target died.
-  bool has_served = false;                ///< Requests have begun.
+  bool has_served = false;                      ///< Requests have begun.
   std::uint64_t config_version = 0;
 
   MSGPACK_DEFINE(open_work, stalled_groups, dead_targets, crash_fingerprints,
@@ -102,8 +102,8 @@
   std::vector<std::string> removed_targets;
   std::vector<GroupView> groups;
   std::vector<std::string> removed_groups;
-  std::vector<std::string> evacuated;  ///< All data centres taken out.
-  std::vector<OpenWork> open_work;     ///< Of all entries together.
+  std::vector<std::string> evacuated;    ///< All data centres taken out.
+  std::vector<OpenWork> open_work;       ///< Of all entries together.
   std::vector<std::string> quarantined;  ///< Fingerprints.
   std::vector<Endpoint> control_hosts;
   std::uint32_t entries = 1;  ///< Entries that follow.
--- a/programs/direct_control/main.cc
+++ b/programs/direct_control/main.cc
@@ -18,6 +18,10 @@
     control.Stop();
     context.stop();
   });
+  const platform::SettingsWatch watch(
+      context, [&control](const direct::HostSettings& changed) {
+        control.Reload(changed);
+      });
   platform::LogStarted(settings);
   context.run();
   observe::LogEvent(observe::Level::kInfo, "", "stopped");
--- a/programs/direct_entry/main.cc
+++ b/programs/direct_entry/main.cc
@@ -16,6 +16,9 @@
   app::OnStopSignal(context, [&entry, &context] {
     entry.Leave([&context] { app::StopSoon(context); });
   });
+  const platform::SettingsWatch watch(
+      context,
+      [&entry](const direct::HostSettings& changed) { entry.Reload(changed); });
   platform::LogStarted(settings);
   context.run();
   observe::LogEvent(observe::Level::kInfo, "", "stopped");
--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -45,15 +45,15 @@
 }
 
 void Replica::ProposeBytes(std::string bytes, OnApplied on_applied) {
-  this->driver.Propose(
-      std::move(bytes), [this, on_applied = std::move(on_applied)](
-                            Result<consensus::Index> applied) {
-        if (applied.has_value()) {
-          on_applied(this->last_result);
-        } else {
-          on_applied(tl::make_unexpected(applied.error()));
-        }
-      });
+  this->driver.Propose(std::move(bytes),
+                       [this, on_applied = std::move(on_applied)](
+                           Result<consensus::Index> applied) {
+                         if (applied.has_value()) {
+                           on_applied(this->last_result);
+                         } else {
+                           on_applied(tl::make_unexpected(applied.error()));
+                         }
+                       });
 }
 
 }  // namespace gooseberryturn::control
--- a/src/direct/configuration.cc
+++ b/src/direct/configuration.cc
@@ -23,8 +23,7 @@
       return Fault("route " + route.name + ": a weight is negative");
     }
     if (configuration.FindService(part.service) == nullptr) {
-      return Fault("route " + route.name + ": unknown service " +
-                   part.service);
+      return Fault("route " + route.name + ": unknown service " + part.service);
     }
     weight += part.weight;
   }
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -50,8 +50,8 @@
     text += model + ",";
   }
   if (report->membership.has_value()) {
-    text += " group=" + report->membership->group + " rank=" +
-            std::to_string(report->membership->rank) + " state=" +
+    text += " group=" + report->membership->group +
+            " rank=" + std::to_string(report->membership->rank) + " state=" +
             std::string(kMemberStateNames.Name(report->membership->state));
   }
   return text;
@@ -122,8 +122,8 @@
   LogEvent(Level::kInfo, "", "log_opened",
            {{"id", std::to_string(this->id)},
             {"is_new", storage->is_new() ? "true" : "false"},
-            {"last_index", std::to_string(stored->snapshot.index +
-                                          stored->entries.size())},
+            {"last_index",
+             std::to_string(stored->snapshot.index + stored->entries.size())},
             {"term", std::to_string(stored->hard_state.term)}});
   consensus::Options options;
   options.id = this->id;
@@ -211,8 +211,7 @@
         this->HandleAsLeader(
             {call->method, call->path, call->body},
             [stream](const ShortAnswer& answer) {
-              link::Reply(*stream,
-                          ForwardedAnswer{answer.status, answer.body});
+              link::Reply(*stream, ForwardedAnswer{answer.status, answer.body});
             });
       });
   this->listener.ServeMessage(
@@ -227,8 +226,8 @@
           answer.control_hosts.push_back(peer.link);
         }
         if (request.has_value() && answer.is_leader) {
-          answer.is_member = this->driver->node().membership().Find(
-                                 request->id) != nullptr;
+          answer.is_member =
+              this->driver->node().membership().Find(request->id) != nullptr;
           this->quorum.Joining(*request, Clock::now());
         }
         link::Reply(*stream, answer);
@@ -383,17 +382,15 @@
 void ControlHost::Propose(const FleetCommand& command,
                           ShortHttpServer::Reply reply) {
   this->driver->Propose(
-      protocol::Encode(command),
-      [this, command,
-       reply = std::move(reply)](const Result<consensus::Index>& applied) {
+      protocol::Encode(command), [this, command, reply = std::move(reply)](
+                                     const Result<consensus::Index>& applied) {
         LogEvent(applied.has_value() ? Level::kInfo : Level::kWarn, "",
                  std::string(kFleetCommandKindNames.Name(command.kind)),
                  {{"version", std::to_string(command.version)},
                   {"data_centre", command.data_centre},
                   {"out", command.is_out ? "true" : "false"},
-                  {"outcome", applied.has_value()
-                                  ? "applied"
-                                  : applied.error().message}});
+                  {"outcome",
+                   applied.has_value() ? "applied" : applied.error().message}});
         if (applied.has_value()) {
           this->PushAll(Clock::now());
           reply({kOk, "application/json", "{}"});
@@ -521,10 +518,9 @@
   if (!this->configuration.has_value()) {
     return;
   }
-  PlanInput input = {this->registry,     *this->configuration,
-                     this->state.evacuated(), {},
-                     this->has_traffic,  this->settings.heartbeat,
-                     this->settings.stall};
+  PlanInput input = {
+      this->registry,    *this->configuration,     this->state.evacuated(), {},
+      this->has_traffic, this->settings.heartbeat, this->settings.stall};
   for (const OpenWork& work : this->SumOpenWork()) {
     input.open_work[work.target] = work.requests;
   }
@@ -544,24 +540,23 @@
     return;
   }
   const TimePoint now = Clock::now();
-  CallShort(this->context, record->view.address,
-            this->dialect.write_order(order),
-            {{this->dialect.headers.target, order.target}}, now + kOrderLimit,
-            [this, order](const Result<ShortAnswer>& answer) {
-              const OrderOutcome outcome =
-                  answer.has_value() ? OutcomeOf(answer->status)
-                                     : OrderOutcome::kNoAnswer;
-              LogEvent(Level::kInfo, "", "order_given",
-                       {{"order", std::string(kOrderKindNames.Name(order.kind))},
-                        {"target", order.target},
-                        {"group", order.group},
-                        {"outcome",
-                         std::string(kOrderOutcomeNames.Name(outcome))}});
-              if (this->is_leading) {
-                this->planner.OrderAnswered(order, outcome, Clock::now());
-                this->PlanSoon();
-              }
-            });
+  CallShort(
+      this->context, record->view.address, this->dialect.write_order(order),
+      {{this->dialect.headers.target, order.target}}, now + kOrderLimit,
+      [this, order](const Result<ShortAnswer>& answer) {
+        const OrderOutcome outcome = answer.has_value()
+                                         ? OutcomeOf(answer->status)
+                                         : OrderOutcome::kNoAnswer;
+        LogEvent(Level::kInfo, "", "order_given",
+                 {{"order", std::string(kOrderKindNames.Name(order.kind))},
+                  {"target", order.target},
+                  {"group", order.group},
+                  {"outcome", std::string(kOrderOutcomeNames.Name(outcome))}});
+        if (this->is_leading) {
+          this->planner.OrderAnswered(order, outcome, Clock::now());
+          this->PlanSoon();
+        }
+      });
 }
 
 void ControlHost::Probe(const std::string& target) {
@@ -569,27 +564,26 @@
   if (record == nullptr) {
     return;
   }
-  CallShort(this->context, record->view.address,
-            this->dialect.write_report_call(),
-            {{this->dialect.headers.target, target}},
-            Clock::now() + kProbeLimit,
-            [this, target](const Result<ShortAnswer>& answer) {
-              std::optional<EngineReport> report;
-              if (answer.has_value() && answer->status == kOk) {
-                const Result<EngineReport> read =
-                    this->dialect.read_report(answer->body);
-                if (read.has_value()) {
-                  report = *read;
-                }
-              }
-              LogEvent(Level::kInfo, "", "target_probed",
-                       {{"target", target},
-                        {"answered", report.has_value() ? "true" : "false"}});
-              if (this->is_leading) {
-                this->planner.ProbeAnswered(target, report, Clock::now());
-                this->PlanSoon();
-              }
-            });
+  CallShort(
+      this->context, record->view.address, this->dialect.write_report_call(),
+      {{this->dialect.headers.target, target}}, Clock::now() + kProbeLimit,
+      [this, target](const Result<ShortAnswer>& answer) {
+        std::optional<EngineReport> report;
+        if (answer.has_value() && answer->status == kOk) {
+          const Result<EngineReport> read =
+              this->dialect.read_report(answer->body);
+          if (read.has_value()) {
+            report = *read;
+          }
+        }
+        LogEvent(Level::kInfo, "", "target_probed",
+                 {{"target", target},
+                  {"answered", report.has_value() ? "true" : "false"}});
+        if (this->is_leading) {
+          this->planner.ProbeAnswered(target, report, Clock::now());
+          this->PlanSoon();
+        }
+      });
 }
 
 // ---------------------------------------------------------------- followers
@@ -688,8 +682,8 @@
   const bool has_changes = follower.is_first || is_full_due ||
                            follower.sent_revision < this->revision ||
                            follower.sent_config < this->state.version();
-  const bool is_load_due = now >= follower.load_sent_at + kLoadEvery &&
-                           !follower.hello.is_control;
+  const bool is_load_due =
+      now >= follower.load_sent_at + kLoadEvery && !follower.hello.is_control;
   if (!has_changes && !is_load_due &&
       now < follower.sent_at + kUpdateAtLeastEvery) {
     return;
@@ -714,8 +708,7 @@
     update.open_work = this->SumOpenWork();
     follower.load_sent_at = now;
   }
-  for (const consensus::Peer& peer :
-       this->driver->node().membership().peers) {
+  for (const consensus::Peer& peer : this->driver->node().membership().peers) {
     update.control_hosts.push_back(peer.link);
   }
   std::uint32_t entries = 0;
@@ -772,8 +765,7 @@
   for (const Endpoint& control : this->settings.control_hosts) {
     hosts.push_back({control.address, this->settings.first_link_port});
   }
-  for (const consensus::Peer& peer :
-       this->driver->node().membership().peers) {
+  for (const consensus::Peer& peer : this->driver->node().membership().peers) {
     hosts.push_back(peer.link);
   }
   const Endpoint link = {this->settings.address,
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -43,19 +43,17 @@
       metrics(metrics),
       channels(context),
       follow(context, this->channels, LinksOf(this->settings)),
-      ready_server(context,
-                   [this](const ShortCall& call,
-                          const ShortHttpServer::Reply& reply) {
-                     if (call.path == kMetricsPath) {
-                       reply({kOk, "text/plain; version=0.0.4",
-                              this->metrics.Render()});
-                     } else if (call.path == this->dialect.ready_path) {
-                       reply({this->IsReady() ? kOk : kUnavailable,
-                              "text/plain", ""});
-                     } else {
-                       reply({kNotFound, "text/plain", ""});
-                     }
-                   }),
+      ready_server(
+          context,
+          [this](const ShortCall& call, const ShortHttpServer::Reply& reply) {
+            if (call.path == kMetricsPath) {
+              reply({kOk, "text/plain; version=0.0.4", this->metrics.Render()});
+            } else if (call.path == this->dialect.ready_path) {
+              reply({this->IsReady() ? kOk : kUnavailable, "text/plain", ""});
+            } else {
+              reply({kNotFound, "text/plain", ""});
+            }
+          }),
       chooser(this->settings.data_centre, RandomId()),
       pool(context),
       incarnation(RandomId()),
@@ -88,6 +86,11 @@
   return this->ready_server.Start(*this->settings.ready);
 }
 
+void EntryHost::Reload(const HostSettings& changed) {
+  this->settings.control_hosts = changed.control_hosts;
+  this->follow.SetControlHosts(LinksOf(changed));
+}
+
 bool EntryHost::IsReady() const {
   return !this->is_leaving && this->view.version() != 0;
 }
@@ -262,8 +265,8 @@
       entry.second->Break();
     }
   }
-  if (this->flows.empty() && (this->callers.empty() ||
-                              now >= this->leave_until)) {
+  if (this->flows.empty() &&
+      (this->callers.empty() || now >= this->leave_until)) {
     std::exchange(this->on_left, nullptr)();
   }
 }
--- a/src/direct/event_splitter.cc
+++ b/src/direct/event_splitter.cc
@@ -51,8 +51,7 @@
   this->pending.append(bytes);
   std::size_t done = 0;
   for (;;) {
-    const std::string_view open =
-        std::string_view(this->pending).substr(done);
+    const std::string_view open = std::string_view(this->pending).substr(done);
     const std::size_t end = FindEnd(open);
     if (end == 0) {
       break;
--- a/src/direct/fleet_view.cc
+++ b/src/direct/fleet_view.cc
@@ -58,8 +58,7 @@
 std::vector<const TargetView*> FleetView::PlainTargets(
     const std::string& service) const {
   std::vector<const TargetView*> found;
-  for (const std::pair<const std::string, TargetView>& entry :
-       this->targets) {
+  for (const std::pair<const std::string, TargetView>& entry : this->targets) {
     const TargetView& target = entry.second;
     if (target.service == service && !target.is_leaving &&
         this->evacuated.count(target.data_centre) == 0) {
--- a/src/direct/group_planner.cc
+++ b/src/direct/group_planner.cc
@@ -206,9 +206,8 @@
                           now < *group.stalled_at + kStallReportLife;
   const auto work = input.open_work.find(group.view.members.front());
   const bool has_work = work != input.open_work.end() && work->second > 0;
-  const Duration dead_after =
-      FromSeconds(kDeadHeartbeats *
-                  std::chrono::duration<double>(input.heartbeat).count());
+  const Duration dead_after = FromSeconds(
+      kDeadHeartbeats * std::chrono::duration<double>(input.heartbeat).count());
   return is_stalled || (!has_work && now >= record.heard_at + dead_after);
 }
 
@@ -325,8 +324,7 @@
                                  TimePoint now) {
   const auto work = input.open_work.find(group.view.members.front());
   const bool is_idle = work == input.open_work.end() || work->second == 0;
-  const bool had_time =
-      now + kCloseLimit >= group.close_at + 2 * kResendOrder;
+  const bool had_time = now + kCloseLimit >= group.close_at + 2 * kResendOrder;
   if ((is_idle && had_time) || now >= group.close_at) {
     this->SetPhase(group, GroupPhase::kDissolving);
   }
@@ -342,9 +340,8 @@
              record->view.engine.membership->epoch > group.view.epoch) {
     group.is_head_closed = true;
   }
-  const bool is_broken =
-      group.broken_at.has_value() &&
-      now >= *group.broken_at + input.stall + kBreakMargin;
+  const bool is_broken = group.broken_at.has_value() &&
+                         now >= *group.broken_at + input.stall + kBreakMargin;
   if (group.is_head_closed || is_broken) {
     return;  // Its members are freed by FollowGroup's caller.
   }
@@ -400,10 +397,10 @@
   for (const std::pair<const std::string, TargetRecord>& entry :
        input.registry.targets()) {
     const EngineReport& report = entry.second.view.engine;
-    const bool is_member =
-        report.membership.has_value() &&
-        report.membership->state != MemberState::kNone &&
-        this->group_of.count(entry.first) == 0 && !entry.second.is_adopted;
+    const bool is_member = report.membership.has_value() &&
+                           report.membership->state != MemberState::kNone &&
+                           this->group_of.count(entry.first) == 0 &&
+                           !entry.second.is_adopted;
     if (is_member) {
       ranks[report.membership->group][report.membership->rank] = entry.first;
     }
@@ -444,12 +441,10 @@
     const bool is_whole = model != nullptr &&
                           group.view.members.size() == model->size &&
                           state == MemberState::kOpen;
-    group.view.phase =
-        is_whole ? GroupPhase::kOpen : GroupPhase::kDissolving;
+    group.view.phase = is_whole ? GroupPhase::kOpen : GroupPhase::kDissolving;
     group.close_at = now + kCloseLimit;
     LogEvent(Level::kInfo, "", "group_adopted",
-             {{"group", entry.first},
-              {"whole", is_whole ? "true" : "false"}});
+             {{"group", entry.first}, {"whole", is_whole ? "true" : "false"}});
     this->groups[entry.first] = std::move(group);
     this->changes += 1;
   }
@@ -459,8 +454,7 @@
                                  TimePoint now) {
   for (const std::pair<const std::string, TargetRecord>& entry :
        input.registry.targets()) {
-    const std::optional<Membership>& last =
-        entry.second.view.engine.membership;
+    const std::optional<Membership>& last = entry.second.view.engine.membership;
     const bool is_orphan = last.has_value() && last->rank != 0 &&
                            last->state != MemberState::kNone &&
                            this->group_of.count(entry.first) == 0 &&
@@ -542,8 +536,7 @@
   return free;
 }
 
-bool GroupPlanner::IsReleased(const std::string& id,
-                              const TargetRecord& record,
+bool GroupPlanner::IsReleased(const std::string& id, const TargetRecord& record,
                               const PlanInput& input, TimePoint now) const {
   const std::optional<Membership>& last = record.view.engine.membership;
   if (!last.has_value() || last->state == MemberState::kNone ||
@@ -579,8 +572,7 @@
   return coverage;
 }
 
-void GroupPlanner::StartGroup(const Service& service,
-                              const ModelProfile& model,
+void GroupPlanner::StartGroup(const Service& service, const ModelProfile& model,
                               const std::string& domain,
                               const std::vector<std::string>& members,
                               const PlanInput& input, PlannedWork& work,
@@ -627,9 +619,9 @@
          free) {
       for (const ModelProfile& model : service.engine->models) {
         const auto kept = this->reserved.find(domain.first);
-        const bool is_kept_for_other =
-            kept != this->reserved.end() && now < kept->second.until &&
-            kept->second.model != model.name;
+        const bool is_kept_for_other = kept != this->reserved.end() &&
+                                       now < kept->second.until &&
+                                       kept->second.model != model.name;
         if (domain.second.size() < model.size || is_kept_for_other) {
           continue;
         }
@@ -695,8 +687,7 @@
     const std::vector<std::string>& spares, const PlanInput& input) const {
   const auto is_capable = [this, &input, &poor](const std::string& id) {
     const TargetRecord* record = input.registry.Find(id);
-    return record != nullptr &&
-           this->JoinSeconds(*record, poor) < poor.load_s;
+    return record != nullptr && this->JoinSeconds(*record, poor) < poor.load_s;
   };
   std::size_t capable = static_cast<std::size_t>(
       std::count_if(spares.begin(), spares.end(), is_capable));
@@ -706,11 +697,11 @@
     if (capable >= poor.size) {
       break;
     }
-    const bool is_other =
-        view.service == service.name && view.domain == domain &&
-        view.model != poor.name && view.phase == GroupPhase::kOpen;
-    const std::size_t gain = static_cast<std::size_t>(std::count_if(
-        view.members.begin(), view.members.end(), is_capable));
+    const bool is_other = view.service == service.name &&
+                          view.domain == domain && view.model != poor.name &&
+                          view.phase == GroupPhase::kOpen;
+    const std::size_t gain = static_cast<std::size_t>(
+        std::count_if(view.members.begin(), view.members.end(), is_capable));
     if (is_other && gain > 0) {
       closed.push_back(entry.first);
       capable += gain;
@@ -730,8 +721,8 @@
   const std::map<std::string, double> coverage = this->Coverage(service);
   const ModelProfile* poor = nullptr;
   for (const ModelProfile& model : service.engine->models) {
-    const bool is_poorer = poor == nullptr ||
-                           coverage.at(model.name) < coverage.at(poor->name);
+    const bool is_poorer =
+        poor == nullptr || coverage.at(model.name) < coverage.at(poor->name);
     poor = model.share > 0 && is_poorer ? &model : poor;
   }
   if (poor == nullptr) {
@@ -750,8 +741,8 @@
   std::vector<std::string> best_closed;
   for (const std::pair<const std::string, std::vector<std::string>>& domain :
        domains) {
-    const std::vector<std::string> closed = this->GroupsToClose(
-        service, *poor, domain.first, domain.second, input);
+    const std::vector<std::string> closed =
+        this->GroupsToClose(service, *poor, domain.first, domain.second, input);
     if (closed.empty()) {
       continue;
     }
@@ -817,8 +808,7 @@
     std::size_t capable = 1;
     if (spares != free.end()) {
       for (const std::string& id : spares->second) {
-        const double join =
-            this->JoinSeconds(*input.registry.Find(id), model);
+        const double join = this->JoinSeconds(*input.registry.Find(id), model);
         capable += id != record.view.name && join < model.load_s ? 1 : 0;
       }
     }
--- a/src/direct/quorum_keeper.cc
+++ b/src/direct/quorum_keeper.cc
@@ -9,11 +9,11 @@
 consensus::Membership Without(const consensus::Membership& membership,
                               consensus::NodeId id) {
   consensus::Membership next = membership;
-  next.peers.erase(
-      std::remove_if(
-          next.peers.begin(), next.peers.end(),
-          [id](const consensus::Peer& peer) { return peer.id == id; }),
-      next.peers.end());
+  next.peers.erase(std::remove_if(next.peers.begin(), next.peers.end(),
+                                  [id](const consensus::Peer& peer) {
+                                    return peer.id == id;
+                                  }),
+                   next.peers.end());
   return next;
 }
 
@@ -39,27 +39,23 @@
                            TimePoint now) const {
   const auto heard = this->heard_at.find(peer);
   return peer == input.self ||
-         (heard != this->heard_at.end() &&
-          now < heard->second + kSilentAfter);
+         (heard != this->heard_at.end() && now < heard->second + kSilentAfter);
 }
 
 std::optional<consensus::Membership> QuorumKeeper::Next(
     const QuorumInput& input, TimePoint now) const {
   std::size_t live_voters = 0;
   for (const consensus::Peer& peer : input.membership.peers) {
-    live_voters +=
-        peer.is_voter && this->IsAlive(input, peer.id, now) ? 1 : 0;
+    live_voters += peer.is_voter && this->IsAlive(input, peer.id, now) ? 1 : 0;
   }
   for (const consensus::Peer& peer : input.membership.peers) {
     const bool is_caught_up = input.match(peer.id) >= input.commit;
-    if (peer.is_voter || !is_caught_up ||
-        !this->IsAlive(input, peer.id, now)) {
+    if (peer.is_voter || !is_caught_up || !this->IsAlive(input, peer.id, now)) {
       continue;
     }
     // The identity that the address had before is gone with its disk.
     for (const consensus::Peer& old : input.membership.peers) {
-      if (old.id != peer.id && old.link == peer.link &&
-          old.id != input.self) {
+      if (old.id != peer.id && old.link == peer.link && old.id != input.self) {
         return Without(input.membership, old.id);
       }
     }
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -45,14 +45,21 @@
 
 bool IsHopHeader(std::string_view name) {
   static constexpr std::array<std::string_view, 9> kNames = {
-      "connection",        "keep-alive", "proxy-connection",
-      "transfer-encoding", "te",         "trailer",
-      "upgrade",           "content-length", "proxy-authorization"};
-  return std::any_of(kNames.begin(), kNames.end(), [name](std::string_view hop) {
-    return boost::beast::iequals(
-        boost::beast::string_view(name.data(), name.size()),
-        boost::beast::string_view(hop.data(), hop.size()));
-  });
+      "connection",
+      "keep-alive",
+      "proxy-connection",
+      "transfer-encoding",
+      "te",
+      "trailer",
+      "upgrade",
+      "content-length",
+      "proxy-authorization"};
+  return std::any_of(kNames.begin(), kNames.end(),
+                     [name](std::string_view hop) {
+                       return boost::beast::iequals(
+                           boost::beast::string_view(name.data(), name.size()),
+                           boost::beast::string_view(hop.data(), hop.size()));
+                     });
 }
 
 bool IsSameName(std::string_view a, std::string_view b) {
@@ -136,19 +143,17 @@
   std::uniform_real_distribution<double> draw(0, 1);
   this->service = PickService(*this->route, draw(this->host.random));
   this->model = std::string(this->message[names.model]);
-  this->prompt_tokens = static_cast<double>(
-      ReadNumber(ToView(this->message[names.tokens]), 0));
+  this->prompt_tokens =
+      static_cast<double>(ReadNumber(ToView(this->message[names.tokens]), 0));
   const std::int64_t caller_ms = ReadNumber(
       ToView(this->message[names.deadline]), this->route->timeout_ms);
-  this->deadline =
-      this->begun_at +
-      Milliseconds(std::min(caller_ms, this->route->timeout_ms));
-  this->objective_at =
-      this->begun_at + Milliseconds(this->route->objective_ms);
+  this->deadline = this->begun_at +
+                   Milliseconds(std::min(caller_ms, this->route->timeout_ms));
+  this->objective_at = this->begun_at + Milliseconds(this->route->objective_ms);
   this->give_up_at = std::min(this->deadline, this->begun_at + kPatience);
   this->host.BudgetOf(this->service)
-      .FirstAttempt(static_cast<std::int64_t>(
-          kPercent * this->host.settings.retry_share));
+      .FirstAttempt(static_cast<std::int64_t>(kPercent *
+                                              this->host.settings.retry_share));
   return true;
 }
 
@@ -175,8 +180,8 @@
     return;
   }
   this->is_waiting = true;
-  this->host.line.Add({this->number, this->Lane(), priority,
-                       this->objective_at, this->give_up_at});
+  this->host.line.Add({this->number, this->Lane(), priority, this->objective_at,
+                       this->give_up_at});
 }
 
 bool RequestFlow::TryAgain() {
@@ -190,8 +195,8 @@
   request.prompt_tokens = this->prompt_tokens;
   const double objective_ms = static_cast<double>(this->route->objective_ms);
   request.most_queue_ms =
-      objective_ms * (Clock::now() < this->objective_at ? kQueueShare
-                                                        : kLateQueueShare);
+      objective_ms *
+      (Clock::now() < this->objective_at ? kQueueShare : kLateQueueShare);
   const Choice choice =
       this->host.chooser.Choose(request, this->host.view, this->host.book,
                                 this->host.settings.cold_factor, Clock::now());
@@ -218,20 +223,18 @@
   };
   for (const http::fields::value_type& field : this->message) {
     const std::string_view name = ToView(field.name_string());
-    const bool is_own = IsSameName(name, names.deadline) ||
-                        IsSameName(name, names.team) ||
-                        IsSameName(name, names.target) ||
-                        IsSameName(name, names.priority) ||
-                        IsSameName(name, "authorization");
+    const bool is_own =
+        IsSameName(name, names.deadline) || IsSameName(name, names.team) ||
+        IsSameName(name, names.target) || IsSameName(name, names.priority) ||
+        IsSameName(name, "authorization");
     const bool is_replaced =
         this->last_event.has_value() && IsSameName(name, kLastEventId);
     if (!IsHopHeader(name) && !is_own && !is_replaced) {
       add(name, ToView(field.value()));
     }
   }
-  add(names.deadline,
-      std::to_string(std::max<std::int64_t>(
-          1, RemainingMs(this->deadline, Clock::now()))));
+  add(names.deadline, std::to_string(std::max<std::int64_t>(
+                          1, RemainingMs(this->deadline, Clock::now()))));
   add(names.target, to);
   if (this->team != nullptr) {
     add(names.team, this->team->name);
@@ -262,8 +265,8 @@
   this->is_streaming = false;
   this->body.clear();
   this->splitter.Reset();
-  this->unread_tokens = static_cast<std::uint32_t>(
-      std::max(0.0, this->prompt_tokens));
+  this->unread_tokens =
+      static_cast<std::uint32_t>(std::max(0.0, this->prompt_tokens));
   this->host.book.Begin(to, this->unread_tokens, now);
   this->connection = this->host.pool.Take(to, view->address);
   ExchangeHooks hooks;
@@ -298,8 +301,7 @@
                        this->route->kind == RouteKind::kStreaming &&
                        !answer[names.proof].empty() &&
                        answer[http::field::content_encoding].empty() &&
-                       type.substr(0, sizeof(kEventStream) - 1) ==
-                           kEventStream;
+                       type.substr(0, sizeof(kEventStream) - 1) == kEventStream;
 }
 
 void RequestFlow::OnBody(std::string_view bytes) {
@@ -314,14 +316,11 @@
     }
     return;
   }
-  const bool is_bounded =
-      this->splitter.Feed(bytes, [this](const StreamEvent& event) {
-        this->OnEvent(event);
-      });
+  const bool is_bounded = this->splitter.Feed(
+      bytes, [this](const StreamEvent& event) { this->OnEvent(event); });
   if (!is_bounded) {
     this->connection->Cancel();
-  } else if (this->caller->unsent_bytes() >
-             CallerConnection::kHighWaterBytes) {
+  } else if (this->caller->unsent_bytes() > CallerConnection::kHighWaterBytes) {
     this->connection->SetPaused(true);
   }
 }
@@ -351,9 +350,8 @@
   const std::shared_ptr<TargetConnection> used =
       std::exchange(this->connection, nullptr);
   const TimePoint now = Clock::now();
-  const bool is_full =
-      end == ExchangeEnd::kComplete &&
-      !this->head[this->host.dialect.headers.not_run].empty();
+  const bool is_full = end == ExchangeEnd::kComplete &&
+                       !this->head[this->host.dialect.headers.not_run].empty();
   Evidence evidence = Evidence::kBad;
   if (end == ExchangeEnd::kCancelled || is_full) {
     evidence = Evidence::kNone;
@@ -439,8 +437,7 @@
   const bool has_tried = !this->tried.empty();
   if (has_tried && this->MayTryAgain(may_have_run)) {
     this->runs += may_have_run ? 1 : 0;
-    this->give_up_at =
-        std::min(this->deadline, Clock::now() + kPatience);
+    this->give_up_at = std::min(this->deadline, Clock::now() + kPatience);
     this->Dispatch();
     return;
   }
@@ -495,9 +492,8 @@
         std::chrono::duration<double>(this->deadline - Clock::now()).count();
     std::uniform_real_distribution<double> draw(kShortestRetryAfterS,
                                                 kLongestRetryAfterS);
-    const double pause =
-        std::min(draw(this->host.random),
-                 std::max(0.0, left_s) * kRetryAfterShare);
+    const double pause = std::min(draw(this->host.random),
+                                  std::max(0.0, left_s) * kRetryAfterShare);
     std::array<char, 32> text{};
     std::snprintf(text.data(), text.size(), "%.2f", pause);
     lines += std::string("Retry-After: ") + text.data() + "\r\n";
@@ -590,13 +586,13 @@
   if (!is_lost || !this->MayTryAgain(true)) {
     return;
   }
-  LogEvent(Level::kInfo, this->id, "target_given_up",
-           {{"target", this->target},
-            {"events", std::to_string(this->events)},
-            {"silent_ms",
-             std::to_string(std::chrono::duration_cast<Milliseconds>(
-                                now - this->progress_at)
-                                .count())}});
+  LogEvent(
+      Level::kInfo, this->id, "target_given_up",
+      {{"target", this->target},
+       {"events", std::to_string(this->events)},
+       {"silent_ms", std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                        now - this->progress_at)
+                                        .count())}});
   this->runs += 1;
   this->Abandon(Evidence::kBad);
   this->give_up_at = std::min(this->deadline, now + kPatience);
--- a/src/direct/short_http.cc
+++ b/src/direct/short_http.cc
@@ -245,8 +245,7 @@
     if (!error) {
       error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
-      std::make_shared<ServerSession>(std::move(socket), this->handler)
-          ->Read();
+      std::make_shared<ServerSession>(std::move(socket), this->handler)->Read();
     }
     this->Accept();
   });
--- a/src/direct/target_chooser.cc
+++ b/src/direct/target_chooser.cc
@@ -92,18 +92,16 @@
     score += is_avoided ? kAvoidedPenaltyMs : 0;
     scored.push_back({target, load, expected, score});
   }
-  std::sort(scored.begin(), scored.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return a.score < b.score;
-            });
+  std::sort(
+      scored.begin(), scored.end(),
+      [](const Candidate& a, const Candidate& b) { return a.score < b.score; });
   const double entries =
       std::max(kLeastEntries, static_cast<double>(view.entries()));
   const double cold_rate =
       service->cold_requests_per_s * cold_factor * kColdShare / entries;
   for (const Candidate& candidate : scored) {
     const bool is_limited = candidate.target->is_cold && cold_rate > 0;
-    if (is_limited &&
-        !book.TakeCold(candidate.target->name, cold_rate, now)) {
+    if (is_limited && !book.TakeCold(candidate.target->name, cold_rate, now)) {
       choice.reason = NoChoice::kFull;
       continue;
     }
--- a/src/direct/target_connection.cc
+++ b/src/direct/target_connection.cc
@@ -69,35 +69,34 @@
   const std::shared_ptr<TargetConnection> self = this->shared_from_this();
   error_code bad_address;
   const tcp::endpoint target(
-      asio::ip::make_address(this->peer.address, bad_address),
-      this->peer.port);
+      asio::ip::make_address(this->peer.address, bad_address), this->peer.port);
   if (bad_address) {
     this->End(ExchangeEnd::kNotSent, bad_address.message());
     return;
   }
   this->timer.expires_after(kConnectLimit);
-  this->timer.async_wait([self, number = this->exchange_number](
-                             const error_code& error) {
-    if (!error && number == self->exchange_number && !self->connected) {
-      self->End(ExchangeEnd::kNotSent, "no connection in time");
-    }
-  });
-  this->socket.async_connect(target, [self, number = this->exchange_number](
-                                         const error_code& error) {
-    if (number != self->exchange_number || !self->hooks.on_end) {
-      return;
-    }
-    self->timer.cancel();
-    if (error) {
-      self->End(ExchangeEnd::kNotSent, error.message());
-      return;
-    }
-    self->connected = true;
-    error_code ignored;
-    self->socket.set_option(tcp::no_delay(true), ignored);
-    self->Write();
-    self->ReadHead();
-  });
+  this->timer.async_wait(
+      [self, number = this->exchange_number](const error_code& error) {
+        if (!error && number == self->exchange_number && !self->connected) {
+          self->End(ExchangeEnd::kNotSent, "no connection in time");
+        }
+      });
+  this->socket.async_connect(
+      target, [self, number = this->exchange_number](const error_code& error) {
+        if (number != self->exchange_number || !self->hooks.on_end) {
+          return;
+        }
+        self->timer.cancel();
+        if (error) {
+          self->End(ExchangeEnd::kNotSent, error.message());
+          return;
+        }
+        self->connected = true;
+        error_code ignored;
+        self->socket.set_option(tcp::no_delay(true), ignored);
+        self->Write();
+        self->ReadHead();
+      });
 }
 
 void TargetConnection::Write() {
@@ -196,9 +195,8 @@
           return;
         }
         if (error) {
-          const bool is_bytes =
-              error == http::error::bad_chunk ||
-              error == http::error::bad_chunk_extension;
+          const bool is_bytes = error == http::error::bad_chunk ||
+                                error == http::error::bad_chunk_extension;
           self->End(is_bytes ? ExchangeEnd::kInvalid : ExchangeEnd::kCut,
                     "body: " + error.message());
         } else if (self->parser->is_done()) {
@@ -210,8 +208,7 @@
 }
 
 void TargetConnection::Deliver() {
-  const std::size_t size =
-      this->piece.size() - this->parser->get().body().size;
+  const std::size_t size = this->piece.size() - this->parser->get().body().size;
   if (size > 0 && !this->is_skipping) {
     this->hooks.on_body(std::string_view(this->piece.data(), size));
   }
@@ -289,8 +286,7 @@
 
 std::shared_ptr<TargetConnection> TargetPool::Take(const std::string& target,
                                                    const Endpoint& peer) {
-  std::vector<std::shared_ptr<TargetConnection>>& resting =
-      this->idle[target];
+  std::vector<std::shared_ptr<TargetConnection>>& resting = this->idle[target];
   const TimePoint now = Clock::now();
   while (!resting.empty()) {
     const std::shared_ptr<TargetConnection> connection = resting.back();
--- a/src/observe/json_lines.cc
+++ b/src/observe/json_lines.cc
@@ -90,15 +90,15 @@
     this->filled.wait(
         guard, [this] { return this->is_closed || !this->waiting.empty(); });
     if (!this->is_closed) {
-      this->filled.wait_for(guard, kGather,
-                            [this] { return this->is_closed; });
+      this->filled.wait_for(guard, kGather, [this] { return this->is_closed; });
     }
     std::string batch = std::exchange(this->waiting, std::string());
     const std::uint64_t lost = std::exchange(this->dropped, 0);
     guard.unlock();
     if (lost > 0) {
-      batch += "{\"level\":\"WARN\",\"event\":\"log_lines_dropped\",\"host\":\"" +
-               this->host + "\",\"count\":" + std::to_string(lost) + "}\n";
+      batch +=
+          "{\"level\":\"WARN\",\"event\":\"log_lines_dropped\",\"host\":\"" +
+          this->host + "\",\"count\":" + std::to_string(lost) + "}\n";
     }
     WriteAll(batch);
     guard.lock();
