Newest on-time requests first; slots kept full; evacuated groups not counted

Cause: with more arriving than is served, an order by earliest objective made nearly all late, and the time until the first event after the hand-over was not reckoned; slots that came free stayed empty for the 100 to 200 ms until other entries knew; groups in data centres taken out counted as service; after a restart of all hosts groups were adopted only after the settle time. Change: the line serves the newest that can still be on time first, late ones after; four requests beyond the slots; coverage without data centres taken out; whole groups adopted as soon as all members spoke; elections within 0.4 to 0.8 s. Ruled out: first in, first out, and earliest objective first (both all late).

--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -39,6 +39,9 @@
     this->settings.control_hosts = changed.control_hosts;
   }
 
+  /// The hosts of a region hear each other within a few milliseconds.
+  static constexpr Duration kElectionMin = std::chrono::milliseconds(400);
+  static constexpr Duration kElectionMax = std::chrono::milliseconds(800);
   static constexpr Duration kTick = std::chrono::milliseconds(50);
   static constexpr Duration kLoadEvery = std::chrono::milliseconds(100);
   static constexpr Duration kUpdateAtLeastEvery =
--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -142,8 +142,10 @@
                PlannedWork& work, TimePoint now);
   [[nodiscard]] std::map<std::string, std::vector<std::string>> FreeByDomain(
       const Service& service, const PlanInput& input, TimePoint now) const;
+  [[nodiscard]] bool IsEvacuated(const GroupView& group,
+                                 const PlanInput& input) const;
   [[nodiscard]] std::map<std::string, double> Coverage(
-      const Service& service) const;
+      const Service& service, const PlanInput& input) const;
   void StartGroup(const Service& service, const ModelProfile& model,
                   const std::string& domain,
                   const std::vector<std::string>& members,
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -70,6 +70,8 @@
   [[nodiscard]] bool MayTryAgain(bool may_have_run);
   [[nodiscard]] std::string HeadLines() const;
   [[nodiscard]] std::string Lane() const;
+  /// How long it may wait here and still have its first event on time.
+  [[nodiscard]] Duration OnTimeMargin() const;
 
   EntryHost& host;
   std::uint64_t number;
--- a/include/gooseberryturn/direct/target_chooser.h
+++ b/include/gooseberryturn/direct/target_chooser.h
@@ -41,6 +41,12 @@
   double expected_ms = 0;  ///< Until its first event.
 };
 
+/// \brief Milliseconds from the hand-over to the first event at a full group
+/// with nothing unread in front.
+[[nodiscard]] double FirstEventMs(const EngineProfile& engine,
+                                  const ModelProfile& model,
+                                  double prompt_tokens);
+
 /// \brief Chooses the target with the earliest expected first event.
 ///
 /// \details Answers the load pattern in which a lost group's work falls on
@@ -55,6 +61,9 @@
                               const FleetView& view, TargetBook& book,
                               double cold_factor, TimePoint now);
 
+  /// \brief Requests given to a head beyond its slots: they fill the slots
+  /// that came free since the other entries last told of theirs.
+  static constexpr std::uint32_t kBeyondSlots = 4;
   /// \brief Requests in progress at a plain target for each of its slots.
   static constexpr std::uint32_t kPlainLimit = 16;
 
--- a/include/gooseberryturn/direct/waiting_line.h
+++ b/include/gooseberryturn/direct/waiting_line.h
@@ -14,17 +14,18 @@
 /// \brief A request that waits for room.
 struct Waiter {
   std::uint64_t id = 0;
-  std::string lane;        ///< Service and model it waits for.
-  int priority = 0;        ///< 0 is the most urgent.
-  TimePoint objective_at;  ///< Its first byte is on time until then.
-  TimePoint give_up_at;    ///< Nobody waits for it any more after this.
+  std::string lane;  ///< Service and model it waits for.
+  int priority = 0;  ///< 0 is the most urgent.
+  /// Sent until then, its first byte is on time.
+  TimePoint objective_at;
+  TimePoint give_up_at;  ///< Nobody waits for it any more after this.
 };
 
 /// \brief Order in which requests that found no room are tried again.
 ///
 /// \details Answers the load pattern in which more arrives than is served for
-/// a while: those that can still be on time go first, by priority and then by
-/// objective; a queue in order of arrival would make all of them late. What
+/// a while: those that can still be on time go first, by priority and then
+/// the newest; a queue in order of arrival would make all of them late. What
 /// is late already goes after them, the one that must give up first ahead.
 class WaitingLine {
  public:
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -129,6 +129,8 @@
   options.id = this->id;
   options.disk = this->disk;
   options.seed = RandomId();
+  options.election_min = kElectionMin;
+  options.election_max = kElectionMax;
   consensus::Node node(options, std::move(*stored), Clock::now());
   consensus::StateMachine machine;
   machine.apply = [this](const consensus::Entry& entry) {
--- a/src/direct/group_planner.cc
+++ b/src/direct/group_planner.cc
@@ -397,10 +397,11 @@
   for (const std::pair<const std::string, TargetRecord>& entry :
        input.registry.targets()) {
     const EngineReport& report = entry.second.view.engine;
-    const bool is_member = report.membership.has_value() &&
-                           report.membership->state != MemberState::kNone &&
-                           this->group_of.count(entry.first) == 0 &&
-                           !entry.second.is_adopted;
+    const bool is_member =
+        report.membership.has_value() &&
+        report.membership->state != MemberState::kNone &&
+        this->closed_epochs.count(report.membership->epoch) == 0 &&
+        this->group_of.count(entry.first) == 0 && !entry.second.is_adopted;
     if (is_member) {
       ranks[report.membership->group][report.membership->rank] = entry.first;
     }
@@ -441,6 +442,12 @@
     const bool is_whole = model != nullptr &&
                           group.view.members.size() == model->size &&
                           state == MemberState::kOpen;
+    if (!is_whole && now < this->settled_at) {
+      for (const std::string& id : group.view.members) {
+        this->group_of.erase(id);
+      }
+      continue;
+    }
     group.view.phase = is_whole ? GroupPhase::kOpen : GroupPhase::kDissolving;
     group.close_at = now + kCloseLimit;
     LogEvent(Level::kInfo, "", "group_adopted",
@@ -495,8 +502,8 @@
     entry = this->groups.erase(entry);
     this->changes += 1;
   }
+  this->AdoptAnnounced(input, now);
   if (now >= this->settled_at) {
-    this->AdoptAnnounced(input, now);
     this->FollowOrphans(input, work, now);
   }
   if (now >= this->form_at) {
@@ -552,8 +559,14 @@
          now >= orphan->second + input.stall + kOrphanMargin;
 }
 
+bool GroupPlanner::IsEvacuated(const GroupView& group,
+                               const PlanInput& input) const {
+  const TargetRecord* head = input.registry.Find(group.members.front());
+  return head != nullptr && input.evacuated.count(head->view.data_centre) > 0;
+}
+
 std::map<std::string, double> GroupPlanner::Coverage(
-    const Service& service) const {
+    const Service& service, const PlanInput& input) const {
   std::map<std::string, double> coverage;
   for (const ModelProfile& model : service.engine->models) {
     coverage[model.name] = 0;
@@ -563,7 +576,8 @@
     const ModelProfile* model = service.engine->FindModel(view.model);
     const bool counts = view.service == service.name && model != nullptr &&
                         view.phase != GroupPhase::kDissolving &&
-                        view.phase != GroupPhase::kClosing;
+                        view.phase != GroupPhase::kClosing &&
+                        !this->IsEvacuated(view, input);
     if (counts && model->share > 0) {
       coverage[view.model] +=
           static_cast<double>(view.members.size()) / model->share;
@@ -610,7 +624,8 @@
   std::map<std::string, std::vector<std::string>> free =
       this->FreeByDomain(service, input, now);
   for (;;) {
-    const std::map<std::string, double> coverage = this->Coverage(service);
+    const std::map<std::string, double> coverage =
+        this->Coverage(service, input);
     const ModelProfile* best_model = nullptr;
     std::string best_domain;
     std::vector<std::string> best_members;
@@ -699,7 +714,8 @@
     }
     const bool is_other = view.service == service.name &&
                           view.domain == domain && view.model != poor.name &&
-                          view.phase == GroupPhase::kOpen;
+                          view.phase == GroupPhase::kOpen &&
+                          !this->IsEvacuated(view, input);
     const std::size_t gain = static_cast<std::size_t>(
         std::count_if(view.members.begin(), view.members.end(), is_capable));
     if (is_other && gain > 0) {
@@ -718,7 +734,7 @@
   if (!input.has_traffic || now < this->rebalance_at) {
     return;
   }
-  const std::map<std::string, double> coverage = this->Coverage(service);
+  const std::map<std::string, double> coverage = this->Coverage(service, input);
   const ModelProfile* poor = nullptr;
   for (const ModelProfile& model : service.engine->models) {
     const bool is_poorer =
@@ -796,7 +812,7 @@
   if (has_other_copy) {
     return nullptr;
   }
-  const std::map<std::string, double> coverage = this->Coverage(service);
+  const std::map<std::string, double> coverage = this->Coverage(service, input);
   const auto spares = free.find(report.domain);
   const ModelProfile* best = nullptr;
   double best_need = 0;
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -149,7 +149,7 @@
       ToView(this->message[names.deadline]), this->route->timeout_ms);
   this->deadline = this->begun_at +
                    Milliseconds(std::min(caller_ms, this->route->timeout_ms));
-  this->objective_at = this->begun_at + Milliseconds(this->route->objective_ms);
+  this->objective_at = this->begun_at + this->OnTimeMargin();
   this->give_up_at = std::min(this->deadline, this->begun_at + kPatience);
   this->host.BudgetOf(this->service)
       .FirstAttempt(static_cast<std::int64_t>(kPercent *
@@ -157,6 +157,22 @@
   return true;
 }
 
+Duration RequestFlow::OnTimeMargin() const {
+  const Duration objective = Milliseconds(this->route->objective_ms);
+  const Service* chosen =
+      this->table->configuration().FindService(this->service);
+  const ModelProfile* profile = chosen != nullptr && chosen->engine
+                                    ? chosen->engine->FindModel(this->model)
+                                    : nullptr;
+  if (profile == nullptr) {
+    return objective;
+  }
+  const Duration first = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(
+          FirstEventMs(*chosen->engine, *profile, this->prompt_tokens)));
+  return std::max(Duration(0), objective - first);
+}
+
 std::string RequestFlow::Lane() const {
   return this->service + "/" + this->model;
 }
--- a/src/direct/target_chooser.cc
+++ b/src/direct/target_chooser.cc
@@ -46,6 +46,14 @@
 
 }  // namespace
 
+double FirstEventMs(const EngineProfile& engine, const ModelProfile& model,
+                    double prompt_tokens) {
+  const double load = static_cast<double>(engine.slots);
+  return model.pace *
+         (ReadMs(engine, load, prompt_tokens) +
+          static_cast<double>(engine.stride) * StepMs(engine, load));
+}
+
 Choice TargetChooser::Choose(const ChoiceRequest& request,
                              const FleetView& view, TargetBook& book,
                              double cold_factor, TimePoint now) {
@@ -76,7 +84,7 @@
       const EngineProfile& engine = *service->engine;
       const double queue_ms =
           model->pace * ReadMs(engine, load, book.Unread(target->name));
-      is_full = is_avoided || load >= engine.slots ||
+      is_full = is_avoided || load >= engine.slots + kBeyondSlots ||
                 queue_ms > request.most_queue_ms;
       expected = queue_ms +
                  model->pace * (ReadMs(engine, load, request.prompt_tokens) +
--- a/src/direct/waiting_line.cc
+++ b/src/direct/waiting_line.cc
@@ -16,9 +16,13 @@
   if (is_late_a != is_late_b) {
     return is_late_b;
   }
-  const TimePoint key_a = is_late_a ? a.give_up_at : a.objective_at;
-  const TimePoint key_b = is_late_b ? b.give_up_at : b.objective_at;
-  return std::tie(a.priority, key_a, a.id) < std::tie(b.priority, key_b, b.id);
+  if (a.priority != b.priority) {
+    return a.priority < b.priority;
+  }
+  if (is_late_a) {
+    return std::tie(a.give_up_at, a.id) < std::tie(b.give_up_at, b.id);
+  }
+  return std::tie(a.objective_at, a.id) > std::tie(b.objective_at, b.id);
 }
 
 }  // namespace
