The first groups wait until no new target speaks up

Cause: the first groups were formed while a third of the targets was unknown, with two groups of the large model in place of four; a vote was lost while the link to its peer was being opened, which cost one more election timeout. Ruled out: a longer fixed wait.

--- a/include/gooseberryturn/consensus/driver.h
+++ b/include/gooseberryturn/consensus/driver.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -81,6 +82,8 @@
   /// \brief Proposals that may wait for their results.
   static constexpr std::size_t kMaxPending = 20'000;
   static constexpr std::uint64_t kSnapshotEvery = 5000;
+  /// Messages kept for a peer whose link is being opened.
+  static constexpr std::size_t kMaxUnsent = 16;
   static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
   static constexpr Duration kStorageRetry = std::chrono::milliseconds(500);
 
@@ -106,6 +109,10 @@
   void Written(const WriteJob& job);
   void Finish(const Ready& ready);
   void Send(const Message& message);
+  /// Keeps a message while the link to its peer is being opened, so that a
+  /// vote is not lost for a whole election timeout.
+  void KeepUnsent(const Message& message);
+  void SendUnsent(NodeId peer);
   void ApplyEntry(const Entry& entry);
   void CompactIfLong();
   void FailPending();
@@ -121,6 +128,7 @@
   std::map<Index, Pending> pending;
   std::map<NodeId, std::shared_ptr<link::Stream>> streams;
   std::map<NodeId, bool> is_opening;
+  std::map<NodeId, std::deque<Message>> unsent;
   bool is_writing = false;
   bool was_leading = false;
   Term led_term = 0;
--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -73,6 +73,9 @@
   /// With no groups yet: until every target has announced itself once.
   static constexpr Duration kFirstSettle = std::chrono::milliseconds(1700);
   /// With known groups: what targets announce themselves is enough to form.
+  /// The first groups are formed once no new target spoke up for so long.
+  static constexpr Duration kQuietBeforeFirst = std::chrono::milliseconds(600);
+  static constexpr Duration kFirstLimit = std::chrono::milliseconds(3500);
   static constexpr Duration kFormAfter = std::chrono::milliseconds(700);
   static constexpr Duration kBreakMargin = std::chrono::milliseconds(400);
   static constexpr Duration kFormingLimit = std::chrono::seconds(8);
@@ -132,6 +135,7 @@
   [[nodiscard]] bool IsSilent(const TargetRecord& record,
                               const PlanInput& input, TimePoint now) const;
   void AdoptAnnounced(const PlanInput& input, TimePoint now);
+  void AwaitAnnouncements(const PlanInput& input, TimePoint now);
   void FollowOrphans(const PlanInput& input, PlannedWork& work, TimePoint now);
   [[nodiscard]] bool IsReleased(const std::string& id,
                                 const TargetRecord& record,
@@ -172,6 +176,8 @@
   std::uint64_t changes = 0;
   TimePoint settled_at;
   TimePoint form_at;
+  TimePoint first_limit;
+  std::size_t targets_seen = 0;
   TimePoint rebalance_at;
   std::map<std::string, Group> groups;
   std::map<std::string, std::string> group_of;  ///< By target id.
--- a/src/consensus/driver.cc
+++ b/src/consensus/driver.cc
@@ -190,6 +190,26 @@
   }
 }
 
+void Driver::KeepUnsent(const Message& message) {
+  std::deque<Message>& waiting = this->unsent[message.to];
+  waiting.push_back(message);
+  if (waiting.size() > kMaxUnsent) {
+    waiting.pop_front();
+  }
+}
+
+void Driver::SendUnsent(NodeId peer) {
+  const std::deque<Message> waiting =
+      std::exchange(this->unsent[peer], std::deque<Message>());
+  const std::shared_ptr<link::Stream>& stream = this->streams[peer];
+  if (stream == nullptr || stream->is_closed()) {
+    return;  // The node repeats what still matters.
+  }
+  for (const Message& message : waiting) {
+    this->Send(message);
+  }
+}
+
 void Driver::Send(const Message& message) {
   const Peer* peer = this->raft.membership().Find(message.to);
   if (peer == nullptr) {
@@ -198,6 +218,7 @@
   std::shared_ptr<link::Stream>& stream = this->streams[message.to];
   if (stream == nullptr || stream->is_closed()) {
     stream = nullptr;
+    this->KeepUnsent(message);
     if (this->is_opening[message.to]) {
       return;
     }
@@ -210,10 +231,9 @@
                  if (opened.has_value()) {
                    this->streams[id] = *opened;
                  }
+                 this->SendUnsent(id);
                });
-    if (this->streams[message.to] == nullptr) {
-      return;
-    }
+    return;
   }
   if (stream->unsent_bytes() < kMaxUnsentBytes) {
     stream->Send(protocol::EncodeFrame(protocol::FrameType::kMessage,
--- a/src/direct/group_planner.cc
+++ b/src/direct/group_planner.cc
@@ -58,6 +58,7 @@
   this->term = leader_term;
   this->settled_at = now + (known.empty() ? kFirstSettle : kSettle);
   this->form_at = now + (known.empty() ? kFirstSettle : kFormAfter);
+  this->first_limit = now + kFirstLimit;
   for (const GroupView& view : known) {
     Group group;
     group.view = view;
@@ -480,6 +481,16 @@
   }
 }
 
+void GroupPlanner::AwaitAnnouncements(const PlanInput& input, TimePoint now) {
+  const std::size_t count = input.registry.targets().size();
+  const bool is_first_time = !input.has_traffic && this->groups.empty();
+  if (is_first_time && count != this->targets_seen) {
+    this->form_at = std::max(
+        this->form_at, std::min(now + kQuietBeforeFirst, this->first_limit));
+  }
+  this->targets_seen = count;
+}
+
 PlannedWork GroupPlanner::Plan(const PlanInput& input, TimePoint now) {
   PlannedWork work;
   for (auto entry = this->groups.begin(); entry != this->groups.end();) {
@@ -506,6 +517,7 @@
   if (now >= this->settled_at) {
     this->FollowOrphans(input, work, now);
   }
+  this->AwaitAnnouncements(input, now);
   if (now >= this->form_at) {
     this->FormGroups(input, work, now);
     this->StageModels(input, work, now);
@@ -731,7 +743,7 @@
 
 void GroupPlanner::Rebalance(const Service& service, const PlanInput& input,
                              TimePoint now) {
-  if (!input.has_traffic || now < this->rebalance_at) {
+  if (now < this->rebalance_at) {
     return;
   }
   const std::map<std::string, double> coverage = this->Coverage(service, input);
