Targets and groups are kept in the log

After a loss of power everywhere the targets had to be heard again before anything was served. Change: the leader notes changed targets and groups in the log every 100 ms; the next one begins with them and treats every group as possibly open; control hosts no longer follow each other's views. Ruled out: waiting longer at a new leader (costs service in every election).

--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -13,7 +13,6 @@
 #include "gooseberryturn/control/versioned.h"
 #include "gooseberryturn/direct/dialect.h"
 #include "gooseberryturn/direct/fleet_state.h"
-#include "gooseberryturn/direct/follow_client.h"
 #include "gooseberryturn/direct/group_planner.h"
 #include "gooseberryturn/direct/quorum_keeper.h"
 #include "gooseberryturn/direct/registry.h"
@@ -43,6 +42,7 @@
   static constexpr Duration kElectionMin = std::chrono::milliseconds(400);
   static constexpr Duration kElectionMax = std::chrono::milliseconds(800);
   static constexpr Duration kTick = std::chrono::milliseconds(50);
+  static constexpr Duration kNoteEvery = std::chrono::milliseconds(100);
   static constexpr Duration kLoadEvery = std::chrono::milliseconds(100);
   static constexpr Duration kUpdateAtLeastEvery =
       std::chrono::milliseconds(250);
@@ -89,7 +89,10 @@
 
   // Leader.
   [[nodiscard]] bool IsLeading() const;
-  void BecomeLeader();
+  /// Begins to lead once everything committed before is applied.
+  void TakeOverWhenCurrent();
+  /// Puts what changed of targets and groups into the log.
+  void NoteChanges(TimePoint now);
   void KeepQuorum(TimePoint now);
   void KeepGroups(TimePoint now);
   /// Plans again once the events at hand are taken.
@@ -106,8 +109,6 @@
   void RefreshConfiguration();
 
   // Not leading.
-  void FollowLeader();
-  void TakeUpdate(const Update& update);
   void AskToJoin(TimePoint now);
 
   boost::asio::io_context& context;
@@ -118,7 +119,6 @@
   link::ChannelPool channels;
   link::Listener listener;
   ShortHttpServer server;
-  FollowClient follow;
   FleetState state;
   std::unique_ptr<consensus::Driver> driver;
   std::uint64_t incarnation;
@@ -135,7 +135,10 @@
   std::uint64_t seen_plan_revision = 0;
   std::optional<Configuration> configuration;
   std::uint64_t parsed_version = 0;
-  bool is_leading = false;
+  bool is_elected = false;  ///< Leads the log.
+  bool is_leading = false;  ///< And knows all that was committed before.
+  std::uint64_t noted_revision = 0;
+  TimePoint note_at;
   bool has_traffic = false;
   bool is_plan_due = false;
   TimePoint settled_at;
--- a/include/gooseberryturn/direct/fleet_state.h
+++ b/include/gooseberryturn/direct/fleet_state.h
@@ -2,20 +2,44 @@
 #define GOOSEBERRYTURN_DIRECT_FLEET_STATE_H_
 
 #include <cstdint>
+#include <map>
 #include <msgpack.hpp>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "gooseberryturn/consensus/types.h"
 #include "gooseberryturn/core/name_table.h"
+#include "gooseberryturn/direct/view.h"
 
 namespace gooseberryturn::direct {
 
 /// \brief Kind of a command in the replicated log.
-enum class FleetCommandKind : std::uint8_t { kPutConfiguration, kEvacuate };
+enum class FleetCommandKind : std::uint8_t {
+  kPutConfiguration,
+  kEvacuate,
+  kNote,  ///< Targets and groups as the leader knows them.
+};
+
+inline constexpr NameTable<FleetCommandKind, 3> kFleetCommandKindNames = {
+    {"put_configuration", "evacuate", "note"}};
 
-inline constexpr NameTable<FleetCommandKind, 2> kFleetCommandKindNames = {
-    {"put_configuration", "evacuate"}};
+/// \brief Changes of what the leader knows of targets and groups.
+///
+/// \details Kept in the log so that the next leader, also after a loss of
+/// power everywhere, can name the open groups before the targets spoke up.
+struct FleetNote {
+  std::vector<TargetView> targets;
+  std::vector<std::string> removed_targets;
+  std::vector<GroupView> groups;
+  std::vector<std::string> removed_groups;
+
+  [[nodiscard]] bool IsEmpty() const noexcept {
+    return this->targets.empty() && this->removed_targets.empty() &&
+           this->groups.empty() && this->removed_groups.empty();
+  }
+  MSGPACK_DEFINE(targets, removed_targets, groups, removed_groups)
+};
 
 /// \brief One command of an operator.
 struct FleetCommand {
@@ -24,8 +48,9 @@
   std::string text;           ///< The configuration as it was sent.
   std::string data_centre;
   bool is_out = false;
+  FleetNote note;
 
-  MSGPACK_DEFINE(kind, version, text, data_centre, is_out)
+  MSGPACK_DEFINE(kind, version, text, data_centre, is_out, note)
 };
 
 /// \brief The replicated state: configuration and data centres taken out.
@@ -50,15 +75,28 @@
   [[nodiscard]] const std::set<std::string>& evacuated() const noexcept {
     return this->out;
   }
+  [[nodiscard]] const std::map<std::string, TargetView>& targets()
+      const noexcept {
+    return this->known_targets;
+  }
+  [[nodiscard]] const std::map<std::string, GroupView>& groups()
+      const noexcept {
+    return this->known_groups;
+  }
 
  private:
+  void Take(const FleetNote& note);
+
   consensus::Index applied = 0;
   std::uint64_t config_version = 0;
   std::string config_text;
   std::set<std::string> out;
+  std::map<std::string, TargetView> known_targets;
+  std::map<std::string, GroupView> known_groups;
 
  public:
-  MSGPACK_DEFINE(applied, config_version, config_text, out)
+  MSGPACK_DEFINE(applied, config_version, config_text, out, known_targets,
+                 known_groups)
 };
 
 }  // namespace gooseberryturn::direct
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -72,9 +72,8 @@
   std::string data_centre;
   std::uint64_t incarnation = 0;
   std::uint64_t config_version = 0;  ///< Held; 0 for none.
-  bool is_control = false;
 
-  MSGPACK_DEFINE(host, data_centre, incarnation, config_version, is_control)
+  MSGPACK_DEFINE(host, data_centre, incarnation, config_version)
 };
 
 /// \brief What an entry tells the leader, several times a second.
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -79,7 +79,6 @@
              [this](ShortCall call, ShortHttpServer::Reply reply) {
                this->OnCall(std::move(call), std::move(reply));
              }),
-      follow(context, this->channels, {}),
       incarnation(RandomId()) {}
 
 // -------------------------------------------------------------------- start
@@ -157,25 +156,18 @@
         Error{Reason::kTargetFailed, Step::kStorage, Outcome::kNotRun,
               this->settings.data_folder, "the snapshot cannot be read"});
   }
-  this->driver->on_lead = [this] { this->BecomeLeader(); };
-  this->driver->on_applied = [this] { this->RefreshConfiguration(); };
+  this->driver->on_lead = [this] {
+    this->is_elected = true;
+    this->is_leading = false;
+  };
+  this->driver->on_applied = [this] {
+    this->RefreshConfiguration();
+    this->TakeOverWhenCurrent();
+  };
   this->driver->on_heard = [this](consensus::NodeId peer) {
     this->quorum.Heard(peer, Clock::now());
   };
   this->RefreshConfiguration();
-  this->follow.make_hello = [this] {
-    Hello hello;
-    hello.host = this->settings.host;
-    hello.data_centre = this->settings.data_centre;
-    hello.incarnation = this->incarnation;
-    hello.is_control = true;
-    // Configurations come through the log.
-    hello.config_version = ~std::uint64_t{0};
-    return hello;
-  };
-  this->follow.on_update = [this](const Update& update) {
-    this->TakeUpdate(update);
-  };
   this->ServeLinks();
   this->driver->Start(this->listener);
   const Endpoint link = {this->settings.address,
@@ -191,7 +183,6 @@
 void ControlHost::Stop() {
   this->timer.cancel();
   this->server.Stop();
-  this->follow.Stop();
   this->listener.GoAway();
   this->driver->Stop();
 }
@@ -418,30 +409,61 @@
            {{"version", std::to_string(this->parsed_version)}});
 }
 
-void ControlHost::BecomeLeader() {
+void ControlHost::TakeOverWhenCurrent() {
+  const consensus::Node& node = this->driver->node();
+  const bool is_current = this->driver->HasLease(Clock::now()) &&
+                          this->state.applied_index() >= node.commit_index();
+  if (this->is_leading || !this->is_elected || !is_current) {
+    return;
+  }
   const TimePoint now = Clock::now();
   this->is_leading = true;
   this->settled_at = now + kSettle;
-  this->follow.Stop();
   this->followers.clear();
   this->registry = Registry();
-  for (const auto& slot : this->targets.slots) {
-    this->registry.Adopt(slot.second.item, now);
+  this->targets = {};
+  this->groups = {};
+  this->revision += 1;
+  for (const std::pair<const std::string, TargetView>& entry :
+       this->state.targets()) {
+    this->registry.Adopt(entry.second, now);
+    this->targets.Put(entry.second, this->revision);
   }
   std::vector<GroupView> known;
-  for (const auto& slot : this->groups.slots) {
-    known.push_back(slot.second.item);
+  for (const std::pair<const std::string, GroupView>& entry :
+       this->state.groups()) {
+    known.push_back(entry.second);
+    this->groups.Put(entry.second, this->revision);
   }
+  this->noted_revision = this->revision;
   this->has_traffic |= !known.empty();
-  const consensus::Node& node = this->driver->node();
   this->planner.StartLeading(node.term(), known, now);
   this->quorum.StartLeading(node.membership(), now);
   LogEvent(Level::kInfo, "", "leading",
            {{"term", std::to_string(node.term())},
-            {"targets_known", std::to_string(this->targets.slots.size())},
+            {"config_version", std::to_string(this->state.version())},
+            {"targets_known", std::to_string(this->state.targets().size())},
             {"groups_known", std::to_string(known.size())}});
 }
 
+void ControlHost::NoteChanges(TimePoint now) {
+  if (this->noted_revision == this->revision || now < this->note_at) {
+    return;
+  }
+  this->note_at = now + kNoteEvery;
+  FleetCommand command;
+  command.kind = FleetCommandKind::kNote;
+  FleetNote& note = command.note;
+  this->targets.Since(this->noted_revision, note.targets,
+                      note.removed_targets);
+  this->groups.Since(this->noted_revision, note.groups, note.removed_groups);
+  this->noted_revision = this->revision;
+  if (!note.IsEmpty()) {
+    this->driver->Propose(protocol::Encode(command),
+                          [](const Result<consensus::Index>& /*applied*/) {});
+  }
+}
+
 void ControlHost::PutTarget(const std::string& target) {
   this->revision += 1;
   const TargetRecord* record = this->registry.Find(target);
@@ -685,7 +707,7 @@
                            follower.sent_revision < this->revision ||
                            follower.sent_config < this->state.version();
   const bool is_load_due =
-      now >= follower.load_sent_at + kLoadEvery && !follower.hello.is_control;
+      now >= follower.load_sent_at + kLoadEvery;
   if (!has_changes && !is_load_due &&
       now < follower.sent_at + kUpdateAtLeastEvery) {
     return;
@@ -715,7 +737,7 @@
   }
   std::uint32_t entries = 0;
   for (const std::shared_ptr<Follower>& other : this->followers) {
-    entries += other->hello.is_control ? 0 : 1;
+    entries += other->hello.host.empty() ? 0 : 1;
   }
   update.entries = std::max<std::uint32_t>(1, entries);
   follower.is_first = false;
@@ -728,34 +750,6 @@
 
 // -------------------------------------------------------------- not leading
 
-void ControlHost::TakeUpdate(const Update& update) {
-  this->revision += 1;
-  if (update.is_full) {
-    this->targets = {};
-    this->groups = {};
-  }
-  for (const TargetView& view : update.targets) {
-    this->targets.Put(view, this->revision);
-  }
-  for (const std::string& name : update.removed_targets) {
-    this->targets.Remove(name, this->revision);
-  }
-  for (const GroupView& view : update.groups) {
-    this->groups.Put(view, this->revision);
-  }
-  for (const std::string& name : update.removed_groups) {
-    this->groups.Remove(name, this->revision);
-  }
-}
-
-void ControlHost::FollowLeader() {
-  const consensus::Peer* leader = this->driver->Leader();
-  if (leader != nullptr && leader->id != this->id) {
-    this->follow.SetControlHosts({leader->link});
-    this->follow.Start();
-  }
-}
-
 void ControlHost::AskToJoin(TimePoint now) {
   const bool is_member =
       this->driver->node().membership().Find(this->id) != nullptr;
@@ -787,10 +781,12 @@
   const TimePoint now = Clock::now();
   const bool is_leader =
       this->driver->node().role() == consensus::NodeRole::kLeader;
-  if (!is_leader && this->is_leading) {
+  if (!is_leader && this->is_elected) {
+    this->is_elected = false;
     this->is_leading = false;
     LogEvent(Level::kWarn, "", "leadership_lost");
   }
+  this->TakeOverWhenCurrent();
   if (this->IsLeading()) {
     if (now >= this->expire_at) {
       this->expire_at = now + std::chrono::milliseconds(200);
@@ -803,8 +799,8 @@
     }
     this->KeepQuorum(now);
     this->KeepGroups(now);
+    this->NoteChanges(now);
   } else if (!is_leader) {
-    this->FollowLeader();
     this->AskToJoin(now);
   }
   this->PushAll(now);
--- a/src/direct/fleet_state.cc
+++ b/src/direct/fleet_state.cc
@@ -30,6 +30,24 @@
         this->out.erase(command->data_centre);
       }
       break;
+    case FleetCommandKind::kNote:
+      this->Take(command->note);
+      break;
+  }
+}
+
+void FleetState::Take(const FleetNote& note) {
+  for (const TargetView& target : note.targets) {
+    this->known_targets[target.name] = target;
+  }
+  for (const std::string& name : note.removed_targets) {
+    this->known_targets.erase(name);
+  }
+  for (const GroupView& group : note.groups) {
+    this->known_groups[group.name] = group;
+  }
+  for (const std::string& name : note.removed_groups) {
+    this->known_groups.erase(name);
   }
 }
 
--- a/src/direct/group_planner.cc
+++ b/src/direct/group_planner.cc
@@ -62,8 +62,8 @@
   for (const GroupView& view : known) {
     Group group;
     group.view = view;
-    // Whether the earlier leader's last order was carried out is not known.
-    group.may_be_open = view.phase != GroupPhase::kForming;
+    // The earlier leader may have gone on after it last told of the group.
+    group.may_be_open = true;
     group.give_up_at = now + kSettle + kFormingLimit;
     group.close_at = now + kCloseLimit;
     for (const std::string& member : view.members) {
@@ -234,6 +234,13 @@
 
 void GroupPlanner::FollowForming(Group& group, const PlanInput& input,
                                  PlannedWork& work, TimePoint now) {
+  const TargetRecord* head = input.registry.Find(group.view.members.front());
+  if (head != nullptr && IsIn(head->view.engine, group.view) &&
+      head->view.engine.membership->state == MemberState::kOpen) {
+    // An earlier leader opened it, which it did with all members ready.
+    this->SetPhase(group, GroupPhase::kOpen);
+    return;
+  }
   bool is_lost = now >= group.give_up_at;
   std::size_t ready = 0;
   for (const std::string& id : group.view.members) {
