--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -11,6 +11,7 @@
 
 #include "gooseberryturn/consensus/driver.h"
 #include "gooseberryturn/control/versioned.h"
+#include "gooseberryturn/direct/crash_ledger.h"
 #include "gooseberryturn/direct/dialect.h"
 #include "gooseberryturn/direct/fleet_state.h"
 #include "gooseberryturn/direct/group_planner.h"
@@ -128,6 +129,7 @@
   Registry registry;
   GroupPlanner planner;
   QuorumKeeper quorum;
+  CrashLedger crashes;
   std::list<std::shared_ptr<Follower>> followers;
   control::Versioned<TargetView> targets;
   control::Versioned<GroupView> groups;
@@ -144,7 +146,6 @@
   TimePoint settled_at;
   TimePoint join_at;
   TimePoint expire_at;
-  std::size_t next_join_host = 0;
 };
 
 }  // namespace gooseberryturn::direct
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -45,6 +45,7 @@
 
   static constexpr Duration kTick = std::chrono::milliseconds(50);
   static constexpr Duration kReportEvery = std::chrono::milliseconds(100);
+  static constexpr std::size_t kMaxCutRequests = 512;
   /// The balancer sends nothing new after two missed questions.
   static constexpr Duration kAcceptAfterLeave = std::chrono::milliseconds(2300);
   static constexpr Duration kLeaveMargin = std::chrono::milliseconds(900);
@@ -62,6 +63,8 @@
   void FollowLeave(TimePoint now);
   [[nodiscard]] routing::RetryBudget& BudgetOf(const std::string& service);
   void FlowEnded(std::uint64_t number);
+  /// Tells the leader, with the next report, that a request was cut off.
+  void NoteCut(CutRequest cut);
 
   boost::asio::io_context& context;
   boost::asio::steady_timer timer;
@@ -85,6 +88,7 @@
   std::mt19937_64 random;
   TimePoint report_at;
   std::size_t reported_stalls = 0;
+  std::vector<CutRequest> cut_requests;
   bool has_served = false;
   bool is_leaving = false;
   bool is_trying_waiters = false;
--- a/include/gooseberryturn/direct/fleet_view.h
+++ b/include/gooseberryturn/direct/fleet_view.h
@@ -42,6 +42,13 @@
   /// \brief True when requests at `target` should go on elsewhere: its group
   /// is broken.
   [[nodiscard]] bool IsBroken(const std::string& target) const;
+  [[nodiscard]] bool HasQuarantine() const noexcept {
+    return !this->quarantined.empty();
+  }
+  /// \brief True when the request crashed several targets.
+  [[nodiscard]] bool IsQuarantined(const std::string& fingerprint) const {
+    return this->quarantined.count(fingerprint) > 0;
+  }
   [[nodiscard]] std::uint32_t entries() const noexcept {
     return this->entry_count;
   }
--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -20,7 +20,8 @@
 /// \brief What the planner wants done.
 struct PlannedWork {
   std::vector<Order> orders;
-  std::vector<std::string> probes;  ///< Targets to be asked for a report.
+  std::vector<std::string> probes;        ///< Targets to be asked for a report.
+  std::vector<std::string> lost_members;  ///< Found dead this time.
 };
 
 /// \brief What the planner looks at.
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "gooseberryturn/core/reason.h"
 #include "gooseberryturn/direct/caller_connection.h"
 #include "gooseberryturn/direct/configuration.h"
 #include "gooseberryturn/direct/event_splitter.h"
@@ -49,6 +50,8 @@
 
  private:
   [[nodiscard]] bool Admit();
+  /// Digest of path, team and body: the same for a request sent again.
+  [[nodiscard]] std::string Fingerprint() const;
   void Dispatch();
   void Run(const std::string& target);
   [[nodiscard]] std::string RequestBytes(const std::string& target) const;
@@ -62,7 +65,7 @@
   void OnWholeAnswer();
   void OnFailedTry(const std::string& why, bool may_have_run);
   void PassOnAnswer();
-  void Refuse(int status, const std::string& why);
+  void Refuse(int status, Reason reason);
   void Finish(const std::string& outcome);
   /// Ends the try in progress without looking at its end.
   void Abandon(Evidence evidence);
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -76,17 +76,24 @@
   MSGPACK_DEFINE(host, data_centre, incarnation, config_version)
 };
 
+/// \brief A request that was cut off at a target.
+struct CutRequest {
+  std::string fingerprint;
+  std::string target;
+
+  MSGPACK_DEFINE(fingerprint, target)
+};
+
 /// \brief What an entry tells the leader, several times a second.
 struct EntryReport {
   std::vector<OpenWork> open_work;
   std::vector<std::string> stalled_groups;
-  std::vector<std::string> dead_targets;  ///< Refused or reset connections.
-  std::vector<std::string> crash_fingerprints;  ///< Held as a target died.
-  bool has_served = false;                      ///< Requests have begun.
+  std::vector<CutRequest> cut_requests;
+  bool has_served = false;  ///< Requests have begun.
   std::uint64_t config_version = 0;
 
-  MSGPACK_DEFINE(open_work, stalled_groups, dead_targets, crash_fingerprints,
-                 has_served, config_version)
+  MSGPACK_DEFINE(open_work, stalled_groups, cut_requests, has_served,
+                 config_version)
 };
 
 /// \brief What the leader tells its followers: changes since the last one.
--- a/include/gooseberryturn/routing/retry_budget.h
+++ b/include/gooseberryturn/routing/retry_budget.h
@@ -8,15 +8,18 @@
 
 /// \brief Retries of one service as a share of its first attempts.
 ///
-/// \details Only the entry retries. A burst of kReserve retries is always
+/// \details Only the entry retries. A burst of `reserve` retries is always
 /// possible after a quiet time; beyond it retries stay below the share, so
 /// that a failing service is not loaded further.
 class RetryBudget {
  public:
+  explicit RetryBudget(double reserve = kReserve) noexcept
+      : reserve(reserve), credit(reserve) {}
+
   /// \brief A first attempt was made.
   void FirstAttempt(std::int64_t percent) noexcept {
     this->credit = std::min(
-        kReserve, this->credit + static_cast<double>(percent) / kPercent);
+        this->reserve, this->credit + static_cast<double>(percent) / kPercent);
   }
   /// \brief Takes one retry from the budget; false when it is spent.
   [[nodiscard]] bool TakeRetry() noexcept {
@@ -31,7 +34,8 @@
 
  private:
   static constexpr double kPercent = 100.0;
-  double credit = kReserve;
+  double reserve;
+  double credit;
 };
 
 }  // namespace gooseberryturn::routing
--- a/src/config/reader.cc
+++ b/src/config/reader.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <exception>
 #include <fstream>
+#include <optional>
 #include <sstream>
 #include <utility>
 
@@ -14,6 +15,45 @@
 namespace {
 
 constexpr std::size_t kMaxShownCharacters = 40;
+constexpr std::size_t kMaxNesting = 64;
+
+/// Line at which JSON is nested deeper than kMaxNesting; in linear time.
+/// Brackets within strings and comments do not count.
+std::optional<int> FindDeepNesting(const std::string& text) {
+  int line = 1;
+  std::size_t depth = 0;
+  bool in_string = false;
+  for (std::size_t place = 0; place < text.size(); ++place) {
+    const char character = text[place];
+    line += character == '\n' ? 1 : 0;
+    if (in_string) {
+      place += character == '\\' ? 1 : 0;
+      in_string = character != '"';
+      continue;
+    }
+    const bool is_line_comment = text.compare(place, 2, "//") == 0;
+    if (is_line_comment || text.compare(place, 2, "/*") == 0) {
+      const std::size_t end =
+          text.find(is_line_comment ? "\n" : "*/", place + 2);
+      line += static_cast<int>(std::count(
+          text.begin() + static_cast<std::ptrdiff_t>(place),
+          text.begin() +
+              static_cast<std::ptrdiff_t>(std::min(end, text.size())),
+          '\n'));
+      place = std::min(end, text.size()) - 1;
+      continue;
+    }
+    in_string = character == '"';
+    const bool is_opening = character == '[' || character == '{';
+    const bool is_closing = character == ']' || character == '}';
+    depth += is_opening ? 1 : 0;
+    depth -= is_closing && depth > 0 ? 1 : 0;
+    if (depth > kMaxNesting) {
+      return line;
+    }
+  }
+  return std::nullopt;
+}
 
 std::string Show(const Tree& value) {
   if (value.category() == Tree::Object) {
@@ -116,6 +156,13 @@
 }
 
 tl::expected<Tree, Faults> ParseJson(const std::string& text) {
+  // The parser below recurses and slows down with each level.
+  const std::optional<int> deep_line = FindDeepNesting(text);
+  if (deep_line.has_value()) {
+    return tl::make_unexpected(
+        Faults{{"", "nesting deeper than " + std::to_string(kMaxNesting),
+                "JSON with comments", *deep_line}});
+  }
   std::istringstream input(text);
   try {
     cxxtools::JsonDeserializer deserializer(input);
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -21,7 +21,6 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr int kAccepted = 202;
-constexpr int kConflict = 409;
 constexpr int kPreconditionFailed = 412;
 constexpr int kMisdirected = 421;
 
@@ -316,7 +315,11 @@
               {"engine", Describe(announcement->engine)},
               {"leaving", announcement->is_leaving ? "true" : "false"}});
   }
+  if (heard == HeardAs::kNew) {
+    this->crashes.Died(target, Clock::now());
+  }
   for (const std::string& removed : this->registry.TakeRemoved()) {
+    this->crashes.Died(removed, Clock::now());
     this->PutTarget(removed);
   }
   reply({kOk, "application/json",
@@ -454,8 +457,7 @@
   FleetCommand command;
   command.kind = FleetCommandKind::kNote;
   FleetNote& note = command.note;
-  this->targets.Since(this->noted_revision, note.targets,
-                      note.removed_targets);
+  this->targets.Since(this->noted_revision, note.targets, note.removed_targets);
   this->groups.Since(this->noted_revision, note.groups, note.removed_groups);
   this->noted_revision = this->revision;
   if (!note.IsEmpty()) {
@@ -549,6 +551,9 @@
     input.open_work[work.target] = work.requests;
   }
   const PlannedWork work = this->planner.Plan(input, now);
+  for (const std::string& lost : work.lost_members) {
+    this->crashes.Died(lost, now);
+  }
   for (const Order& order : work.orders) {
     this->GiveOrder(order);
   }
@@ -651,6 +656,9 @@
   follower.heard_at = now;
   follower.open_work = report.open_work;
   this->has_traffic |= report.has_served;
+  for (const CutRequest& cut : report.cut_requests) {
+    this->crashes.Report(cut.fingerprint, cut.target, now);
+  }
   for (const std::string& group : report.stalled_groups) {
     this->planner.GroupStalled(group, now);
     this->PlanSoon();
@@ -706,8 +714,7 @@
   const bool has_changes = follower.is_first || is_full_due ||
                            follower.sent_revision < this->revision ||
                            follower.sent_config < this->state.version();
-  const bool is_load_due =
-      now >= follower.load_sent_at + kLoadEvery;
+  const bool is_load_due = now >= follower.load_sent_at + kLoadEvery;
   if (!has_changes && !is_load_due &&
       now < follower.sent_at + kUpdateAtLeastEvery) {
     return;
@@ -728,6 +735,7 @@
   this->groups.Since(from, update.groups, update.removed_groups);
   update.evacuated.assign(this->state.evacuated().begin(),
                           this->state.evacuated().end());
+  update.quarantined = this->crashes.Quarantined(now);
   if (is_load_due) {
     update.open_work = this->SumOpenWork();
     follower.load_sent_at = now;
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -21,6 +21,8 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
+constexpr double kLeastEntries = 8;
+constexpr double kBurstShare = 0.9;
 constexpr char kMetricsPath[] = "/metrics";
 
 std::vector<Endpoint> LinksOf(const HostSettings& settings) {
@@ -135,7 +137,19 @@
 void EntryHost::FlowEnded(std::uint64_t number) { this->flows.erase(number); }
 
 routing::RetryBudget& EntryHost::BudgetOf(const std::string& service) {
-  return this->budgets[service];
+  // The burst of a service is shared by all entries; a view may name fewer
+  // than there are.
+  const double entries = std::max<double>(kLeastEntries, this->view.entries());
+  return this->budgets
+      .emplace(service, routing::RetryBudget(
+                            kBurstShare * this->settings.retry_burst / entries))
+      .first->second;
+}
+
+void EntryHost::NoteCut(CutRequest cut) {
+  if (this->cut_requests.size() < kMaxCutRequests) {
+    this->cut_requests.push_back(std::move(cut));
+  }
 }
 
 void EntryHost::TakeUpdate(const Update& update) {
@@ -178,9 +192,12 @@
   this->report_at = now + kReportEvery;
   this->reported_stalls = report.stalled_groups.size();
   report.open_work = this->book.Report();
+  report.cut_requests = this->cut_requests;
   report.has_served = this->has_served;
   report.config_version = this->view.version();
-  (void)this->follow.Send(report);
+  if (this->follow.Send(report)) {
+    this->cut_requests.clear();
+  }
 }
 
 void EntryHost::TryWaiters() {
--- a/src/direct/group_planner.cc
+++ b/src/direct/group_planner.cc
@@ -306,6 +306,7 @@
   for (const std::string& id : group.view.members) {
     if (this->IsMemberDead(group, id, input, now)) {
       is_broken = true;
+      work.lost_members.push_back(id);
       LogEvent(Level::kWarn, "", "member_lost",
                {{"group", group.view.name}, {"target", id}});
     } else {
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "gooseberryturn/core/id.h"
 #include "gooseberryturn/direct/entry_host.h"
 #include "gooseberryturn/observe/log.h"
 
@@ -96,6 +97,7 @@
 // ---------------------------------------------------------------- admission
 
 void RequestFlow::Start() {
+  this->host.metrics.Add(observe::Metric::kInFlight);
   const std::weak_ptr<RequestFlow> weak = this->weak_from_this();
   this->caller->on_gone = [weak] {
     const std::shared_ptr<RequestFlow> self = weak.lock();
@@ -114,11 +116,20 @@
   }
 }
 
+std::string RequestFlow::Fingerprint() const {
+  std::string text = std::string(this->message.target());
+  text += '\n';
+  text += this->team == nullptr ? "" : this->team->name;
+  text += '\n';
+  text += this->message.body();
+  return Digest(text);
+}
+
 bool RequestFlow::Admit() {
   const HeaderNames& names = this->host.dialect.headers;
   this->id = std::string(this->message[names.attempt]);
   if (this->table == nullptr) {
-    this->Refuse(kUnavailable, "no_configuration");
+    this->Refuse(kUnavailable, Reason::kNoView);
     return false;
   }
   std::string_view path = ToView(this->message.target());
@@ -126,7 +137,7 @@
   this->route =
       this->table->FindRoute(ToView(this->message[http::field::host]), path);
   if (this->route == nullptr) {
-    this->Refuse(kNotFound, "no_route");
+    this->Refuse(kNotFound, Reason::kNoRoute);
     return false;
   }
   if (this->table->configuration().has_teams && !this->route->is_public) {
@@ -136,10 +147,15 @@
     this->team =
         is_bearer ? this->table->FindTeam(key.substr(prefix)) : nullptr;
     if (this->team == nullptr) {
-      this->Refuse(kUnauthorized, "unknown_key");
+      this->Refuse(kUnauthorized, Reason::kUnknownTeam);
       return false;
     }
   }
+  if (this->host.view.HasQuarantine() &&
+      this->host.view.IsQuarantined(this->Fingerprint())) {
+    this->Refuse(kUnavailable, Reason::kQuarantined);
+    return false;
+  }
   std::uniform_real_distribution<double> draw(0, 1);
   this->service = PickService(*this->route, draw(this->host.random));
   this->model = std::string(this->message[names.model]);
@@ -351,8 +367,8 @@
   if (!this->is_sent_head) {
     this->is_sent_head = true;
     this->caller->BeginChunks(this->HeadLines());
-    LogEvent(Level::kDebug, this->id, "first_event",
-             {{"target", this->target}});
+    this->host.metrics.Observe(observe::Timing::kFirstByte,
+                               Clock::now() - this->begun_at);
   }
   if (event.id.has_value()) {
     this->last_event = event.id;
@@ -380,6 +396,9 @@
   if (this->is_done) {
     return;
   }
+  if (end == ExchangeEnd::kCut) {
+    this->host.NoteCut({this->Fingerprint(), this->target});
+  }
   if (end != ExchangeEnd::kComplete && end != ExchangeEnd::kCancelled) {
     LogEvent(Level::kInfo, this->id, "try_failed",
              {{"target", this->target},
@@ -407,6 +426,7 @@
   }
   this->caller->SendChunk(this->splitter.rest());
   this->caller->EndChunks();
+  this->host.metrics.Add(observe::Metric::kAnswers);
   this->Finish("served");
 }
 
@@ -445,8 +465,13 @@
     }
   }
   const bool has_time = Clock::now() < this->deadline;
-  return has_time && this->tried.size() < kMaxTries &&
-         this->host.BudgetOf(this->service).TakeRetry();
+  const bool may_try = has_time && this->tried.size() < kMaxTries &&
+                       this->host.BudgetOf(this->service).TakeRetry();
+  if (may_try) {
+    this->host.metrics.Retried(may_have_run ? Reason::kAnswerCut
+                                            : Reason::kTargetBusy);
+  }
+  return may_try;
 }
 
 void RequestFlow::OnFailedTry(const std::string& why, bool may_have_run) {
@@ -463,6 +488,7 @@
 }
 
 void RequestFlow::PassOnAnswer() {
+  this->host.metrics.Add(observe::Metric::kAnswers);
   this->caller->Answer(this->HeadLines(), this->body);
   this->Finish("answered_" + std::to_string(this->head.result_int()));
 }
@@ -490,13 +516,13 @@
     this->caller->Abort();
     this->Finish("cut");
   } else if (this->runs > 0) {
-    this->Refuse(kBadGateway, "may_have_run");
+    this->Refuse(kBadGateway, Reason::kOutcomeUnknown);
   } else {
-    this->Refuse(kUnavailable, "no_room");
+    this->Refuse(kUnavailable, Reason::kOverloaded);
   }
 }
 
-void RequestFlow::Refuse(int status, const std::string& why) {
+void RequestFlow::Refuse(int status, Reason reason) {
   const http::status code = http::int_to_status(static_cast<unsigned>(status));
   std::string lines = "HTTP/1.1 " + std::to_string(status) + " " +
                       std::string(http::obsolete_reason(code)) + "\r\n";
@@ -515,7 +541,9 @@
     lines += std::string("Retry-After: ") + text.data() + "\r\n";
   }
   this->caller->Answer(std::move(lines), "");
-  this->Finish("refused_" + std::to_string(status) + "_" + why);
+  this->host.metrics.Refused(reason);
+  this->Finish("refused_" + std::to_string(status) + "_" +
+               std::string(kReasonNames.Name(reason)));
 }
 
 void RequestFlow::Abandon(Evidence evidence) {
@@ -556,6 +584,9 @@
             {"events", std::to_string(this->events)},
             {"ms", std::to_string(total_ms)},
             {"config_version", std::to_string(this->host.view.version())}});
+  this->host.metrics.Observe(observe::Timing::kWhole,
+                             Clock::now() - this->begun_at);
+  this->host.metrics.Add(observe::Metric::kInFlight, -1);
   this->host.FlowEnded(this->number);
 }
 
@@ -579,9 +610,9 @@
       this->caller->Abort();
       this->Finish("deadline");
     } else if (this->connection != nullptr || this->runs > 0) {
-      this->Refuse(kGatewayTimeout, "deadline");
+      this->Refuse(kGatewayTimeout, Reason::kDeadline);
     } else {
-      this->Refuse(kUnavailable, "deadline");
+      this->Refuse(kUnavailable, Reason::kDeadline);
     }
     return;
   }
@@ -610,6 +641,7 @@
                                         now - this->progress_at)
                                         .count())}});
   this->runs += 1;
+  this->host.NoteCut({this->Fingerprint(), this->target});
   this->Abandon(Evidence::kBad);
   this->give_up_at = std::min(this->deadline, now + kPatience);
   this->Dispatch();
--- a/src/direct/waiting_line.cc
+++ b/src/direct/waiting_line.cc
@@ -71,6 +71,7 @@
                                     TimePoint objective_at,
                                     TimePoint now) const {
   Waiter self;
+  self.id = ~std::uint64_t{0};  // Newer than all that wait.
   self.lane = lane;
   self.priority = priority;
   self.objective_at = objective_at;
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE config
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <filesystem>
 #include <regex>
 
@@ -37,6 +38,26 @@
 
 }  // namespace
 
+BOOST_AUTO_TEST_CASE(deep_nesting_is_refused_at_once) {
+  const std::chrono::steady_clock::time_point begin =
+      std::chrono::steady_clock::now();
+  const std::string lists(200'000, '[');
+  BOOST_TEST(Has(FaultsOf("{\"environment\":\n" + lists),
+                 "f:2: found nesting deeper than"));
+  std::string objects;
+  for (int level = 0; level < 100'000; ++level) {
+    objects += "{\"a\":";
+  }
+  BOOST_TEST(Has(FaultsOf(objects), "nesting deeper than"));
+  // One second a million characters is far more than linear time takes.
+  BOOST_TEST(
+      (std::chrono::steady_clock::now() - begin < std::chrono::seconds(2)));
+  const std::string brackets(200, '[');
+  BOOST_TEST(!Has(FaultsOf("{\"environment\": \"" + brackets + "\" // " +
+                           brackets + "\n/* " + brackets + " */}"),
+                  "nesting"));
+}
+
 BOOST_AUTO_TEST_CASE(examples_have_no_faults) {
   const std::filesystem::path folder = std::string(SOURCE_ROOT) + "/examples";
   int count = 0;
