Copies go where they soonest make a group; a reservation outlives its leader

Change: the model a group is closed for stands in its view; copies are staged by need: least covered model, domain with fewest hosts missing. Ruled out: lack of hosts (six pairs were open in domains with spares).

--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -100,6 +100,13 @@
     int unanswered_leaves = 0;
   };
 
+  /// A copy of a model that a host should be given.
+  struct Staging {
+    std::string target;
+    const ModelProfile* model = nullptr;
+    double need = 0;
+  };
+
   /// Hosts of a domain are kept for a model until its group is formed.
   struct Reservation {
     std::string model;
@@ -162,10 +169,18 @@
       const std::string& domain, const std::vector<std::string>& spares,
       const PlanInput& input) const;
   void Rebalance(const Service& service, const PlanInput& input, TimePoint now);
-  [[nodiscard]] const ModelProfile* ModelToStage(
-      const TargetRecord& record, const Service& service,
-      const std::map<std::string, std::vector<std::string>>& free,
+  /// Hosts of each fabric domain that can join `model` without a load.
+  [[nodiscard]] std::map<std::string, std::size_t> CapableByDomain(
+      const Service& service, const ModelProfile& model,
       const PlanInput& input) const;
+  [[nodiscard]] bool MayStage(const TargetRecord& record,
+                              const Service& service, const PlanInput& input,
+                              TimePoint now) const;
+  /// Copies that hosts should be given, the most needed first: the weight
+  /// store is slow, so each load goes where it soonest makes a group.
+  [[nodiscard]] std::vector<Staging> StagingByNeed(const Service& service,
+                                                   const PlanInput& input,
+                                                   TimePoint now) const;
   void StageModels(const PlanInput& input, PlannedWork& work, TimePoint now);
   [[nodiscard]] double JoinSeconds(const TargetRecord& record,
                                    const ModelProfile& model) const;
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -53,8 +53,10 @@
   std::string domain;
   std::vector<std::string> members;  ///< Ids; the first is the head.
   GroupPhase phase = GroupPhase::kForming;
+  std::string closing_for;  ///< Model that is to get its members, if any.
 
-  MSGPACK_DEFINE(name, epoch, service, model, domain, members, phase)
+  MSGPACK_DEFINE(name, epoch, service, model, domain, members, phase,
+                 closing_for)
 };
 
 /// \brief Requests in progress at one head or plain target.
--- a/src/direct/group_planner.cc
+++ b/src/direct/group_planner.cc
@@ -66,6 +66,9 @@
     group.may_be_open = true;
     group.give_up_at = now + kSettle + kFormingLimit;
     group.close_at = now + kCloseLimit;
+    if (!view.closing_for.empty()) {
+      this->reserved[view.domain] = {view.closing_for, now + kRebalanceEvery};
+    }
     for (const std::string& member : view.members) {
       group.resend_at[member] = now + kResendOrder;
       this->group_of[member] = view.name;
@@ -807,6 +810,7 @@
               {"for_model", poor->name},
               {"least_coverage_before", std::to_string(before)},
               {"least_coverage_after", std::to_string(best)}});
+    group.view.closing_for = poor->name;
     this->SetPhase(group, GroupPhase::kClosing);
     group.close_at = now + kCloseLimit;
     this->rebalance_at = now + kRebalanceEvery;
@@ -814,50 +818,81 @@
   }
 }
 
-const ModelProfile* GroupPlanner::ModelToStage(
-    const TargetRecord& record, const Service& service,
-    const std::map<std::string, std::vector<std::string>>& free,
+std::map<std::string, std::size_t> GroupPlanner::CapableByDomain(
+    const Service& service, const ModelProfile& model,
     const PlanInput& input) const {
-  const EngineReport& report = record.view.engine;
-  const auto group = this->group_of.find(record.view.name);
-  if (group != this->group_of.end() &&
-      this->groups.at(group->second).view.phase != GroupPhase::kOpen) {
-    return nullptr;
-  }
-  const bool has_other_copy =
-      std::any_of(report.staged.begin(), report.staged.end(),
-                  [&record](const std::string& model) {
-                    return model != record.view.last_model;
-                  });
-  if (has_other_copy) {
-    return nullptr;
+  std::map<std::string, std::size_t> capable;
+  for (const std::pair<const std::string, TargetRecord>& entry :
+       input.registry.targets()) {
+    const TargetRecord& record = entry.second;
+    const bool counts = record.view.service == service.name &&
+                        !record.view.is_leaving &&
+                        !this->IsSuspect(entry.first, record) &&
+                        input.evacuated.count(record.view.data_centre) == 0 &&
+                        this->JoinSeconds(record, model) < model.load_s;
+    capable[record.view.engine.domain] += counts ? 1 : 0;
   }
+  return capable;
+}
+
+bool GroupPlanner::MayStage(const TargetRecord& record, const Service& service,
+                            const PlanInput& input, TimePoint now) const {
+  const auto staging = this->staging_until.find(record.view.name);
+  const bool is_staging =
+      staging != this->staging_until.end() && now < staging->second;
+  const auto group = this->group_of.find(record.view.name);
+  const bool is_forming =
+      group != this->group_of.end() &&
+      this->groups.at(group->second).view.phase != GroupPhase::kOpen;
+  const std::vector<std::string>& staged = record.view.engine.staged;
+  // A host keeps the last model it served at hand, so one copy of another
+  // model is worth keeping.
+  const bool has_other_copy = std::any_of(
+      staged.begin(), staged.end(), [&record](const std::string& model) {
+        return model != record.view.last_model;
+      });
+  return record.view.service == service.name && !record.view.is_leaving &&
+         !record.is_adopted && !this->IsSilent(record, input, now) &&
+         !this->IsSuspect(record.view.name, record) && !is_staging &&
+         !is_forming && !has_other_copy;
+}
+
+std::vector<GroupPlanner::Staging> GroupPlanner::StagingByNeed(
+    const Service& service, const PlanInput& input, TimePoint now) const {
   const std::map<std::string, double> coverage = this->Coverage(service, input);
-  const auto spares = free.find(report.domain);
-  const ModelProfile* best = nullptr;
-  double best_need = 0;
+  std::map<std::string, std::map<std::string, std::size_t>> capable;
   for (const ModelProfile& model : service.engine->models) {
-    // The last model needs no copy: its host rejoins it at once.
-    if (model.name == record.view.last_model) {
+    capable[model.name] = this->CapableByDomain(service, model, input);
+  }
+  std::vector<Staging> wanted;
+  for (const std::pair<const std::string, TargetRecord>& entry :
+       input.registry.targets()) {
+    const TargetRecord& record = entry.second;
+    if (!this->MayStage(record, service, input, now)) {
       continue;
     }
-    std::size_t capable = 1;
-    if (spares != free.end()) {
-      for (const std::string& id : spares->second) {
-        const double join = this->JoinSeconds(*input.registry.Find(id), model);
-        capable += id != record.view.name && join < model.load_s ? 1 : 0;
+    Staging best;
+    for (const ModelProfile& model : service.engine->models) {
+      if (model.name == record.view.last_model) {
+        continue;
+      }
+      const std::size_t there = capable[model.name][record.view.engine.domain];
+      const std::size_t missing = there < model.size ? model.size - there : 1;
+      const double need = 1.0 / (1.0 + coverage.at(model.name)) /
+                          static_cast<double>(missing) / model.load_s;
+      if (need > best.need) {
+        best = {entry.first, &model, need};
       }
     }
-    const double fits = capable >= model.size ? 2.0 : 1.0;
-    const double need =
-        fits / (1.0 + coverage.at(model.name)) /
-        static_cast<double>(std::max<std::size_t>(1, model.size));
-    if (need > best_need) {
-      best_need = need;
-      best = &model;
+    if (best.model != nullptr) {
+      wanted.push_back(best);
     }
   }
-  return best;
+  std::stable_sort(wanted.begin(), wanted.end(),
+                   [](const Staging& one, const Staging& other) {
+                     return one.need > other.need;
+                   });
+  return wanted;
 }
 
 void GroupPlanner::StageModels(const PlanInput& input, PlannedWork& work,
@@ -866,28 +901,10 @@
     if (!service.engine.has_value()) {
       continue;
     }
-    const std::map<std::string, std::vector<std::string>> free =
-        this->FreeByDomain(service, input, now);
-    for (const std::pair<const std::string, TargetRecord>& entry :
-         input.registry.targets()) {
-      const TargetRecord& record = entry.second;
-      const auto staging = this->staging_until.find(entry.first);
-      const bool is_staging =
-          staging != this->staging_until.end() && now < staging->second;
-      const bool is_usable = record.view.service == service.name &&
-                             !record.view.is_leaving && !record.is_adopted &&
-                             !this->IsSilent(record, input, now) &&
-                             !this->IsSuspect(entry.first, record);
-      if (!is_usable || is_staging) {
-        continue;
-      }
-      const ModelProfile* model =
-          this->ModelToStage(record, service, free, input);
-      if (model == nullptr) {
-        continue;
-      }
-      const double seconds =
-          input.has_traffic ? model->load_s : kEarlyLoadShare * model->load_s;
+    for (const Staging& staging : this->StagingByNeed(service, input, now)) {
+      const double seconds = input.has_traffic
+                                 ? staging.model->load_s
+                                 : kEarlyLoadShare * staging.model->load_s;
       if (input.has_traffic) {
         if (!this->loads.MayStart(*service.engine, 1, now)) {
           return;
@@ -896,11 +913,11 @@
       }
       Order order;
       order.kind = OrderKind::kStage;
-      order.target = entry.first;
-      order.model = model->name;
+      order.target = staging.target;
+      order.model = staging.model->name;
       order.fence = this->term;
       work.orders.push_back(order);
-      this->staging_until[entry.first] =
+      this->staging_until[staging.target] =
           now + FromSeconds(kStagingPatience * seconds) + kResendOrder;
     }
   }
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -45,7 +45,7 @@
 constexpr double kRetryAfterShare = 0.25;
 
 bool IsHopHeader(std::string_view name) {
-  static constexpr std::array<std::string_view, 9> kNames = {
+  static constexpr std::array<std::string_view, 9> names = {
       "connection",
       "keep-alive",
       "proxy-connection",
@@ -55,12 +55,11 @@
       "upgrade",
       "content-length",
       "proxy-authorization"};
-  return std::any_of(kNames.begin(), kNames.end(),
-                     [name](std::string_view hop) {
-                       return boost::beast::iequals(
-                           boost::beast::string_view(name.data(), name.size()),
-                           boost::beast::string_view(hop.data(), hop.size()));
-                     });
+  return std::any_of(names.begin(), names.end(), [name](std::string_view hop) {
+    return boost::beast::iequals(
+        boost::beast::string_view(name.data(), name.size()),
+        boost::beast::string_view(hop.data(), hop.size()));
+  });
 }
 
 bool IsSameName(std::string_view a, std::string_view b) {
