Files split by job: control host, group planner, request flow

Change: calls, orders and followers of the control host, forming, staging and adoption of the planner and the answering part of a request stand in files of their own; header text and seconds are shared; platform/ is linted. Ruled out: behaviour changes (bodies were moved only).

--- a/include/gooseberryturn/core/time.h
+++ b/include/gooseberryturn/core/time.h
@@ -30,6 +30,9 @@
 [[nodiscard]] std::int64_t RemainingMs(TimePoint deadline,
                                        TimePoint now) noexcept;
 
+/// \brief A duration from seconds with a fraction.
+[[nodiscard]] Duration FromSeconds(double seconds) noexcept;
+
 }  // namespace gooseberryturn
 
 #endif  // GOOSEBERRYTURN_CORE_TIME_H_
--- a/src/core/time.cc
+++ b/src/core/time.cc
@@ -19,4 +19,9 @@
   return std::chrono::duration_cast<Milliseconds>(deadline - now).count();
 }
 
+Duration FromSeconds(double seconds) noexcept {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
 }  // namespace gooseberryturn
--- /dev/null
+++ b/src/direct/control_host_calls.cc
@@ -0,0 +1,209 @@
+#include <optional>
+#include <utility>
+
+#include "gooseberryturn/direct/control_host.h"
+#include "gooseberryturn/observe/log.h"
+#include "gooseberryturn/protocol/codec.h"
+
+namespace gooseberryturn::direct {
+
+using observe::Level;
+using observe::LogEvent;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+/// An engine's state in a few words for the log.
+std::string Describe(const std::optional<EngineReport>& report) {
+  if (!report.has_value()) {
+    return "plain";
+  }
+  std::string text = "loaded=" + report->loaded_model + " staged=";
+  for (const std::string& model : report->staged) {
+    text += model + ",";
+  }
+  if (report->membership.has_value()) {
+    text += " group=" + report->membership->group +
+            " rank=" + std::to_string(report->membership->rank) + " state=" +
+            std::string(kMemberStateNames.Name(report->membership->state));
+  }
+  return text;
+}
+
+}  // namespace
+
+// -------------------------------------------------------------------- calls
+
+ShortAnswer ControlHost::Fault(int status, const std::string& why) const {
+  return {status, "application/json", this->dialect.write_fault(why)};
+}
+
+bool ControlHost::IsLeading() const {
+  return this->is_leading && this->driver->HasLease(Clock::now());
+}
+
+void ControlHost::OnCall(ShortCall call, ShortHttpServer::Reply reply) {
+  if (this->IsLeading()) {
+    this->HandleAsLeader(call, std::move(reply));
+    return;
+  }
+  const consensus::Peer* leader = this->driver->Leader();
+  if (leader == nullptr || leader->id == this->id) {
+    reply(this->Fault(kUnavailable, "no leader is known"));
+    return;
+  }
+  const ForwardedCall forwarded = {call.method, call.path, call.body};
+  this->channels.Get(leader->link)
+      ->Call(kCallPath, protocol::Encode(forwarded), Clock::now() + kCallLimit,
+             [this, reply = std::move(reply)](Result<std::string> answered) {
+               const std::optional<ForwardedAnswer> answer =
+                   answered.has_value()
+                       ? protocol::Decode<ForwardedAnswer>(*answered)
+                       : std::nullopt;
+               if (answer.has_value() && answer->status != 0) {
+                 reply({answer->status, "application/json", answer->body});
+               } else {
+                 reply(this->Fault(kUnavailable, "the leader did not answer"));
+               }
+             });
+}
+
+void ControlHost::HandleAsLeader(const ShortCall& call,
+                                 ShortHttpServer::Reply reply) {
+  const ControlCall decoded = this->dialect.read_control_call(call);
+  switch (decoded.kind) {
+    case ControlCallKind::kAnnounce:
+      this->Announce(decoded.name, call, reply);
+      break;
+    case ControlCallKind::kWithdraw:
+      this->registry.Withdrawn(decoded.name, Clock::now());
+      this->PutTarget(decoded.name);
+      LogEvent(Level::kInfo, "", "target_withdrawn",
+               {{"target", decoded.name}});
+      reply({kOk, "application/json", "{}"});
+      break;
+    case ControlCallKind::kPutConfiguration:
+      this->PutConfiguration(call, std::move(reply));
+      break;
+    case ControlCallKind::kGetConfiguration:
+      this->GetConfiguration(reply);
+      break;
+    case ControlCallKind::kEvacuate:
+    case ControlCallKind::kReturn:
+      this->SetEvacuated(decoded.name,
+                         decoded.kind == ControlCallKind::kEvacuate,
+                         std::move(reply));
+      break;
+    case ControlCallKind::kUnknown:
+      reply(this->Fault(kNotFound, "no such call"));
+      break;
+  }
+}
+
+void ControlHost::Announce(const std::string& target, const ShortCall& call,
+                           const ShortHttpServer::Reply& reply) {
+  const Result<Announcement> announcement =
+      this->dialect.read_announcement(target, call.body);
+  if (!announcement.has_value()) {
+    LogEvent(Level::kWarn, "", "announcement_rejected",
+             {{"target", target}, {"why", announcement.error().message}});
+    reply(this->Fault(kBadRequest, announcement.error().message));
+    return;
+  }
+  const HeardAs heard = this->registry.Heard(*announcement, Clock::now());
+  if (heard == HeardAs::kNew || heard == HeardAs::kChanged) {
+    this->PutTarget(target);
+    this->PlanSoon();
+    LogEvent(Level::kInfo, "", "target_heard",
+             {{"target", target},
+              {"as", std::string(kHeardAsNames.Name(heard))},
+              {"sequence", std::to_string(announcement->sequence)},
+              {"engine", Describe(announcement->engine)},
+              {"leaving", announcement->is_leaving ? "true" : "false"}});
+  }
+  if (heard == HeardAs::kNew) {
+    this->crashes.Died(target, Clock::now());
+  }
+  for (const std::string& removed : this->registry.TakeRemoved()) {
+    this->crashes.Died(removed, Clock::now());
+    this->PutTarget(removed);
+  }
+  reply({kOk, "application/json",
+         this->dialect.write_announce_answer(*this->settings.control)});
+}
+
+void ControlHost::PutConfiguration(const ShortCall& call,
+                                   ShortHttpServer::Reply reply) {
+  const Result<Configuration> read =
+      this->dialect.read_configuration(call.body);
+  const Result<void> checked =
+      read.has_value() ? Validate(*read) : tl::make_unexpected(read.error());
+  if (!checked.has_value()) {
+    LogEvent(Level::kWarn, "", "configuration_rejected",
+             {{"why", checked.error().message}});
+    reply(this->Fault(kBadRequest, checked.error().message));
+    return;
+  }
+  if (read->version <= this->state.version()) {
+    LogEvent(Level::kInfo, "", "configuration_overtaken",
+             {{"version", std::to_string(read->version)},
+              {"held", std::to_string(this->state.version())}});
+    this->GetConfiguration([reply](const ShortAnswer& answer) {
+      // Acknowledged only by a leader that is sure of what it holds.
+      reply({answer.status, "application/json", "{}"});
+    });
+    return;
+  }
+  FleetCommand command;
+  command.kind = FleetCommandKind::kPutConfiguration;
+  command.version = read->version;
+  command.text = call.body;
+  this->Propose(command, std::move(reply));
+}
+
+void ControlHost::GetConfiguration(const ShortHttpServer::Reply& reply) {
+  const bool is_current =
+      this->IsLeading() &&
+      this->state.applied_index() >= this->driver->node().commit_index();
+  if (!is_current || this->state.version() == 0) {
+    reply(this->Fault(kUnavailable, "not sure of the newest configuration"));
+    return;
+  }
+  reply({kOk, "application/json", this->state.text()});
+}
+
+void ControlHost::SetEvacuated(const std::string& data_centre, bool is_out,
+                               ShortHttpServer::Reply reply) {
+  FleetCommand command;
+  command.kind = FleetCommandKind::kEvacuate;
+  command.data_centre = data_centre;
+  command.is_out = is_out;
+  this->Propose(command, std::move(reply));
+}
+
+void ControlHost::Propose(const FleetCommand& command,
+                          ShortHttpServer::Reply reply) {
+  this->driver->Propose(
+      protocol::Encode(command), [this, command, reply = std::move(reply)](
+                                     const Result<consensus::Index>& applied) {
+        LogEvent(applied.has_value() ? Level::kInfo : Level::kWarn, "",
+                 std::string(kFleetCommandKindNames.Name(command.kind)),
+                 {{"version", std::to_string(command.version)},
+                  {"data_centre", command.data_centre},
+                  {"out", command.is_out ? "true" : "false"},
+                  {"outcome",
+                   applied.has_value() ? "applied" : applied.error().message}});
+        if (applied.has_value()) {
+          this->PushAll(Clock::now());
+          reply({kOk, "application/json", "{}"});
+        } else {
+          reply(this->Fault(kUnavailable, applied.error().message));
+        }
+      });
+}
+
+}  // namespace gooseberryturn::direct
--- /dev/null
+++ b/src/direct/control_host_followers.cc
@@ -0,0 +1,151 @@
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "gooseberryturn/direct/control_host.h"
+#include "gooseberryturn/protocol/codec.h"
+
+namespace gooseberryturn::direct {
+
+// ---------------------------------------------------------------- followers
+
+void ControlHost::OnFollow(const std::shared_ptr<link::Stream>& stream) {
+  const std::shared_ptr<Follower> follower = std::make_shared<Follower>();
+  follower->stream = stream;
+  const std::weak_ptr<Follower> weak = follower;
+  stream->on_frame = [this, weak](protocol::FrameType /*type*/,
+                                  std::string_view payload) {
+    const std::shared_ptr<Follower> held = weak.lock();
+    if (held == nullptr) {
+      return;
+    }
+    if (held->hello.host.empty()) {
+      const std::optional<Hello> hello = protocol::Decode<Hello>(payload);
+      if (!hello.has_value()) {
+        return;
+      }
+      held->hello = *hello;
+      held->sent_config = hello->config_version;
+      held->heard_at = Clock::now();
+      this->Push(*held, held->heard_at);
+      return;
+    }
+    const std::optional<EntryReport> report =
+        protocol::Decode<EntryReport>(payload);
+    if (report.has_value()) {
+      this->OnReport(*held, *report);
+    }
+  };
+  stream->on_close = [this, weak](link::CloseReason /*reason*/) {
+    const std::shared_ptr<Follower> held = weak.lock();
+    this->followers.remove(held);
+  };
+  this->followers.push_back(follower);
+}
+
+void ControlHost::OnReport(Follower& follower, const EntryReport& report) {
+  const TimePoint now = Clock::now();
+  follower.heard_at = now;
+  follower.open_work = report.open_work;
+  this->has_traffic |= report.has_served;
+  for (const CutRequest& cut : report.cut_requests) {
+    this->crashes.Report(cut.fingerprint, cut.target, now);
+  }
+  for (const std::string& group : report.stalled_groups) {
+    this->planner.GroupStalled(group, now);
+    this->PlanSoon();
+  }
+}
+
+std::vector<OpenWork> ControlHost::SumOpenWork() const {
+  std::map<std::string, OpenWork> sums;
+  const TimePoint now = Clock::now();
+  for (const std::shared_ptr<Follower>& follower : this->followers) {
+    if (now >= follower->heard_at + kFollowerLife) {
+      continue;
+    }
+    for (const OpenWork& work : follower->open_work) {
+      OpenWork& sum = sums[work.target];
+      sum.target = work.target;
+      sum.requests += work.requests;
+      sum.unread_tokens += work.unread_tokens;
+    }
+  }
+  std::vector<OpenWork> result;
+  result.reserve(sums.size());
+  for (const std::pair<const std::string, OpenWork>& entry : sums) {
+    result.push_back(entry.second);
+  }
+  return result;
+}
+
+void ControlHost::PushAll(TimePoint now) {
+  const std::list<std::shared_ptr<Follower>> all = this->followers;
+  for (const std::shared_ptr<Follower>& follower : all) {
+    if (!follower->hello.host.empty()) {
+      this->Push(*follower, now);
+    }
+  }
+}
+
+void ControlHost::Push(Follower& follower, TimePoint now) {
+  Update update;
+  update.is_leader = this->IsLeading();
+  if (!update.is_leader) {
+    const consensus::Peer* leader = this->driver->Leader();
+    if (leader != nullptr && leader->id != this->id) {
+      update.leader = leader->link;
+    }
+    follower.stream->Send(protocol::EncodeFrame(protocol::FrameType::kMessage,
+                                                protocol::Encode(update)));
+    follower.stream->Finish();
+    return;
+  }
+  const bool is_settled = now >= this->settled_at;
+  const bool is_full_due = is_settled && !follower.has_full;
+  const bool has_changes = follower.is_first || is_full_due ||
+                           follower.sent_revision < this->revision ||
+                           follower.sent_config < this->state.version();
+  const bool is_load_due = now >= follower.load_sent_at + kLoadEvery;
+  if (!has_changes && !is_load_due &&
+      now < follower.sent_at + kUpdateAtLeastEvery) {
+    return;
+  }
+  if (follower.stream->unsent_bytes() > kMaxUnsentBytes) {
+    return;
+  }
+  update.term = this->driver->node().term();
+  update.is_full = is_full_due;
+  update.config_version = this->state.version();
+  if (follower.sent_config < update.config_version) {
+    update.config_text = this->state.text();
+    follower.sent_config = update.config_version;
+  }
+  const std::uint64_t from =
+      follower.is_first || is_full_due ? 0 : follower.sent_revision;
+  this->targets.Since(from, update.targets, update.removed_targets);
+  this->groups.Since(from, update.groups, update.removed_groups);
+  update.evacuated.assign(this->state.evacuated().begin(),
+                          this->state.evacuated().end());
+  update.quarantined = this->crashes.Quarantined(now);
+  if (is_load_due) {
+    update.open_work = this->SumOpenWork();
+    follower.load_sent_at = now;
+  }
+  for (const consensus::Peer& peer : this->driver->node().membership().peers) {
+    update.control_hosts.push_back(peer.link);
+  }
+  std::uint32_t entries = 0;
+  for (const std::shared_ptr<Follower>& other : this->followers) {
+    entries += other->hello.host.empty() ? 0 : 1;
+  }
+  update.entries = std::max<std::uint32_t>(1, entries);
+  follower.is_first = false;
+  follower.has_full |= is_full_due;
+  follower.sent_revision = this->revision;
+  follower.sent_at = now;
+  follower.stream->Send(protocol::EncodeFrame(protocol::FrameType::kMessage,
+                                              protocol::Encode(update)));
+}
+
+}  // namespace gooseberryturn::direct
--- /dev/null
+++ b/src/direct/control_host_orders.cc
@@ -0,0 +1,85 @@
+#include "gooseberryturn/direct/control_host.h"
+#include "gooseberryturn/observe/log.h"
+
+namespace gooseberryturn::direct {
+
+using observe::Level;
+using observe::LogEvent;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+constexpr int kPreconditionFailed = 412;
+constexpr int kMisdirected = 421;
+
+OrderOutcome OutcomeOf(int status) {
+  switch (status) {
+    case kOk:
+      return OrderOutcome::kDone;
+    case kAccepted:
+      return OrderOutcome::kBegun;
+    case kPreconditionFailed:
+      return OrderOutcome::kStale;
+    case kMisdirected:
+      return OrderOutcome::kOtherTarget;
+    default:
+      return status >= 500 ? OrderOutcome::kNoAnswer : OrderOutcome::kConflict;
+  }
+}
+
+}  // namespace
+
+void ControlHost::GiveOrder(const Order& order) {
+  const TargetRecord* record = this->registry.Find(order.target);
+  if (record == nullptr) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  CallShort(
+      this->context, record->view.address, this->dialect.write_order(order),
+      {{this->dialect.headers.target, order.target}}, now + kOrderLimit,
+      [this, order](const Result<ShortAnswer>& answer) {
+        const OrderOutcome outcome = answer.has_value()
+                                         ? OutcomeOf(answer->status)
+                                         : OrderOutcome::kNoAnswer;
+        LogEvent(Level::kInfo, "", "order_given",
+                 {{"order", std::string(kOrderKindNames.Name(order.kind))},
+                  {"target", order.target},
+                  {"group", order.group},
+                  {"outcome", std::string(kOrderOutcomeNames.Name(outcome))}});
+        if (this->is_leading) {
+          this->planner.OrderAnswered(order, outcome, Clock::now());
+          this->PlanSoon();
+        }
+      });
+}
+
+void ControlHost::Probe(const std::string& target) {
+  const TargetRecord* record = this->registry.Find(target);
+  if (record == nullptr) {
+    return;
+  }
+  CallShort(
+      this->context, record->view.address, this->dialect.write_report_call(),
+      {{this->dialect.headers.target, target}}, Clock::now() + kProbeLimit,
+      [this, target](const Result<ShortAnswer>& answer) {
+        std::optional<EngineReport> report;
+        if (answer.has_value() && answer->status == kOk) {
+          const Result<EngineReport> read =
+              this->dialect.read_report(answer->body);
+          if (read.has_value()) {
+            report = *read;
+          }
+        }
+        LogEvent(Level::kInfo, "", "target_probed",
+                 {{"target", target},
+                  {"answered", report.has_value() ? "true" : "false"}});
+        if (this->is_leading) {
+          this->planner.ProbeAnswered(target, report, Clock::now());
+          this->PlanSoon();
+        }
+      });
+}
+
+}  // namespace gooseberryturn::direct
--- /dev/null
+++ b/src/direct/header_text.h
@@ -0,0 +1,42 @@
+#ifndef GOOSEBERRYTURN_SRC_DIRECT_HEADER_TEXT_H_
+#define GOOSEBERRYTURN_SRC_DIRECT_HEADER_TEXT_H_
+
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <string_view>
+
+namespace gooseberryturn::direct {
+
+/// \brief A string of Beast as one of the standard library.
+[[nodiscard]] inline std::string_view ToView(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+/// \brief True when two header names are the same, whatever their case.
+[[nodiscard]] inline bool IsSameName(std::string_view a, std::string_view b) {
+  return boost::beast::iequals(boost::beast::string_view(a.data(), a.size()),
+                               boost::beast::string_view(b.data(), b.size()));
+}
+
+/// \brief True for headers that concern one connection only.
+[[nodiscard]] inline bool IsHopHeader(std::string_view name) {
+  constexpr std::array<std::string_view, 9> names = {"connection",
+                                                     "keep-alive",
+                                                     "proxy-connection",
+                                                     "transfer-encoding",
+                                                     "te",
+                                                     "trailer",
+                                                     "upgrade",
+                                                     "content-length",
+                                                     "proxy-authorization"};
+  for (const std::string_view hop : names) {
+    if (IsSameName(name, hop)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace gooseberryturn::direct
+
+#endif  // GOOSEBERRYTURN_SRC_DIRECT_HEADER_TEXT_H_
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -9,6 +9,7 @@
 #include "gooseberryturn/core/id.h"
 #include "gooseberryturn/direct/entry_host.h"
 #include "gooseberryturn/observe/log.h"
+#include "header_text.h"
 
 namespace gooseberryturn::direct {
 
@@ -18,17 +19,13 @@
 
 namespace {
 
-constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
-constexpr int kMisdirected = 421;
-constexpr int kServerError = 500;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr char kBearer[] = "Bearer ";
 constexpr char kLastEventId[] = "Last-Event-ID";
-constexpr char kEventStream[] = "text/event-stream";
 /// Rank at the engine of a stream that goes on after a break: its caller has
 /// waited already.
 constexpr char kResumedPriority[] = "2";
@@ -44,33 +41,6 @@
 /// Callers honour a pause of at most a third of the time they have left.
 constexpr double kRetryAfterShare = 0.25;
 
-bool IsHopHeader(std::string_view name) {
-  static constexpr std::array<std::string_view, 9> names = {
-      "connection",
-      "keep-alive",
-      "proxy-connection",
-      "transfer-encoding",
-      "te",
-      "trailer",
-      "upgrade",
-      "content-length",
-      "proxy-authorization"};
-  return std::any_of(names.begin(), names.end(), [name](std::string_view hop) {
-    return boost::beast::iequals(
-        boost::beast::string_view(name.data(), name.size()),
-        boost::beast::string_view(hop.data(), hop.size()));
-  });
-}
-
-bool IsSameName(std::string_view a, std::string_view b) {
-  return boost::beast::iequals(boost::beast::string_view(a.data(), a.size()),
-                               boost::beast::string_view(b.data(), b.size()));
-}
-
-std::string_view ToView(boost::beast::string_view text) {
-  return {text.data(), text.size()};
-}
-
 std::int64_t ReadNumber(std::string_view text, std::int64_t fallback) {
   std::int64_t value = 0;
   const std::from_chars_result read =
@@ -316,195 +286,6 @@
                              std::move(hooks));
 }
 
-// ---------------------------------------------------------------- answering
-
-void RequestFlow::NoteRead() {
-  this->host.book.Read(this->target, std::exchange(this->unread_tokens, 0));
-}
-
-void RequestFlow::OnHead(const AnswerHead& answer) {
-  this->host.book.Progress(this->target, Clock::now());
-  this->progress_at = Clock::now();
-  this->head = answer;
-  const HeaderNames& names = this->host.dialect.headers;
-  const std::string_view type = ToView(answer[http::field::content_type]);
-  this->is_streaming = answer.result_int() == kOk &&
-                       this->route->kind == RouteKind::kStreaming &&
-                       !answer[names.proof].empty() &&
-                       answer[http::field::content_encoding].empty() &&
-                       type.substr(0, sizeof(kEventStream) - 1) == kEventStream;
-}
-
-void RequestFlow::OnBody(std::string_view bytes) {
-  const TimePoint now = Clock::now();
-  this->host.book.Progress(this->target, now);
-  this->progress_at = now;
-  this->NoteRead();
-  if (!this->is_streaming) {
-    this->body.append(bytes);
-    if (this->body.size() > kMaxBufferedBytes) {
-      this->connection->Cancel();
-    }
-    return;
-  }
-  const bool is_bounded = this->splitter.Feed(
-      bytes, [this](const StreamEvent& event) { this->OnEvent(event); });
-  if (!is_bounded) {
-    this->connection->Cancel();
-  } else if (this->caller->unsent_bytes() > CallerConnection::kHighWaterBytes) {
-    this->connection->SetPaused(true);
-  }
-}
-
-void RequestFlow::OnEvent(const StreamEvent& event) {
-  const bool is_repeated = event.id.has_value() &&
-                           this->last_event.has_value() &&
-                           *event.id <= *this->last_event;
-  if (is_repeated || this->is_done) {
-    return;
-  }
-  if (!this->is_sent_head) {
-    this->is_sent_head = true;
-    this->caller->BeginChunks(this->HeadLines());
-    this->host.metrics.Observe(observe::Timing::kFirstByte,
-                               Clock::now() - this->begun_at);
-  }
-  if (event.id.has_value()) {
-    this->last_event = event.id;
-  }
-  this->events += 1;
-  this->caller->SendChunk(event.bytes);
-}
-
-void RequestFlow::OnEnd(ExchangeEnd end, const std::string& why) {
-  const std::shared_ptr<RequestFlow> self = this->shared_from_this();
-  const std::shared_ptr<TargetConnection> used =
-      std::exchange(this->connection, nullptr);
-  const TimePoint now = Clock::now();
-  const bool is_full = end == ExchangeEnd::kComplete &&
-                       !this->head[this->host.dialect.headers.not_run].empty();
-  Evidence evidence = Evidence::kBad;
-  if (end == ExchangeEnd::kCancelled || is_full) {
-    evidence = Evidence::kNone;
-  } else if (end == ExchangeEnd::kComplete) {
-    evidence = Evidence::kGood;
-  }
-  this->NoteRead();
-  this->host.book.End(this->target, evidence, now);
-  this->host.pool.Give(this->target, used);
-  if (this->is_done) {
-    return;
-  }
-  if (end == ExchangeEnd::kCut) {
-    this->host.NoteCut({this->Fingerprint(), this->target});
-  }
-  if (end != ExchangeEnd::kComplete && end != ExchangeEnd::kCancelled) {
-    LogEvent(Level::kInfo, this->id, "try_failed",
-             {{"target", this->target},
-              {"end", std::string(kExchangeEndNames.Name(end))},
-              {"why", why}});
-  }
-  if (this->is_streaming) {
-    this->OnStreamEnd(end, why);
-  } else if (end == ExchangeEnd::kComplete) {
-    this->OnWholeAnswer();
-  } else {
-    this->OnFailedTry(why, end != ExchangeEnd::kNotSent);
-  }
-  this->host.TryWaiters();
-}
-
-void RequestFlow::OnStreamEnd(ExchangeEnd end, const std::string& why) {
-  if (end != ExchangeEnd::kComplete) {
-    this->OnFailedTry(why, true);
-    return;
-  }
-  if (!this->is_sent_head) {
-    this->is_sent_head = true;
-    this->caller->BeginChunks(this->HeadLines());
-  }
-  this->caller->SendChunk(this->splitter.rest());
-  this->caller->EndChunks();
-  this->host.metrics.Add(observe::Metric::kAnswers);
-  this->Finish("served");
-}
-
-void RequestFlow::OnWholeAnswer() {
-  const HeaderNames& names = this->host.dialect.headers;
-  const int status = static_cast<int>(this->head.result_int());
-  const bool is_not_run =
-      status == kMisdirected || !this->head[names.not_run].empty();
-  if (is_not_run) {
-    this->OnFailedTry("not_run_" + std::to_string(status), false);
-    return;
-  }
-  const bool is_success = status >= kOk && status < 300;
-  const bool is_own = !this->head[names.proof].empty() &&
-                      this->head[http::field::content_encoding].empty();
-  if (this->is_sent_head || (is_success && !is_own)) {
-    this->OnFailedTry("unusable_" + std::to_string(status), true);
-    return;
-  }
-  if (status >= kServerError && this->route->IsIdempotent() &&
-      this->MayTryAgain(true)) {
-    LogEvent(Level::kInfo, this->id, "try_failed",
-             {{"target", this->target}, {"end", std::to_string(status)}});
-    this->runs += 1;
-    this->Dispatch();
-    return;
-  }
-  this->PassOnAnswer();
-}
-
-bool RequestFlow::MayTryAgain(bool may_have_run) {
-  if (may_have_run) {
-    if (!this->route->IsIdempotent() ||
-        this->runs + 1 >= this->route->attempts) {
-      return false;
-    }
-  }
-  const bool has_time = Clock::now() < this->deadline;
-  const bool may_try = has_time && this->tried.size() < kMaxTries &&
-                       this->host.BudgetOf(this->service).TakeRetry();
-  if (may_try) {
-    this->host.metrics.Retried(may_have_run ? Reason::kAnswerCut
-                                            : Reason::kTargetBusy);
-  }
-  return may_try;
-}
-
-void RequestFlow::OnFailedTry(const std::string& why, bool may_have_run) {
-  const bool has_tried = !this->tried.empty();
-  if (has_tried && this->MayTryAgain(may_have_run)) {
-    this->runs += may_have_run ? 1 : 0;
-    this->give_up_at = std::min(this->deadline, Clock::now() + kPatience);
-    this->Dispatch();
-    return;
-  }
-  this->runs += may_have_run ? 1 : 0;
-  this->GiveUp();
-  (void)why;
-}
-
-void RequestFlow::PassOnAnswer() {
-  this->host.metrics.Add(observe::Metric::kAnswers);
-  this->caller->Answer(this->HeadLines(), this->body);
-  this->Finish("answered_" + std::to_string(this->head.result_int()));
-}
-
-std::string RequestFlow::HeadLines() const {
-  std::string lines = "HTTP/1.1 " + std::to_string(this->head.result_int()) +
-                      " " + std::string(this->head.reason()) + "\r\n";
-  for (const http::fields::value_type& field : this->head) {
-    const std::string_view name = ToView(field.name_string());
-    if (!IsHopHeader(name)) {
-      lines.append(name).append(": ").append(ToView(field.value()));
-      lines += "\r\n";
-    }
-  }
-  return lines;
-}
-
 // ------------------------------------------------------------------- ending
 
 void RequestFlow::GiveUp() {
