--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -63,6 +63,8 @@
   void FollowLeave(TimePoint now);
   [[nodiscard]] routing::RetryBudget& BudgetOf(const std::string& service);
   void FlowEnded(std::uint64_t number);
+  /// Age of the last word of a leader, milliseconds.
+  [[nodiscard]] std::int64_t ViewAgeMs() const;
   /// Tells the leader, with the next report, that a request was cut off.
   void NoteCut(CutRequest cut);
 
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -96,6 +96,8 @@
   std::vector<std::string> tried;
   std::string target;
   std::shared_ptr<TargetConnection> connection;
+  std::uint32_t last_choice_load = 0;  ///< At the target, when it was chosen.
+  std::int64_t last_choice_ms = 0;     ///< Expected until its first event.
   TimePoint tried_at;
   TimePoint progress_at;
   std::uint64_t try_number = 0;
--- a/src/direct/control_host_calls.cc
+++ b/src/direct/control_host_calls.cc
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr char kMetricsPath[] = "/metrics";
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -47,6 +48,10 @@
 }
 
 void ControlHost::OnCall(ShortCall call, ShortHttpServer::Reply reply) {
+  if (call.method == "GET" && call.path == kMetricsPath) {
+    reply({kOk, "text/plain; version=0.0.4", this->metrics.Render()});
+    return;
+  }
   if (this->IsLeading()) {
     this->HandleAsLeader(call, std::move(reply));
     return;
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -146,6 +146,12 @@
       .first->second;
 }
 
+std::int64_t EntryHost::ViewAgeMs() const {
+  return std::chrono::duration_cast<Milliseconds>(Clock::now() -
+                                                  this->follow.heard_at())
+      .count();
+}
+
 void EntryHost::NoteCut(CutRequest cut) {
   if (this->cut_requests.size() < kMaxCutRequests) {
     this->cut_requests.push_back(std::move(cut));
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -211,6 +211,8 @@
   }
   this->is_waiting = false;
   this->host.line.Remove(this->number);
+  this->last_choice_load = choice.load;
+  this->last_choice_ms = static_cast<std::int64_t>(choice.expected_ms);
   this->Run(choice.target->name);
   return true;
 }
@@ -363,6 +365,10 @@
             {"runs", std::to_string(this->runs)},
             {"events", std::to_string(this->events)},
             {"ms", std::to_string(total_ms)},
+            {"load", std::to_string(this->last_choice_load)},
+            {"expected_ms", std::to_string(this->last_choice_ms)},
+            {"waiting", std::to_string(this->host.line.size())},
+            {"view_age_ms", std::to_string(this->host.ViewAgeMs())},
             {"config_version", std::to_string(this->host.view.version())}});
   this->host.metrics.Observe(observe::Timing::kWhole,
                              Clock::now() - this->begun_at);
--- /dev/null
+++ b/tests/platform_stand_in.h
@@ -0,0 +1,268 @@
+#ifndef GOOSEBERRYTURN_TESTS_PLATFORM_STAND_IN_H_
+#define GOOSEBERRYTURN_TESTS_PLATFORM_STAND_IN_H_
+
+#include <rapidjson/document.h>
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "gooseberryturn/core/endpoint.h"
+#include "http_call.h"
+
+namespace gooseberryturn::fleet {
+
+/// How the stand-in treats requests.
+enum class Manner { kServe, kShed, kCloseUnanswered, kCutStream };
+
+/// A target as the platform's pages describe it: announces itself, takes
+/// orders, answers plain requests and streams of numbered events.
+class StandIn {
+ public:
+  StandIn(std::string id, Endpoint address, Endpoint control,
+          std::string service)
+      : id(std::move(id)),
+        address(std::move(address)),
+        control(std::move(control)),
+        service(std::move(service)),
+        acceptor(this->context, {asio::ip::make_address(this->address.address),
+                                 this->address.port}) {
+    this->threads.emplace_back([this] { this->Accept(); });
+    this->threads.emplace_back([this] { this->Announce(); });
+  }
+  ~StandIn() {
+    this->is_stopped = true;
+    error_code ignored;
+    asio::ip::tcp::socket wake(this->context);
+    wake.connect(
+        {asio::ip::make_address(this->address.address), this->address.port},
+        ignored);
+    for (std::thread& thread : this->threads) {
+      thread.join();
+    }
+    for (const std::shared_ptr<asio::ip::tcp::socket>& open : this->sockets) {
+      open->shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    }
+    for (std::thread& thread : this->connections) {
+      thread.join();
+    }
+  }
+  StandIn(const StandIn&) = delete;
+  StandIn& operator=(const StandIn&) = delete;
+
+  /// Ids of attempts in the order in which they began to run.
+  [[nodiscard]] std::vector<std::string> Runs() {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->runs;
+  }
+  /// Headers of the request that ran last.
+  [[nodiscard]] std::map<std::string, std::string> LastHeaders() {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->last_headers;
+  }
+  [[nodiscard]] bool IsOpen() {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->state == "open";
+  }
+
+  std::atomic<Manner> manner = Manner::kServe;
+  std::atomic<int> cut_after = 3;  ///< Events before kCutStream breaks off.
+  static constexpr int kEvents = 6;
+
+ private:
+  using Request = http::request<http::string_body>;
+  using Response = http::response<http::string_body>;
+
+  void Accept() {
+    while (!this->is_stopped) {
+      error_code error;
+      const std::shared_ptr<asio::ip::tcp::socket> socket =
+          std::make_shared<asio::ip::tcp::socket>(this->context);
+      this->acceptor.accept(*socket, error);
+      if (!error && !this->is_stopped) {
+        this->sockets.push_back(socket);
+        this->connections.emplace_back([this, socket] {
+          this->Serve(*socket);
+          error_code ignored;
+          socket->shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+        });
+      }
+    }
+  }
+
+  void Serve(asio::ip::tcp::socket& socket) {
+    boost::beast::flat_buffer buffer;
+    error_code error;
+    while (!error && !this->is_stopped) {
+      Request request;
+      http::read(socket, buffer, request, error);
+      if (error) {
+        return;
+      }
+      const std::string path(request.target());
+      if (path == "/api/order") {
+        this->Reply(socket, request, this->TakeOrder(request.body()), "{}");
+      } else if (path == "/api/report") {
+        this->Reply(socket, request, 200, this->Word());
+      } else if (!this->Run(socket, request)) {
+        return;
+      }
+    }
+  }
+
+  void Reply(asio::ip::tcp::socket& socket, const Request& request, int status,
+             const std::string& body, bool is_not_run = false) {
+    Response response(http::int_to_status(static_cast<unsigned>(status)), 11);
+    response.set("X-Gooseberryturn-Attempt-Id",
+                 request["X-Gooseberryturn-Attempt-Id"]);
+    response.set("X-Gooseberryturn-Server-Seal", "seal-" + this->id);
+    if (is_not_run) {
+      response.set("X-Gooseberryturn-Not-Executed", "1");
+    }
+    response.body() = body;
+    response.prepare_payload();
+    error_code ignored;
+    http::write(socket, response, ignored);
+  }
+
+  /// \returns False when the connection is over.
+  bool Run(asio::ip::tcp::socket& socket, const Request& request) {
+    if (this->manner == Manner::kShed) {
+      this->Reply(socket, request, 503, "", true);
+      return true;
+    }
+    {
+      const std::lock_guard<std::mutex> guard(this->mutex);
+      this->runs.emplace_back(request["X-Gooseberryturn-Attempt-Id"]);
+      this->last_headers.clear();
+      for (const auto& field : request) {
+        this->last_headers[std::string(field.name_string())] =
+            std::string(field.value());
+      }
+    }
+    if (this->manner == Manner::kCloseUnanswered) {
+      return false;
+    }
+    if (request.find("X-Gooseberryturn-Model") == request.end()) {
+      this->Reply(socket, request, 200, "answer of " + this->id);
+      return true;
+    }
+    return this->Stream(socket, request);
+  }
+
+  bool Stream(asio::ip::tcp::socket& socket, const Request& request) {
+    std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+    head += "X-Gooseberryturn-Attempt-Id: " +
+            std::string(request["X-Gooseberryturn-Attempt-Id"]) + "\r\n";
+    head += "X-Gooseberryturn-Server-Seal: seal-" + this->id +
+            "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    error_code error;
+    asio::write(socket, asio::buffer(head), error);
+    const std::string last(request["Last-Event-Id"]);
+    int number = last.empty() ? 0 : std::stoi(last);
+    const int end =
+        this->manner == Manner::kCutStream ? number + this->cut_after : kEvents;
+    while (!error && number < end) {
+      number += 1;
+      const std::string event = "id: " + std::to_string(number) +
+                                "\ndata: " + std::to_string(number) + "\n\n";
+      char size[16];
+      std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
+      asio::write(socket, asio::buffer(size + event + "\r\n"), error);
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    if (this->manner == Manner::kCutStream) {
+      asio::write(socket, asio::buffer(std::string("8\r\nid: 99\n")), error);
+      return false;
+    }
+    asio::write(socket, asio::buffer(std::string("0\r\n\r\n")), error);
+    return !error;
+  }
+
+  int TakeOrder(const std::string& body) {
+    rapidjson::Document order;
+    order.Parse(body.data(), body.size());
+    const std::string op = order["op"].GetString();
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (op == "join") {
+      this->group = order["group"].GetString();
+      this->epoch = order["epoch"].GetUint64();
+      this->model = order["model"].GetString();
+      this->rank = 0;
+      for (const rapidjson::Value& member : order["members"].GetArray()) {
+        if (this->id == member.GetString()) {
+          break;
+        }
+        this->rank += 1;
+      }
+      this->state = "ready";
+    } else if (op == "open") {
+      this->state = "open";
+    } else if (op == "leave") {
+      this->state.clear();
+    }
+    return 202;
+  }
+
+  std::string Word() {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    std::string word = R"({"service":")" + this->service + R"(","address":")" +
+                       ToString(this->address) +
+                       R"(","zone":"za","state":"ready","born":1,"seq":)" +
+                       std::to_string(++this->sequence);
+    if (this->service == "engines") {
+      word += R"(,"domain":"d1","staged":["m"],"models":[)";
+      word += this->state.empty() ? "]" : R"({"name":"m"}])";
+      if (!this->state.empty()) {
+        word += R"(,"group":{"name":")" + this->group + R"(","epoch":)" +
+                std::to_string(this->epoch) + R"(,"rank":)" +
+                std::to_string(this->rank) + R"(,"state":")" + this->state +
+                R"("})";
+      }
+    }
+    return word + "}";
+  }
+
+  void Announce() {
+    while (!this->is_stopped) {
+      (void)Call(this->control, "PUT", "/api/instances/" + this->id, {},
+                 this->Word())
+          .ReadAll();
+      std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    }
+  }
+
+  std::string id;
+  Endpoint address;
+  Endpoint control;
+  std::string service;
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor;
+  std::atomic<bool> is_stopped = false;
+  std::mutex mutex;
+  std::vector<std::string> runs;
+  std::map<std::string, std::string> last_headers;
+  std::string group;
+  std::string model;
+  std::string state;
+  std::uint64_t epoch = 0;
+  std::uint64_t sequence = 0;
+  int rank = 0;
+  std::list<std::thread> threads;
+  std::list<std::thread> connections;
+  std::list<std::shared_ptr<asio::ip::tcp::socket>> sockets;
+};
+
+}  // namespace gooseberryturn::fleet
+
+#endif  // GOOSEBERRYTURN_TESTS_PLATFORM_STAND_IN_H_
