Probes keep their pause; a learner that has not spoken stays

Change: probes keep 120 ms, 600 ms for suspects; a host that asked to join counts as alive. Both tests fail without the change. Ruled out: a frozen leader (its unfiltered log goes on).

--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -66,6 +66,7 @@
 
   static constexpr Duration kResendOrder = std::chrono::milliseconds(400);
   static constexpr Duration kProbeEvery = std::chrono::milliseconds(120);
+  static constexpr Duration kProbeSuspectEvery = std::chrono::milliseconds(600);
   static constexpr int kProbesToSuspect = 2;
   /// Entries report a stalled group several times a second while it lasts.
   static constexpr Duration kStallReportLife = std::chrono::milliseconds(500);
--- a/src/direct/group_planner.cc
+++ b/src/direct/group_planner.cc
@@ -76,7 +76,6 @@
   }
   doubt.failed_probes += 1;
   doubt.failed_at = now;
-  doubt.probe_at = std::min(doubt.probe_at, now);
 }
 
 void GroupPlanner::OrderAnswered(const Order& order, OrderOutcome outcome,
@@ -210,7 +209,8 @@
     if (!is_doubtful) {
       doubt.failed_probes = 0;
     } else if (now >= doubt.probe_at) {
-      doubt.probe_at = now + kProbeEvery;
+      const bool is_suspect = doubt.failed_probes >= kProbesToSuspect;
+      doubt.probe_at = now + (is_suspect ? kProbeSuspectEvery : kProbeEvery);
       work.probes.push_back(id);
     }
   }
--- a/src/direct/quorum_keeper.cc
+++ b/src/direct/quorum_keeper.cc
@@ -38,8 +38,13 @@
 bool QuorumKeeper::IsAlive(const QuorumInput& input, consensus::NodeId peer,
                            TimePoint now) const {
   const auto heard = this->heard_at.find(peer);
-  return peer == input.self ||
-         (heard != this->heard_at.end() && now < heard->second + kSilentAfter);
+  const bool is_heard =
+      heard != this->heard_at.end() && now < heard->second + kSilentAfter;
+  // A new host cannot speak in the quorum before it holds a membership.
+  const auto joiner = this->joiners.find(peer);
+  const bool has_asked = joiner != this->joiners.end() &&
+                         now < joiner->second.asked_at + kSilentAfter;
+  return peer == input.self || is_heard || has_asked;
 }
 
 std::optional<consensus::Membership> QuorumKeeper::Next(
--- a/tests/direct_decision_test.cc
+++ b/tests/direct_decision_test.cc
@@ -429,6 +429,23 @@
   BOOST_TEST(next->IsVoter(9));
 }
 
+BOOST_AUTO_TEST_CASE(a_learner_that_has_not_spoken_yet_stays) {
+  // Seen on tsuzuri-kyushu, incident inc-1f61: added and removed in turns.
+  QuorumKeeper keeper;
+  const consensus::Membership before = Voters({1, 2, 3});
+  keeper.StartLeading(before, At(0));
+  keeper.Heard(2, At(20'000));
+  keeper.Heard(3, At(20'000));
+  const Endpoint address = {"10.0.0.9", 1};
+  keeper.Joining({9, 9, address, address}, At(20'000));
+  std::optional<consensus::Membership> next =
+      keeper.Next(InputOf(before), At(20'000));
+  BOOST_REQUIRE(next.has_value());
+  QuorumInput input = InputOf(*next);
+  input.match = [](consensus::NodeId id) { return id == 9 ? 0U : 10U; };
+  BOOST_TEST(!keeper.Next(input, At(20'100)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_silent_voter_stays_while_its_disk_may_be_needed) {
   QuorumKeeper keeper;
   const consensus::Membership three = Voters({1, 2, 3});
--- a/tests/direct_group_planner_test.cc
+++ b/tests/direct_group_planner_test.cc
@@ -99,6 +99,7 @@
   GroupPlanner planner;
   std::int64_t now = 0;
   bool has_traffic = false;
+  std::size_t probes = 0;
   double lost_orders = 0;  ///< Share of orders carried out late, unanswered.
 
  private:
@@ -150,6 +151,7 @@
                              std::chrono::seconds(5)};
     this->ReportStalls();
     const PlannedWork work = this->planner.Plan(input, At(this->now));
+    this->probes += work.probes.size();
     for (const std::string& id : work.probes) {
       const FakeEngine& engine = this->engines[id];
       std::optional<EngineReport> report;
@@ -397,6 +399,23 @@
   BOOST_TEST(fleet.CountOpen(kSmall) == before);
 }
 
+BOOST_AUTO_TEST_CASE(a_target_that_refuses_probes_is_not_probed_in_a_loop) {
+  // Seen on tsuzuri-kyushu, incident inc-1f61: 428 probes in four seconds,
+  // each answered at once by a refused connection.
+  Fleet fleet(6);
+  fleet.AddDomain("a", 10);
+  fleet.Run(8000);
+  fleet.has_traffic = true;
+  // Cut from the leader only: entries see no stall, so the group stays.
+  for (auto& entry : fleet.engines) {
+    entry.second.is_cut = true;
+  }
+  const std::size_t before = fleet.probes;
+  fleet.Run(8000 + 6000);
+  // Two at the first rate, then one each 600 ms, for ten members at most.
+  BOOST_TEST(fleet.probes - before <= 10U * (2 + 6000 / 600));
+}
+
 BOOST_AUTO_TEST_CASE(random_crashes_cuts_late_orders_and_new_leaders) {
   for (std::uint64_t seed = 100; seed < 140; ++seed) {
     BOOST_TEST_CONTEXT("seed " << seed) {
