A stream that ends within an event is not whole; failed tries told once

Cause: an answer without a length that stopped within an event was passed on as complete, with the part of the event; a failed try was logged at one of its three places only. Change: such a stream goes on elsewhere or breaks off visibly; one line for each failed try with what was decided.

--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -103,12 +103,6 @@
   if (end == ExchangeEnd::kCut) {
     this->host.NoteCut({this->Fingerprint(), this->target});
   }
-  if (end != ExchangeEnd::kComplete && end != ExchangeEnd::kCancelled) {
-    LogEvent(Level::kInfo, this->id, "try_failed",
-             {{"target", this->target},
-              {"end", std::string(kExchangeEndNames.Name(end))},
-              {"why", why}});
-  }
   if (this->is_streaming) {
     this->OnStreamEnd(end, why);
   } else if (end == ExchangeEnd::kComplete) {
@@ -120,15 +114,17 @@
 }
 
 void RequestFlow::OnStreamEnd(ExchangeEnd end, const std::string& why) {
-  if (end != ExchangeEnd::kComplete) {
-    this->OnFailedTry(why, true);
+  // An answer without a length ends with its connection: one that stops within
+  // an event is not whole.
+  const bool is_whole = this->splitter.rest().empty();
+  if (end != ExchangeEnd::kComplete || !is_whole) {
+    this->OnFailedTry(is_whole ? why : "ended within an event", true);
     return;
   }
   if (!this->is_sent_head) {
     this->is_sent_head = true;
     this->caller->BeginChunks(this->HeadLines());
   }
-  this->caller->SendChunk(this->splitter.rest());
   this->caller->EndChunks();
   this->host.metrics.Add(observe::Metric::kAnswers);
   this->Finish("served");
@@ -179,16 +175,20 @@
 }
 
 void RequestFlow::OnFailedTry(const std::string& why, bool may_have_run) {
-  const bool has_tried = !this->tried.empty();
-  if (has_tried && this->MayTryAgain(may_have_run)) {
-    this->runs += may_have_run ? 1 : 0;
-    this->give_up_at = std::min(this->deadline, Clock::now() + kPatience);
-    this->Dispatch();
+  const bool is_again = !this->tried.empty() && this->MayTryAgain(may_have_run);
+  LogEvent(Level::kInfo, this->id, "try_failed",
+           {{"target", this->target},
+            {"why", why},
+            {"may_have_run", may_have_run ? "true" : "false"},
+            {"events", std::to_string(this->events)},
+            {"again", is_again ? "true" : "false"}});
+  this->runs += may_have_run ? 1 : 0;
+  if (!is_again) {
+    this->GiveUp();
     return;
   }
-  this->runs += may_have_run ? 1 : 0;
-  this->GiveUp();
-  (void)why;
+  this->give_up_at = std::min(this->deadline, Clock::now() + kPatience);
+  this->Dispatch();
 }
 
 void RequestFlow::PassOnAnswer() {
