No message that cannot be read is dropped without a log line

Cause: reading the change as a newcomer: hellos, reports, commands and a held configuration that cannot be read were passed over in silence. Ruled out: behaviour changes.

--- a/include/gooseberryturn/fwd.h
+++ b/include/gooseberryturn/fwd.h
@@ -107,6 +107,33 @@
 struct AttemptRecord;
 }  // namespace routing
 
+/// Targets reached directly, without an agent beside them.
+namespace direct {
+struct Configuration;
+struct Announcement;
+struct TargetView;
+struct GroupView;
+struct Update;
+struct Dialect;
+struct HostSettings;
+struct Order;
+class RouteTable;
+class Registry;
+class GroupPlanner;
+class QuorumKeeper;
+class CrashLedger;
+class LoadLimiter;
+class FleetState;
+class FleetView;
+class TargetBook;
+class TargetChooser;
+class WaitingLine;
+class EventSplitter;
+class ControlHost;
+class EntryHost;
+class RequestFlow;
+}  // namespace direct
+
 /// Proof that an answer is whole.
 namespace stream {
 class AnswerCheck;
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -196,6 +196,9 @@
       this->dialect.read_configuration(this->state.text());
   if (read.has_value()) {
     this->configuration = *read;
+  } else {
+    LogEvent(Level::kError, "", "configuration_not_readable",
+             {{"why", read.error().message}});
   }
   this->parsed_version = this->state.version();
   LogEvent(Level::kInfo, "", "configuration_in_force",
@@ -250,6 +253,7 @@
   this->targets.Since(this->noted_revision, note.targets, note.removed_targets);
   this->groups.Since(this->noted_revision, note.groups, note.removed_groups);
   this->noted_revision = this->revision;
+  // A note that fails means that another host leads, which makes its own.
   if (!note.IsEmpty()) {
     this->driver->Propose(protocol::Encode(command),
                           [](const Result<consensus::Index>& /*applied*/) {});
@@ -373,6 +377,7 @@
                          this->settings.first_link_port};
   const JoinRequest request = {this->id, this->disk, link,
                                *this->settings.control};
+  // No answer is needed: the membership itself tells when it was taken in.
   for (const Endpoint& host : hosts) {
     if (host != link) {
       this->channels.Get(host)->Call(
--- a/src/direct/control_host_followers.cc
+++ b/src/direct/control_host_followers.cc
@@ -3,10 +3,14 @@
 #include <utility>
 
 #include "gooseberryturn/direct/control_host.h"
+#include "gooseberryturn/observe/log.h"
 #include "gooseberryturn/protocol/codec.h"
 
 namespace gooseberryturn::direct {
 
+using observe::Level;
+using observe::LogEvent;
+
 // ---------------------------------------------------------------- followers
 
 void ControlHost::OnFollow(const std::shared_ptr<link::Stream>& stream) {
@@ -22,6 +26,8 @@
     if (held->hello.host.empty()) {
       const std::optional<Hello> hello = protocol::Decode<Hello>(payload);
       if (!hello.has_value()) {
+        LogEvent(Level::kWarn, "", "hello_not_readable",
+                 {{"peer", held->stream->peer()}});
         return;
       }
       held->hello = *hello;
@@ -34,6 +40,9 @@
         protocol::Decode<EntryReport>(payload);
     if (report.has_value()) {
       this->OnReport(*held, *report);
+    } else {
+      LogEvent(Level::kWarn, "", "report_not_readable",
+               {{"host", held->hello.host}});
     }
   };
   stream->on_close = [this, weak](link::CloseReason /*reason*/) {
--- a/src/direct/fleet_state.cc
+++ b/src/direct/fleet_state.cc
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include "gooseberryturn/observe/log.h"
 #include "gooseberryturn/protocol/codec.h"
 
 namespace gooseberryturn::direct {
@@ -14,6 +15,8 @@
   const std::optional<FleetCommand> command =
       protocol::Decode<FleetCommand>(entry.data);
   if (!command.has_value()) {
+    observe::LogEvent(observe::Level::kError, "", "command_not_readable",
+                      {{"index", std::to_string(entry.index)}});
     return;
   }
   switch (command->kind) {
