--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -74,11 +74,12 @@
   static constexpr Duration kSettle = std::chrono::milliseconds(2500);
   /// With no groups yet: until every target has announced itself once.
   static constexpr Duration kFirstSettle = std::chrono::milliseconds(1700);
-  /// With known groups: what targets announce themselves is enough to form.
   /// The first groups are formed once no new target spoke up for so long.
   static constexpr Duration kQuietBeforeFirst = std::chrono::milliseconds(600);
   static constexpr Duration kFirstLimit = std::chrono::milliseconds(3500);
+  /// With known groups: what targets announce themselves is enough to form.
   static constexpr Duration kFormAfter = std::chrono::milliseconds(700);
+  /// Added to the time until a head breaks that lost a member.
   static constexpr Duration kBreakMargin = std::chrono::milliseconds(400);
   static constexpr Duration kFormingLimit = std::chrono::seconds(8);
   static constexpr Duration kCloseLimit = std::chrono::seconds(6);
