A control host without a disk passes calls on; resting connections fit their target

Cause: found on rereading. Link addresses were built in four places; fields were read and never used; a target's limit of connections was read and not enforced (17 entries could rest 272 at a plain target that bears 69). Change: ControlRelay keeps nothing, finds the leader and passes calls on (a host that does not lead names the leader and all hosts). HostSettings builds links. Dead hooks, fields and the contents of JoinAnswer are gone. Each entry keeps at rest at most its part of half of a target's connections. Ruled out: counting open connections as well; requests in progress at a target are bounded by the load that all entries know. Tests: a_control_host_without_a_disk_passes_calls_on (real programs), resting_connections_of_all_entries_fit_the_target.

--- a/include/gooseberryturn/direct/configuration.h
+++ b/include/gooseberryturn/direct/configuration.h
@@ -38,8 +38,7 @@
   RouteKind kind = RouteKind::kUnsafe;
   std::int64_t timeout_ms = 0;  ///< Longest time a caller is kept waiting.
   std::int64_t objective_ms = 0;
-  std::int64_t pause_objective_ms = 0;  ///< Longest pause between events.
-  int priority = 0;                     ///< 0 is the most urgent.
+  int priority = 0;  ///< 0 is the most urgent.
   std::vector<WeightedService> services;
   int attempts = 1;  ///< Targets that one request may be sent to.
   bool is_public = false;
@@ -61,18 +60,14 @@
 
 /// \brief Published figures of a service's engines.
 struct EngineProfile {
-  std::size_t slots = 1;           ///< Requests of a group at a time.
-  std::int64_t memory_tokens = 0;  ///< Tokens that a group holds.
-  double step_ms = 0;              ///< A step of one token for all writers.
-  double per_writer_ms = 0;        ///< Added to a step for each writer.
-  double read_tokens_per_s = 0;    ///< Prompt tokens read.
-  double chunk_tokens = 1;         ///< Prompt tokens read in one piece.
-  std::size_t stride = 1;          ///< Steps of a pass, tokens of an event.
-  double loads_per_s = 0;          ///< Loads that may start, of all hosts.
-  std::size_t loads_at_once = 1;   ///< Beyond it each load takes longer.
-  double form_ms = 0;              ///< From the order to open until it serves.
-  double usual_prompt = 0;         ///< Mean tokens of a prompt.
-  double usual_answer = 0;         ///< Mean tokens of an answer.
+  std::size_t slots = 1;          ///< Requests of a group at a time.
+  double step_ms = 0;             ///< A step of one token for all writers.
+  double per_writer_ms = 0;       ///< Added to a step for each writer.
+  double read_tokens_per_s = 0;   ///< Prompt tokens read.
+  double chunk_tokens = 1;        ///< Prompt tokens read in one piece.
+  std::size_t stride = 1;         ///< Steps of a pass, tokens of an event.
+  double loads_per_s = 0;         ///< Loads that may start, of all hosts.
+  std::size_t loads_at_once = 1;  ///< Beyond it each load takes longer.
   std::vector<ModelProfile> models;
 
   [[nodiscard]] const ModelProfile* FindModel(
@@ -82,7 +77,6 @@
 /// \brief Targets that serve the same requests.
 struct Service {
   std::string name;
-  std::string health_path;
   std::size_t max_connections = 0;  ///< Of one target, from all callers.
   double cold_requests_per_s = 0;   ///< What a cold target bears.
   std::optional<EngineProfile> engine;
--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -33,7 +33,8 @@
 
   /// \brief Opens the data folder and starts to serve.
   [[nodiscard]] Result<void> Start();
-  void Stop();
+  /// \brief Stops to serve; nothing that was acknowledged depends on more.
+  void Leave(const std::function<void()>& on_left);
   /// \brief Takes over what may change while it runs: the control hosts.
   void Reload(const HostSettings& changed) {
     this->settings.control_hosts = changed.control_hosts;
@@ -74,6 +75,8 @@
   [[nodiscard]] Result<std::unique_ptr<consensus::Driver>> OpenLog();
   [[nodiscard]] consensus::Membership FirstMembership() const;
   void ServeLinks();
+  /// \brief The answer to a call that only a leader can answer.
+  [[nodiscard]] ForwardedAnswer NotLeading() const;
   void Tick();
 
   // Calls of operators and targets.
--- a/include/gooseberryturn/direct/dialect.h
+++ b/include/gooseberryturn/direct/dialect.h
@@ -17,18 +17,15 @@
 
 /// \brief Names of the headers spoken with callers and targets.
 struct HeaderNames {
-  std::string attempt;        ///< Id of one attempt of a caller.
-  std::string deadline;       ///< Milliseconds left.
-  std::string target;         ///< Id of the target that is meant.
-  std::string team;           ///< Set for targets only.
-  std::string proof;          ///< Mark of a target's own answer.
-  std::string not_run;        ///< The target vouches that it did not run.
-  std::string model;          ///< Model that is asked for.
-  std::string tokens;         ///< Prompt tokens and most output tokens.
-  std::string output_hint;    ///< The caller's estimate of output tokens.
-  std::string priority;       ///< Rank at the engine, 0 first.
-  std::string cold;           ///< Milliseconds a target stays cold.
-  std::string faulty_member;  ///< Member that an engine holds at fault.
+  std::string attempt;   ///< Id of one attempt of a caller.
+  std::string deadline;  ///< Milliseconds left.
+  std::string target;    ///< Id of the target that is meant.
+  std::string team;      ///< Set for targets only.
+  std::string proof;     ///< Mark of a target's own answer.
+  std::string not_run;   ///< The target vouches that it did not run.
+  std::string model;     ///< Model that is asked for.
+  std::string tokens;    ///< Prompt tokens and most output tokens.
+  std::string priority;  ///< Rank at the engine, 0 first.
 };
 
 /// \brief Kind of an order to an engine.
@@ -108,14 +105,13 @@
   std::string host;
   std::string data_centre;
   std::string address;
-  std::optional<Endpoint> callers;  ///< Where callers connect.
-  std::optional<Endpoint> ready;    ///< Where the balancer asks.
-  std::optional<Endpoint> control;  ///< Where operators and targets call.
-  std::uint16_t first_link_port = 0;
-  std::uint16_t last_link_port = 0;
+  std::optional<Endpoint> callers;      ///< Where callers connect.
+  std::optional<Endpoint> ready;        ///< Where the balancer asks.
+  std::optional<Endpoint> control;      ///< Where operators and targets call.
+  std::uint16_t link_port = 0;          ///< Of control hosts, for other hosts.
   std::vector<Endpoint> control_hosts;  ///< Known at the start.
   bool is_first_start = false;
-  std::string data_folder;
+  std::string data_folder;          ///< Empty: this control host has no disk.
   std::size_t tolerated_hosts = 1;  ///< Control hosts that may be lost.
   Duration heartbeat = std::chrono::seconds(1);
   Duration stall = std::chrono::seconds(5);  ///< Until a stalled group breaks.
@@ -123,6 +119,23 @@
   double retry_share = 0.2;
   double retry_burst = 20;  ///< Of one service, all entries together.
   double cold_factor = 1;
+
+  /// \brief Where this control host listens for other hosts.
+  [[nodiscard]] Endpoint link() const {
+    return {this->address, this->link_port};
+  }
+  /// \brief Where the control host with the address `control_address` does.
+  [[nodiscard]] Endpoint LinkOf(const Endpoint& control_address) const {
+    return {control_address.address, this->link_port};
+  }
+  /// \brief Where the control hosts known at the start listen for others.
+  [[nodiscard]] std::vector<Endpoint> ControlLinks() const {
+    std::vector<Endpoint> links;
+    for (const Endpoint& known : this->control_hosts) {
+      links.push_back(this->LinkOf(known));
+    }
+    return links;
+  }
 };
 
 }  // namespace gooseberryturn::direct
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -61,6 +61,11 @@
   void Tick();
   void TryWaiters();
   void FollowLeave(TimePoint now);
+  /// \brief Entries that share what a target or service bears; a view may
+  /// name fewer than there are.
+  [[nodiscard]] double SharingEntries() const;
+  /// \brief Connections kept at rest at one target of `service`.
+  [[nodiscard]] std::size_t MostRestingAt(const std::string& service) const;
   [[nodiscard]] routing::RetryBudget& BudgetOf(const std::string& service);
   void FlowEnded(std::uint64_t number);
   /// Age of the last word of a leader, milliseconds.
--- a/include/gooseberryturn/direct/target_book.h
+++ b/include/gooseberryturn/direct/target_book.h
@@ -51,7 +51,6 @@
   /// \brief Takes one of the few requests that a cold target bears.
   [[nodiscard]] bool TakeCold(const std::string& target, double per_s,
                               TimePoint now);
-  void Forget(const std::string& target) { this->entries.erase(target); }
 
   static constexpr Duration kStallAfter = std::chrono::milliseconds(320);
   static constexpr Duration kFirstAvoid = std::chrono::milliseconds(500);
--- a/include/gooseberryturn/direct/target_connection.h
+++ b/include/gooseberryturn/direct/target_connection.h
@@ -61,8 +61,8 @@
   void Cancel();
   /// \brief Stops or resumes reading, for a caller that reads slowly.
   void SetPaused(bool paused);
-  /// \brief Watches a connection at rest; `on_lost` tells when it closes.
-  void Rest(std::function<void()> on_lost);
+  /// \brief Watches a connection at rest: one that closes is not used again.
+  void Rest();
 
   /// \brief True when the next request may use this connection.
   [[nodiscard]] bool is_reusable() const noexcept { return this->reusable; }
@@ -98,7 +98,6 @@
       boost::beast::http::response_parser<boost::beast::http::buffer_body>>
       parser;
   std::array<char, 8192> piece;
-  std::function<void()> on_lost;
   std::uint64_t exchange_number = 0;
   bool connected = false;
   bool reusable = false;
@@ -111,6 +110,11 @@
   TimePoint rest_deadline;
 };
 
+/// \brief Connections that one of `entries` may keep at rest at a target that
+/// bears `most_connections` of all callers together (0: no limit is known).
+[[nodiscard]] std::size_t MostResting(std::size_t most_connections,
+                                      double entries) noexcept;
+
 /// \brief Connections of one entry to all targets, kept while they rest.
 class TargetPool {
  public:
@@ -119,9 +123,11 @@
   /// \brief A connection at rest, or a new one.
   [[nodiscard]] std::shared_ptr<TargetConnection> Take(
       const std::string& target, const Endpoint& peer);
-  /// \brief Gives a connection back after an exchange.
+  /// \brief Gives a connection back after an exchange; it is closed when
+  /// `most_resting` others rest at the target.
   void Give(const std::string& target,
-            const std::shared_ptr<TargetConnection>& connection);
+            const std::shared_ptr<TargetConnection>& connection,
+            std::size_t most_resting);
   /// \brief Forgets connections that rested too long.
   void Expire(TimePoint now);
   /// \brief Closes what rests at `target`.
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -134,8 +134,10 @@
 struct ForwardedAnswer {
   int status = 0;
   std::string body;
+  Endpoint leader;                      ///< Known to a host that does not lead.
+  std::vector<Endpoint> control_hosts;  ///< Links; told by such hosts only.
 
-  MSGPACK_DEFINE(status, body)
+  MSGPACK_DEFINE(status, body, leader, control_hosts)
 };
 
 /// \brief A control host with an empty disk asks to be taken in.
@@ -148,13 +150,12 @@
   MSGPACK_DEFINE(id, disk, link, control)
 };
 
-/// \brief Answer to a JoinRequest.
+/// \brief Answer to a JoinRequest: it came. The membership itself tells the
+/// host when it was taken in.
 struct JoinAnswer {
-  bool is_leader = false;
-  bool is_member = false;
-  std::vector<Endpoint> control_hosts;
+  bool is_received = true;
 
-  MSGPACK_DEFINE(is_leader, is_member, control_hosts)
+  MSGPACK_DEFINE(is_received)
 };
 
 }  // namespace gooseberryturn::direct
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -45,8 +45,8 @@
 consensus::Membership ControlHost::FirstMembership() const {
   consensus::Membership membership;
   for (const Endpoint& control : this->settings.control_hosts) {
-    const Endpoint link = {control.address, this->settings.first_link_port};
-    membership.peers.push_back({FirstId(control), link, control, true, 0});
+    membership.peers.push_back(
+        {FirstId(control), this->settings.LinkOf(control), control, true, 0});
   }
   return membership;
 }
@@ -129,9 +129,7 @@
   this->RefreshConfiguration();
   this->ServeLinks();
   this->driver->Start(this->listener);
-  const Endpoint link = {this->settings.address,
-                         this->settings.first_link_port};
-  const Result<void> listening = this->listener.Start(link);
+  const Result<void> listening = this->listener.Start(this->settings.link());
   if (!listening.has_value()) {
     return listening;
   }
@@ -139,11 +137,24 @@
   return this->server.Start(*this->settings.control);
 }
 
-void ControlHost::Stop() {
+void ControlHost::Leave(const std::function<void()>& on_left) {
   this->timer.cancel();
   this->server.Stop();
   this->listener.GoAway();
   this->driver->Stop();
+  on_left();
+}
+
+ForwardedAnswer ControlHost::NotLeading() const {
+  ForwardedAnswer answer;
+  const consensus::Peer* leader = this->driver->Leader();
+  if (leader != nullptr && leader->id != this->id) {
+    answer.leader = leader->link;
+  }
+  for (const consensus::Peer& peer : this->driver->node().membership().peers) {
+    answer.control_hosts.push_back(peer.link);
+  }
+  return answer;
 }
 
 void ControlHost::ServeLinks() {
@@ -157,13 +168,14 @@
         const std::optional<ForwardedCall> call =
             protocol::Decode<ForwardedCall>(payload);
         if (!call.has_value() || !this->IsLeading()) {
-          link::Reply(*stream, ForwardedAnswer{});
+          link::Reply(*stream, this->NotLeading());
           return;
         }
         this->HandleAsLeader(
             {call->method, call->path, call->body},
             [stream](const ShortAnswer& answer) {
-              link::Reply(*stream, ForwardedAnswer{answer.status, answer.body});
+              link::Reply(*stream,
+                          ForwardedAnswer{answer.status, answer.body, {}, {}});
             });
       });
   this->listener.ServeMessage(
@@ -171,18 +183,10 @@
                         std::string_view payload) {
         const std::optional<JoinRequest> request =
             protocol::Decode<JoinRequest>(payload);
-        JoinAnswer answer;
-        answer.is_leader = this->IsLeading();
-        for (const consensus::Peer& peer :
-             this->driver->node().membership().peers) {
-          answer.control_hosts.push_back(peer.link);
-        }
-        if (request.has_value() && answer.is_leader) {
-          answer.is_member =
-              this->driver->node().membership().Find(request->id) != nullptr;
+        if (request.has_value() && this->IsLeading()) {
           this->quorum.Joining(*request, Clock::now());
         }
-        link::Reply(*stream, answer);
+        link::Reply(*stream, JoinAnswer{});
       });
 }
 
@@ -366,15 +370,11 @@
     return;
   }
   this->join_at = now + kJoinEvery;
-  std::vector<Endpoint> hosts;
-  for (const Endpoint& control : this->settings.control_hosts) {
-    hosts.push_back({control.address, this->settings.first_link_port});
-  }
+  std::vector<Endpoint> hosts = this->settings.ControlLinks();
   for (const consensus::Peer& peer : this->driver->node().membership().peers) {
     hosts.push_back(peer.link);
   }
-  const Endpoint link = {this->settings.address,
-                         this->settings.first_link_port};
+  const Endpoint link = this->settings.link();
   const JoinRequest request = {this->id, this->disk, link,
                                *this->settings.control};
   // No answer is needed: the membership itself tells when it was taken in.
--- a/src/direct/control_host_calls.cc
+++ b/src/direct/control_host_calls.cc
@@ -1,6 +1,7 @@
 #include <optional>
 #include <utility>
 
+#include "gooseberryturn/direct/call_forwarder.h"
 #include "gooseberryturn/direct/control_host.h"
 #include "gooseberryturn/observe/log.h"
 #include "gooseberryturn/protocol/codec.h"
@@ -61,20 +62,15 @@
     reply(this->Fault(kUnavailable, "no leader is known"));
     return;
   }
-  const ForwardedCall forwarded = {call.method, call.path, call.body};
-  this->channels.Get(leader->link)
-      ->Call(kCallPath, protocol::Encode(forwarded), Clock::now() + kCallLimit,
-             [this, reply = std::move(reply)](Result<std::string> answered) {
-               const std::optional<ForwardedAnswer> answer =
-                   answered.has_value()
-                       ? protocol::Decode<ForwardedAnswer>(*answered)
-                       : std::nullopt;
-               if (answer.has_value() && answer->status != 0) {
-                 reply({answer->status, "application/json", answer->body});
-               } else {
-                 reply(this->Fault(kUnavailable, "the leader did not answer"));
-               }
-             });
+  ForwardCall(this->channels, leader->link, call, Clock::now() + kCallLimit,
+              [this, reply = std::move(reply)](
+                  const std::optional<ForwardedAnswer>& answer) {
+                if (answer.has_value() && answer->status != 0) {
+                  reply({answer->status, "application/json", answer->body});
+                } else {
+                  reply(this->Fault(kUnavailable, "the leader did not answer"));
+                }
+              });
 }
 
 void ControlHost::HandleAsLeader(const ShortCall& call,
--- /dev/null
+++ b/src/direct/control_relay.cc
@@ -0,0 +1,99 @@
+#include "gooseberryturn/direct/control_relay.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "gooseberryturn/direct/call_forwarder.h"
+#include "gooseberryturn/observe/log.h"
+
+namespace gooseberryturn::direct {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr char kMetricsPath[] = "/metrics";
+
+}  // namespace
+
+ControlRelay::ControlRelay(boost::asio::io_context& context,
+                           HostSettings host_settings, Dialect host_dialect,
+                           observe::Metrics& metrics)
+    : context(context),
+      settings(std::move(host_settings)),
+      dialect(std::move(host_dialect)),
+      metrics(metrics),
+      channels(context),
+      server(context,
+             [this](const ShortCall& call, ShortHttpServer::Reply reply) {
+               this->OnCall(call, std::move(reply));
+             }) {
+  this->Learn(this->settings.ControlLinks());
+}
+
+Result<void> ControlRelay::Start() {
+  return this->server.Start(*this->settings.control);
+}
+
+void ControlRelay::Leave(const std::function<void()>& on_left) {
+  this->server.Stop();
+  on_left();
+}
+
+void ControlRelay::Reload(const HostSettings& changed) {
+  this->Learn(changed.ControlLinks());
+}
+
+void ControlRelay::Learn(const std::vector<Endpoint>& links) {
+  for (const Endpoint& link : links) {
+    const bool is_known = std::find(this->hosts.begin(), this->hosts.end(),
+                                    link) != this->hosts.end();
+    if (!is_known && !(link == this->settings.link())) {
+      this->hosts.push_back(link);
+    }
+  }
+}
+
+void ControlRelay::OnCall(const ShortCall& call, ShortHttpServer::Reply reply) {
+  if (call.method == "GET" && call.path == kMetricsPath) {
+    reply({kOk, "text/plain; version=0.0.4", this->metrics.Render()});
+    return;
+  }
+  this->Try(call, std::move(reply), kMostTries, Clock::now() + kCallLimit);
+}
+
+void ControlRelay::Try(const ShortCall& call, ShortHttpServer::Reply reply,
+                       int tries_left, TimePoint deadline) {
+  const TimePoint now = Clock::now();
+  if (tries_left == 0 || now >= deadline || this->hosts.empty()) {
+    observe::LogEvent(observe::Level::kWarn, "", "call_refused",
+                      {{"path", call.path}, {"why", "no leader answered"}});
+    reply({kUnavailable, "application/json",
+           this->dialect.write_fault("no leader answered")});
+    return;
+  }
+  const std::size_t asked = this->current % this->hosts.size();
+  ForwardCall(this->channels, this->hosts[asked], call,
+              std::min(deadline, now + kTryLimit),
+              [this, call, reply = std::move(reply), tries_left, deadline,
+               asked](const std::optional<ForwardedAnswer>& answer) {
+                if (answer.has_value() && answer->status != 0) {
+                  reply({answer->status, "application/json", answer->body});
+                  return;
+                }
+                this->current = asked + 1;
+                if (answer.has_value()) {
+                  this->Learn(answer->control_hosts);
+                  const auto leader = std::find(
+                      this->hosts.begin(), this->hosts.end(), answer->leader);
+                  if (leader != this->hosts.end()) {
+                    this->current =
+                        static_cast<std::size_t>(leader - this->hosts.begin());
+                  }
+                }
+                this->Try(call, reply, tries_left - 1, deadline);
+              });
+}
+
+}  // namespace gooseberryturn::direct
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -25,14 +25,6 @@
 constexpr double kBurstShare = 0.9;
 constexpr char kMetricsPath[] = "/metrics";
 
-std::vector<Endpoint> LinksOf(const HostSettings& settings) {
-  std::vector<Endpoint> links;
-  for (const Endpoint& control : settings.control_hosts) {
-    links.push_back({control.address, settings.first_link_port});
-  }
-  return links;
-}
-
 }  // namespace
 
 EntryHost::EntryHost(boost::asio::io_context& context,
@@ -44,7 +36,7 @@
       dialect(std::move(host_dialect)),
       metrics(metrics),
       channels(context),
-      follow(context, this->channels, LinksOf(this->settings)),
+      follow(context, this->channels, this->settings.ControlLinks()),
       ready_server(
           context,
           [this](const ShortCall& call, const ShortHttpServer::Reply& reply) {
@@ -90,7 +82,7 @@
 
 void EntryHost::Reload(const HostSettings& changed) {
   this->settings.control_hosts = changed.control_hosts;
-  this->follow.SetControlHosts(LinksOf(changed));
+  this->follow.SetControlHosts(changed.ControlLinks());
 }
 
 bool EntryHost::IsReady() const {
@@ -137,15 +129,25 @@
 void EntryHost::FlowEnded(std::uint64_t number) { this->flows.erase(number); }
 
 routing::RetryBudget& EntryHost::BudgetOf(const std::string& service) {
-  // The burst of a service is shared by all entries; a view may name fewer
-  // than there are.
-  const double entries = std::max<double>(kLeastEntries, this->view.entries());
+  // The burst of a service is shared by all entries.
+  const double entries = this->SharingEntries();
   return this->budgets
       .emplace(service, routing::RetryBudget(
                             kBurstShare * this->settings.retry_burst / entries))
       .first->second;
 }
 
+double EntryHost::SharingEntries() const {
+  return std::max<double>(kLeastEntries, this->view.entries());
+}
+
+std::size_t EntryHost::MostRestingAt(const std::string& service) const {
+  const Service* found =
+      this->view.routes()->configuration().FindService(service);
+  return MostResting(found == nullptr ? 0 : found->max_connections,
+                     this->SharingEntries());
+}
+
 std::int64_t EntryHost::ViewAgeMs() const {
   return std::chrono::duration_cast<Milliseconds>(Clock::now() -
                                                   this->follow.heard_at())
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -96,7 +96,8 @@
   }
   this->NoteRead();
   this->host.book.End(this->target, evidence, now);
-  this->host.pool.Give(this->target, used);
+  this->host.pool.Give(this->target, used,
+                       this->host.MostRestingAt(this->service));
   if (this->is_done) {
     return;
   }
--- a/src/direct/target_connection.cc
+++ b/src/direct/target_connection.cc
@@ -20,6 +20,9 @@
 /// Boost 1.74 takes no limit at all for an exceeded one.
 constexpr std::uint64_t kNoLimit = std::uint64_t{1} << 40U;
 constexpr std::string_view kTimeoutField = "timeout=";
+constexpr std::size_t kRestingWithoutLimit = 64;
+/// Share of a target's connections that rest; new ones need room beside them.
+constexpr double kRestingShare = 0.5;
 
 /// Time a connection may rest, from a Keep-Alive header; a fifth is left for
 /// the way of the next request.
@@ -44,7 +47,6 @@
 void TargetConnection::Exchange(std::string bytes, std::string header,
                                 std::string wanted, ExchangeHooks next_hooks) {
   this->exchange_number += 1;
-  this->on_lost = nullptr;
   this->request = std::move(bytes);
   this->id_header = std::move(header);
   this->id = std::move(wanted);
@@ -256,8 +258,7 @@
   }
 }
 
-void TargetConnection::Rest(std::function<void()> lost) {
-  this->on_lost = std::move(lost);
+void TargetConnection::Rest() {
   this->parser.reset();
   this->request = std::string();
   const std::weak_ptr<TargetConnection> weak = this->weak_from_this();
@@ -270,10 +271,6 @@
         }
         // Either the target closed it, or bytes came that nobody asked for.
         self->Close();
-        if (self->on_lost) {
-          const std::function<void()> call = std::exchange(self->on_lost, {});
-          call();
-        }
       });
 }
 
@@ -298,13 +295,27 @@
   return std::make_shared<TargetConnection>(this->context, peer);
 }
 
+std::size_t MostResting(std::size_t most_connections, double entries) noexcept {
+  if (most_connections == 0) {
+    return kRestingWithoutLimit;
+  }
+  const double share =
+      kRestingShare * static_cast<double>(most_connections) / entries;
+  return std::max<std::size_t>(1, static_cast<std::size_t>(share));
+}
+
 void TargetPool::Give(const std::string& target,
-                      const std::shared_ptr<TargetConnection>& connection) {
+                      const std::shared_ptr<TargetConnection>& connection,
+                      std::size_t most_resting) {
   if (!connection->is_reusable()) {
     return;
   }
-  this->idle[target].push_back(connection);
-  connection->Rest([] {});
+  std::vector<std::shared_ptr<TargetConnection>>& resting = this->idle[target];
+  if (resting.size() >= most_resting) {
+    return;
+  }
+  resting.push_back(connection);
+  connection->Rest();
 }
 
 void TargetPool::Expire(TimePoint now) {
--- a/tests/direct_decision_test.cc
+++ b/tests/direct_decision_test.cc
@@ -13,6 +13,7 @@
 #include "gooseberryturn/direct/registry.h"
 #include "gooseberryturn/direct/target_book.h"
 #include "gooseberryturn/direct/target_chooser.h"
+#include "gooseberryturn/direct/target_connection.h"
 #include "gooseberryturn/direct/waiting_line.h"
 #include "gooseberryturn/protocol/codec.h"
 #include "gooseberryturn/routing/retry_budget.h"
@@ -331,6 +332,16 @@
   BOOST_TEST(taken <= kRate * kFactor + 5);
 }
 
+BOOST_AUTO_TEST_CASE(resting_connections_of_all_entries_fit_the_target) {
+  // 17 entries before a plain target that bears 69 connections.
+  constexpr std::size_t kMost = 69;
+  constexpr double kEntries = 17;
+  BOOST_TEST(static_cast<double>(MostResting(kMost, kEntries)) * kEntries <=
+             kMost / 2.0);
+  BOOST_TEST(MostResting(1, kEntries) == 1U);
+  BOOST_TEST(MostResting(0, kEntries) > 1U);
+}
+
 BOOST_AUTO_TEST_CASE(loads_stay_within_the_rate_of_the_weight_store) {
   EngineProfile engine;
   engine.loads_per_s = 3;
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -91,6 +91,19 @@
     return Call(this->Callers(), "POST", path, headers, "body").ReadAll();
   }
 
+  /// Starts control host `number`; without a disk it passes calls on.
+  void StartControl(int number, bool has_disk = true) {
+    const std::string name = this->folder + "/c" + std::to_string(number);
+    this->Write(name + ".conf", number,
+                "listen.control=" + ToString(this->Control(number)) +
+                    (has_disk ? "\ndata_dir=" + name : "") + "\n");
+    this->controls.push_back(std::make_unique<Process>(
+        std::vector<std::string>{
+            std::string(BINARY_ROOT) + "/gooseberryturn-direct-control",
+            "--settings", name + ".conf"},
+        name + ".log"));
+  }
+
   std::vector<std::unique_ptr<Process>> controls;
   std::unique_ptr<Process> entry;
   std::string folder;
@@ -106,17 +119,6 @@
         << "bounds.retry_budget_ratio=0.2\nbounds.retry_budget_burst=160\n"
         << lines;
   }
-  void StartControl(int number) {
-    const std::string name = this->folder + "/c" + std::to_string(number);
-    this->Write(name + ".conf", number,
-                "listen.control=" + ToString(this->Control(number)) +
-                    "\ndata_dir=" + name + "\n");
-    this->controls.push_back(std::make_unique<Process>(
-        std::vector<std::string>{
-            std::string(BINARY_ROOT) + "/gooseberryturn-direct-control",
-            "--settings", name + ".conf"},
-        name + ".log"));
-  }
   void StartEntry() {
     const std::string name = this->folder + "/e";
     this->Write(name + ".conf", 9,
@@ -162,6 +164,33 @@
   BOOST_TEST(put(std::string(200'000, '[')) == 400);
 }
 
+BOOST_AUTO_TEST_CASE(a_control_host_without_a_disk_passes_calls_on) {
+  PlatformFleet fleet(65);
+  fleet.StartControl(4, false);
+  const Endpoint relay = fleet.Control(4);
+  BOOST_REQUIRE(Eventually([&fleet, &relay] {
+    return Call(relay, "PUT", "/api/config", {}, fleet.Configuration(5, 2000))
+               .ReadAll()
+               .status == 200;
+  }));
+  BOOST_TEST(Get(fleet.Control(2), "/api/config").body ==
+             fleet.Configuration(5, 2000));
+  // A target that announces itself there is told to whom it speaks next.
+  StandIn target("i-1", fleet.At(20, 9000), relay, "plain");
+  BOOST_TEST(Eventually(
+      [&fleet] { return fleet.Ask("/safe/1", "a1").status == 200; }));
+  // It finds the next leader, and says so while there is none.
+  fleet.controls[0]->Kill();
+  BOOST_TEST(Eventually([&fleet, &relay] {
+    return Get(relay, "/api/config").body == fleet.Configuration(5, 2000);
+  }));
+  fleet.controls[1]->Kill();
+  BOOST_TEST(
+      Eventually([&relay] { return Get(relay, "/api/config").status == 503; }));
+  fleet.controls[3]->Signal(SIGTERM);
+  BOOST_TEST(fleet.controls[3]->WaitExit() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(what_was_acknowledged_survives_a_kill_of_all_hosts) {
   PlatformFleet fleet(61);
   fleet.Put(8);
