Groups are moved when more work is served by it, judged by measured demand

Change: entries tell the engine time that callers asked each model for; the leader makes of it the hosts that work keeps busy (the published share until then). Coverage is hosts over busy hosts; served share is 1 - exp(-2 coverage). Groups are closed only when the gain over 10 s outweighs 4 s without them; survivors of broken groups of the same domain count as hosts to come.

--- a/include/gooseberryturn/direct/configuration.h
+++ b/include/gooseberryturn/direct/configuration.h
@@ -68,6 +68,8 @@
   std::size_t stride = 1;         ///< Steps of a pass, tokens of an event.
   double loads_per_s = 0;         ///< Loads that may start, of all hosts.
   std::size_t loads_at_once = 1;  ///< Beyond it each load takes longer.
+  double usual_answer = 0;        ///< Mean tokens of an answer.
+
   std::vector<ModelProfile> models;
 
   [[nodiscard]] const ModelProfile* FindModel(
--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -133,6 +133,7 @@
   GroupPlanner planner;
   QuorumKeeper quorum;
   CrashLedger crashes;
+  DemandSum demand;
   std::list<std::shared_ptr<Follower>> followers;
   control::Versioned<TargetView> targets;
   control::Versioned<GroupView> groups;
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -87,6 +87,7 @@
   TargetChooser chooser;
   TargetPool pool;
   WaitingLine line;
+  DemandMeter demand;
   std::map<std::string, routing::RetryBudget> budgets;
   std::map<std::uint64_t, std::shared_ptr<RequestFlow>> flows;
   std::set<std::shared_ptr<CallerConnection>> callers;
--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -12,6 +12,7 @@
 #include "gooseberryturn/direct/configuration.h"
 #include "gooseberryturn/direct/dialect.h"
 #include "gooseberryturn/direct/load_limiter.h"
+#include "gooseberryturn/direct/model_demand.h"
 #include "gooseberryturn/direct/registry.h"
 #include "gooseberryturn/direct/view.h"
 
@@ -33,6 +34,7 @@
   bool has_traffic = false;
   Duration heartbeat = std::chrono::seconds(1);
   Duration stall = std::chrono::seconds(5);
+  std::vector<ModelDemand> demand;  ///< As measured; empty before.
 };
 
 /// \brief Forms, opens and dissolves replica groups; one at the leader.
@@ -115,6 +117,12 @@
     TimePoint until;
   };
 
+  /// Hosts that will be free, the last of them at `free_at`.
+  struct Returning {
+    std::vector<std::string> targets;
+    TimePoint free_at;
+  };
+
   /// Doubts about a target.
   struct Doubt {
     int failed_probes = 0;
@@ -158,6 +166,11 @@
       const Service& service, const PlanInput& input, TimePoint now) const;
   [[nodiscard]] bool IsEvacuated(const GroupView& group,
                                  const PlanInput& input) const;
+  /// Hosts that the work for a model keeps busy.
+  [[nodiscard]] double BusyHosts(const Service& service,
+                                 const ModelProfile& model,
+                                 const PlanInput& input) const;
+  /// By model: hosts in its groups over those that its work keeps busy.
   [[nodiscard]] std::map<std::string, double> Coverage(
       const Service& service, const PlanInput& input) const;
   void StartGroup(const Service& service, const ModelProfile& model,
@@ -170,6 +183,13 @@
       const Service& service, const ModelProfile& poor,
       const std::string& domain, const std::vector<std::string>& spares,
       const PlanInput& input) const;
+  /// Share of the service's work that groups of this coverage serve well.
+  [[nodiscard]] double Served(
+      const Service& service,
+      const std::map<std::string, double>& coverage) const;
+  /// Members of groups that are being dissolved, by fabric domain.
+  [[nodiscard]] std::map<std::string, Returning> ReturningByDomain(
+      const Service& service, const PlanInput& input, TimePoint now) const;
   void Rebalance(const Service& service, const PlanInput& input, TimePoint now);
   /// Hosts of each fabric domain that can join `model` without a load.
   [[nodiscard]] std::map<std::string, std::size_t> CapableByDomain(
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -73,6 +73,11 @@
   [[nodiscard]] bool MayTryAgain(bool may_have_run);
   [[nodiscard]] std::string HeadLines() const;
   [[nodiscard]] std::string Lane() const;
+  /// Published figures of the service's engines; null for a plain service.
+  [[nodiscard]] const EngineProfile* Engine() const;
+  [[nodiscard]] const ModelProfile* Model() const;
+  /// Counts the work that this request asks for.
+  void NoteDemand();
   /// How long it may wait here and still have its first event on time.
   [[nodiscard]] Duration OnTimeMargin() const;
 
--- a/include/gooseberryturn/direct/target_chooser.h
+++ b/include/gooseberryturn/direct/target_chooser.h
@@ -13,6 +13,12 @@
 
 namespace gooseberryturn::direct {
 
+/// \brief Time of a group, at its full width, that a request takes up.
+/// \returns Milliseconds.
+[[nodiscard]] double EngineMs(const EngineProfile& engine,
+                              const ModelProfile& model, double prompt_tokens,
+                              double answer_tokens);
+
 /// \brief Why no target was chosen.
 enum class NoChoice : std::uint8_t {
   kNone,      ///< One was chosen.
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -8,6 +8,7 @@
 
 #include "gooseberryturn/core/endpoint.h"
 #include "gooseberryturn/direct/announcement.h"
+#include "gooseberryturn/direct/model_demand.h"
 
 namespace gooseberryturn::direct {
 
@@ -93,9 +94,10 @@
   std::vector<CutRequest> cut_requests;
   bool has_served = false;  ///< Requests have begun.
   std::uint64_t config_version = 0;
+  std::vector<ModelWork> work;  ///< Totals since this entry started.
 
   MSGPACK_DEFINE(open_work, stalled_groups, cut_requests, has_served,
-                 config_version)
+                 config_version, work)
 };
 
 /// \brief What the leader tells its followers: changes since the last one.
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -221,6 +221,7 @@
   this->settled_at = now + kSettle;
   this->followers.clear();
   this->registry = Registry();
+  this->demand = DemandSum();
   this->targets = {};
   this->groups = {};
   this->revision += 1;
@@ -342,9 +343,10 @@
   if (!this->configuration.has_value()) {
     return;
   }
-  PlanInput input = {
-      this->registry,    *this->configuration,     this->state.evacuated(), {},
-      this->has_traffic, this->settings.heartbeat, this->settings.stall};
+  PlanInput input = {this->registry,          *this->configuration,
+                     this->state.evacuated(), {},
+                     this->has_traffic,       this->settings.heartbeat,
+                     this->settings.stall,    this->demand.Demand(now)};
   for (const OpenWork& work : this->SumOpenWork()) {
     input.open_work[work.target] = work.requests;
   }
--- a/src/direct/control_host_followers.cc
+++ b/src/direct/control_host_followers.cc
@@ -56,6 +56,8 @@
   const TimePoint now = Clock::now();
   follower.heard_at = now;
   follower.open_work = report.open_work;
+  this->demand.Take(
+      {follower.hello.host, follower.hello.incarnation, report.work}, now);
   this->has_traffic |= report.has_served;
   for (const CutRequest& cut : report.cut_requests) {
     this->crashes.Report(cut.fingerprint, cut.target, now);
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -203,6 +203,7 @@
   report.cut_requests = this->cut_requests;
   report.has_served = this->has_served;
   report.config_version = this->view.version();
+  report.work = this->demand.Totals();
   if (this->follow.Send(report)) {
     this->cut_requests.clear();
   }
--- a/src/direct/group_planner_forming.cc
+++ b/src/direct/group_planner_forming.cc
@@ -15,8 +15,26 @@
 
 constexpr double kSameModelSeconds = 0.2;
 
-/// The worst covered model must gain by this factor when groups are closed.
-constexpr double kRebalanceGain = 1.15;
+/// Share of all hosts that work keeps busy, until entries measured it.
+constexpr double kUsualLoad = 0.6;
+
+/// Share of the published demand that is always reckoned with: what is asked
+/// for may come back sooner than a group is formed.
+constexpr double kLeastDemand = 0.3;
+constexpr double kLeastBusyHosts = 0.1;
+
+/// Groups that are closed serve nothing for about so long, until their hosts
+/// are in another group.
+constexpr double kMoveSeconds = 4;
+
+/// A layout of groups serves for about so long before hosts are lost again.
+constexpr double kLayoutSeconds = 10;
+
+/// Gain in seconds of all work below which nothing is moved.
+constexpr double kLeastGainSeconds = 0.15;
+
+/// From the release of a member until the order to join may be given.
+constexpr Duration kOrderSlack = std::chrono::milliseconds(500);
 
 constexpr Duration kRebalanceEvery = std::chrono::milliseconds(2500);
 
@@ -85,11 +103,32 @@
   return head != nullptr && input.evacuated.count(head->view.data_centre) > 0;
 }
 
+double GroupPlanner::BusyHosts(const Service& service,
+                               const ModelProfile& model,
+                               const PlanInput& input) const {
+  double hosts = 0;
+  for (const std::pair<const std::string, TargetRecord>& entry :
+       input.registry.targets()) {
+    hosts += entry.second.view.service == service.name ? 1 : 0;
+  }
+  const double published =
+      std::max(kLeastBusyHosts, kUsualLoad * model.share * hosts);
+  for (const ModelDemand& demand : input.demand) {
+    if (demand.service == service.name && demand.model == model.name) {
+      return std::max(kLeastDemand * published,
+                      demand.groups * static_cast<double>(model.size));
+    }
+  }
+  return published;
+}
+
 std::map<std::string, double> GroupPlanner::Coverage(
     const Service& service, const PlanInput& input) const {
   std::map<std::string, double> coverage;
+  std::map<std::string, double> busy;
   for (const ModelProfile& model : service.engine->models) {
     coverage[model.name] = 0;
+    busy[model.name] = this->BusyHosts(service, model, input);
   }
   for (const std::pair<const std::string, Group>& entry : this->groups) {
     const GroupView& view = entry.second.view;
@@ -98,9 +137,9 @@
                         view.phase != GroupPhase::kDissolving &&
                         view.phase != GroupPhase::kClosing &&
                         !this->IsEvacuated(view, input);
-    if (counts && model->share > 0) {
+    if (counts) {
       coverage[view.model] +=
-          static_cast<double>(view.members.size()) / model->share;
+          static_cast<double>(view.members.size()) / busy[view.model];
     }
   }
   return coverage;
@@ -181,7 +220,8 @@
           // held up by those that do.
           continue;
         }
-        const double need = 1.0 / (1.0 + coverage.at(model.name));
+        const double need = ServedByHost(
+            coverage.at(model.name), this->BusyHosts(service, model, input));
         const double score = need / (1.0 + seconds / kFormingScaleSeconds);
         if (score > best_score) {
           best_score = score;
@@ -249,6 +289,42 @@
   return closed;
 }
 
+double GroupPlanner::Served(
+    const Service& service,
+    const std::map<std::string, double>& coverage) const {
+  double served = 0;
+  for (const ModelProfile& model : service.engine->models) {
+    served += model.share * ServedShare(coverage.at(model.name));
+  }
+  return served;
+}
+
+std::map<std::string, GroupPlanner::Returning> GroupPlanner::ReturningByDomain(
+    const Service& service, const PlanInput& input, TimePoint now) const {
+  std::map<std::string, Returning> returning;
+  for (const std::pair<const std::string, Group>& entry : this->groups) {
+    const Group& group = entry.second;
+    if (group.view.service != service.name ||
+        group.view.phase != GroupPhase::kDissolving ||
+        this->IsEvacuated(group.view, input)) {
+      continue;
+    }
+    Returning& there = returning[group.view.domain];
+    for (const std::string& id : group.view.members) {
+      const TargetRecord* record = input.registry.Find(id);
+      if (record != nullptr && !record->view.is_leaving &&
+          !this->IsMemberDead(group, id, input, now) &&
+          !this->IsSuspect(id, *record)) {
+        there.targets.push_back(id);
+      }
+    }
+    const TimePoint free_at =
+        group.broken_at.value_or(now) + input.stall + kBreakMargin;
+    there.free_at = std::max(there.free_at, free_at);
+  }
+  return returning;
+}
+
 void GroupPlanner::Rebalance(const Service& service, const PlanInput& input,
                              TimePoint now) {
   if (now < this->rebalance_at) {
@@ -264,40 +340,52 @@
   if (poor == nullptr) {
     return;
   }
-  const double before = coverage.at(poor->name);
   std::map<std::string, std::vector<std::string>> domains =
       this->FreeByDomain(service, input, now);
+  const std::map<std::string, Returning> returning =
+      this->ReturningByDomain(service, input, now);
   for (const std::pair<const std::string, Group>& entry : this->groups) {
     if (entry.second.view.service == service.name) {
       domains.insert({entry.second.view.domain, {}});
     }
   }
-  double best = before * kRebalanceGain;
+  const double before = this->Served(service, coverage);
+  double best = kLeastGainSeconds;
   std::string best_domain;
   std::vector<std::string> best_closed;
-  for (const std::pair<const std::string, std::vector<std::string>>& domain :
+  TimePoint best_until = now + kRebalanceEvery;
+  for (std::pair<const std::string, std::vector<std::string>>& domain :
        domains) {
+    TimePoint until = now + kRebalanceEvery;
+    const auto back = returning.find(domain.first);
+    if (back != returning.end()) {
+      domain.second.insert(domain.second.end(), back->second.targets.begin(),
+                           back->second.targets.end());
+      until = std::max(until, back->second.free_at + kOrderSlack);
+    }
     const std::vector<std::string> closed =
         this->GroupsToClose(service, *poor, domain.first, domain.second, input);
     if (closed.empty()) {
       continue;
     }
-    std::map<std::string, double> after = coverage;
-    after[poor->name] += static_cast<double>(poor->size) / poor->share;
+    std::map<std::string, double> next = coverage;
     for (const std::string& name : closed) {
       const GroupView& view = this->groups.at(name).view;
       const ModelProfile* model = service.engine->FindModel(view.model);
-      after[view.model] -=
-          static_cast<double>(view.members.size()) / model->share;
-    }
-    double least = after.begin()->second;
-    for (const std::pair<const std::string, double>& value : after) {
-      least = std::min(least, value.second);
+      next[view.model] -= static_cast<double>(view.members.size()) /
+                          this->BusyHosts(service, *model, input);
     }
-    if (least > best) {
-      best = least;
+    const double meanwhile = this->Served(service, next);
+    next[poor->name] += static_cast<double>(poor->size) /
+                        this->BusyHosts(service, *poor, input);
+    const double after = this->Served(service, next);
+    const double gain =
+        (after - before) * kLayoutSeconds + (meanwhile - before) * kMoveSeconds;
+    if (gain > best) {
+      best = gain;
       best_domain = domain.first;
       best_closed = closed;
+      best_until = until;
     }
   }
   for (const std::string& name : best_closed) {
@@ -305,13 +393,13 @@
     LogEvent(Level::kInfo, "", "group_rebalanced",
              {{"group", name},
               {"for_model", poor->name},
-              {"least_coverage_before", std::to_string(before)},
-              {"least_coverage_after", std::to_string(best)}});
+              {"served_before", std::to_string(before)},
+              {"gain_s", std::to_string(best)}});
     group.view.closing_for = poor->name;
     this->SetPhase(group, GroupPhase::kClosing);
     group.close_at = now + kCloseLimit;
     this->rebalance_at = now + kRebalanceEvery;
-    this->reserved[best_domain] = {poor->name, now + kRebalanceEvery};
+    this->reserved[best_domain] = {poor->name, best_until};
   }
 }
 
--- a/src/direct/group_planner_staging.cc
+++ b/src/direct/group_planner_staging.cc
@@ -74,7 +74,8 @@
       }
       const std::size_t there = capable[model.name][record.view.engine.domain];
       const std::size_t missing = there < model.size ? model.size - there : 1;
-      const double need = 1.0 / (1.0 + coverage.at(model.name)) /
+      const double need = ServedByHost(coverage.at(model.name),
+                                       this->BusyHosts(service, model, input)) /
                           static_cast<double>(missing) / model.load_s;
       if (need > best.need) {
         best = {entry.first, &model, need};
--- /dev/null
+++ b/src/direct/model_demand.cc
@@ -0,0 +1,102 @@
+#include "gooseberryturn/direct/model_demand.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gooseberryturn::direct {
+
+namespace {
+
+/// Hosts equal to the work serve some nine tenths of it well: arrivals come in
+/// clumps, and hosts are lost.
+constexpr double kSaturation = 2;
+
+double Milli(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+}  // namespace
+
+void DemandMeter::Arrived(const std::string& service, const std::string& model,
+                          double engine_ms) {
+  this->totals[{service, model}] += engine_ms;
+}
+
+void DemandMeter::Answered(const std::string& route, double tokens) {
+  const auto known = this->answers.find(route);
+  if (known == this->answers.end()) {
+    this->answers[route] = tokens;
+  } else {
+    known->second += kAnswerWeight * (tokens - known->second);
+  }
+}
+
+double DemandMeter::UsualAnswer(const std::string& route,
+                                double fallback) const {
+  const auto known = this->answers.find(route);
+  return known == this->answers.end() ? fallback : known->second;
+}
+
+std::vector<ModelWork> DemandMeter::Totals() const {
+  std::vector<ModelWork> work;
+  for (const auto& entry : this->totals) {
+    work.push_back({entry.first.first, entry.first.second, entry.second});
+  }
+  return work;
+}
+
+void DemandSum::Take(const Report& report, TimePoint now) {
+  Entry& entry = this->entries[report.host];
+  const bool is_new =
+      entry.incarnation != report.incarnation || now >= entry.heard_at + kLife;
+  if (is_new) {
+    entry = Entry();
+    entry.incarnation = report.incarnation;
+    entry.window_at = now;
+  }
+  entry.heard_at = now;
+  if (!is_new && now < entry.window_at + kWindow) {
+    return;
+  }
+  const double window_ms = Milli(now - entry.window_at);
+  entry.window_at = now;
+  for (const ModelWork& work : report.work) {
+    Rate& rate = entry.rates[{work.service, work.model}];
+    const double before = std::exchange(rate.total_ms, work.engine_ms);
+    if (is_new) {
+      continue;
+    }
+    const double newest = std::max(0.0, work.engine_ms - before) / window_ms;
+    const double weight =
+        rate.is_measured ? 1 - std::exp(-window_ms / Milli(kSmoothing)) : 1;
+    rate.groups += weight * (newest - rate.groups);
+    rate.is_measured = true;
+  }
+}
+
+std::vector<ModelDemand> DemandSum::Demand(TimePoint now) const {
+  std::map<std::pair<std::string, std::string>, double> sums;
+  for (const auto& entry : this->entries) {
+    if (now >= entry.second.heard_at + kLife) {
+      continue;
+    }
+    for (const auto& rate : entry.second.rates) {
+      sums[rate.first] += rate.second.groups;
+    }
+  }
+  std::vector<ModelDemand> demand;
+  for (const auto& sum : sums) {
+    demand.push_back({sum.first.first, sum.first.second, sum.second});
+  }
+  return demand;
+}
+
+double ServedShare(double coverage) noexcept {
+  return 1 - std::exp(-kSaturation * coverage);
+}
+
+double ServedByHost(double coverage, double busy_hosts) noexcept {
+  return kSaturation * std::exp(-kSaturation * coverage) / busy_hosts;
+}
+
+}  // namespace gooseberryturn::direct
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -136,25 +136,45 @@
                    Milliseconds(std::min(caller_ms, this->route->timeout_ms));
   this->objective_at = this->begun_at + this->OnTimeMargin();
   this->give_up_at = std::min(this->deadline, this->begun_at + kPatience);
+  this->NoteDemand();
   this->host.BudgetOf(this->service)
       .FirstAttempt(static_cast<std::int64_t>(kPercent *
                                               this->host.settings.retry_share));
   return true;
 }
 
-Duration RequestFlow::OnTimeMargin() const {
-  const Duration objective = Milliseconds(this->route->objective_ms);
+const EngineProfile* RequestFlow::Engine() const {
   const Service* chosen =
       this->table->configuration().FindService(this->service);
-  const ModelProfile* profile = chosen != nullptr && chosen->engine
-                                    ? chosen->engine->FindModel(this->model)
-                                    : nullptr;
+  return chosen != nullptr && chosen->engine ? &*chosen->engine : nullptr;
+}
+
+const ModelProfile* RequestFlow::Model() const {
+  const EngineProfile* engine = this->Engine();
+  return engine == nullptr ? nullptr : engine->FindModel(this->model);
+}
+
+void RequestFlow::NoteDemand() {
+  const ModelProfile* profile = this->Model();
+  if (profile != nullptr) {
+    const EngineProfile& engine = *this->Engine();
+    const double answer =
+        this->host.demand.UsualAnswer(this->route->name, engine.usual_answer);
+    this->host.demand.Arrived(
+        this->service, this->model,
+        EngineMs(engine, *profile, this->prompt_tokens, answer));
+  }
+}
+
+Duration RequestFlow::OnTimeMargin() const {
+  const Duration objective = Milliseconds(this->route->objective_ms);
+  const ModelProfile* profile = this->Model();
   if (profile == nullptr) {
     return objective;
   }
   const Duration first = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(
-          FirstEventMs(*chosen->engine, *profile, this->prompt_tokens)));
+          FirstEventMs(*this->Engine(), *profile, this->prompt_tokens)));
   return std::max(Duration(0), objective - first);
 }
 
--- a/src/direct/target_chooser.cc
+++ b/src/direct/target_chooser.cc
@@ -54,6 +54,16 @@
           static_cast<double>(engine.stride) * StepMs(engine, load));
 }
 
+double EngineMs(const EngineProfile& engine, const ModelProfile& model,
+                double prompt_tokens, double answer_tokens) {
+  const double slots =
+      static_cast<double>(std::max<std::size_t>(1, engine.slots));
+  const double read_ms =
+      kMsPerSecond * prompt_tokens / std::max(1.0, engine.read_tokens_per_s);
+  const double write_ms = answer_tokens * StepMs(engine, slots) / slots;
+  return model.pace * (read_ms + write_ms);
+}
+
 Choice TargetChooser::Choose(const ChoiceRequest& request,
                              const FleetView& view, TargetBook& book,
                              double cold_factor, TimePoint now) {
--- a/tests/direct_group_planner_test.cc
+++ b/tests/direct_group_planner_test.cc
@@ -99,6 +99,7 @@
   GroupPlanner planner;
   std::int64_t now = 0;
   bool has_traffic = false;
+  std::vector<ModelDemand> demand;  ///< As entries measured it.
   std::size_t probes = 0;
   double lost_orders = 0;  ///< Share of orders carried out late, unanswered.
 
@@ -148,7 +149,8 @@
                              {},
                              this->has_traffic,
                              std::chrono::milliseconds(1200),
-                             std::chrono::seconds(5)};
+                             std::chrono::seconds(5),
+                             this->demand};
     this->ReportStalls();
     const PlannedWork work = this->planner.Plan(input, At(this->now));
     this->probes += work.probes.size();
