An odd number of voters: of any two halves one holds a majority

Cause: on the grown sites all six (eight) hosts with a disk voted. Change: a learner votes only when that makes the number of voters odd, a voter is silent, or two learners are at hand. Demand is told after 2.5 s of measuring; groups are moved for a gain of 0.4 s of all work. Ruled out: exactly 2 x tolerated + 1 voters: with eight hosts more than half of them (five) could be up with two of five voters. Tests: half_of_the_hosts_still_hold_a_majority, demand_is_what_callers_of_all_entries_ask_for, each_further_host_serves_less_than_the_one_before.

--- a/include/gooseberryturn/direct/model_demand.h
+++ b/include/gooseberryturn/direct/model_demand.h
@@ -64,13 +64,16 @@
   };
 
   void Take(const Report& report, TimePoint now);
-  /// \brief The demand as entries told it lately; empty before that.
+  /// \brief The demand as entries told it lately; empty until an entry was
+  /// heard for kLeastWindows.
   [[nodiscard]] std::vector<ModelDemand> Demand(TimePoint now) const;
 
   static constexpr Duration kWindow = std::chrono::milliseconds(500);
   /// Time over which rates are smoothed: shorter than it takes to form a
   /// group, long enough to level the arrivals of a second.
   static constexpr Duration kSmoothing = std::chrono::seconds(2);
+  /// Windows before a rate is told: traffic that begins is not yet itself.
+  static constexpr int kLeastWindows = 5;
   /// Callers of an entry that is silent for so long went to others.
   static constexpr Duration kLife = std::chrono::milliseconds(1500);
 
@@ -78,7 +81,7 @@
   struct Rate {
     double total_ms = 0;
     double groups = 0;
-    bool is_measured = false;
+    int windows = 0;  ///< Measured so far.
   };
   struct Entry {
     std::uint64_t incarnation = 0;
--- a/include/gooseberryturn/direct/quorum_keeper.h
+++ b/include/gooseberryturn/direct/quorum_keeper.h
@@ -28,6 +28,8 @@
 /// holds the log, then a voter. A dead identity is taken out when its address
 /// has come back as another one, or when it is silent and enough live voters
 /// remain without it, so that no disk that may still be needed is given up.
+/// The number of voters is kept odd: when the hosts are cut in two halves, one
+/// of them still holds a majority. A host too many stays a learner.
 class QuorumKeeper {
  public:
   /// \brief Begins a term; all peers count as heard at `now`.
@@ -49,6 +51,10 @@
     TimePoint asked_at;
   };
 
+  /// True when a learner may vote: alone it would make an odd number even.
+  [[nodiscard]] static bool MayPromote(std::size_t voters,
+                                       std::size_t live_voters,
+                                       std::size_t candidates) noexcept;
   [[nodiscard]] bool IsAlive(const QuorumInput& input, consensus::NodeId peer,
                              TimePoint now) const;
 
--- a/src/direct/group_planner_forming.cc
+++ b/src/direct/group_planner_forming.cc
@@ -31,7 +31,7 @@
 constexpr double kLayoutSeconds = 10;
 
 /// Gain in seconds of all work below which nothing is moved.
-constexpr double kLeastGainSeconds = 0.15;
+constexpr double kLeastGainSeconds = 0.4;
 
 /// From the release of a member until the order to join may be given.
 constexpr Duration kOrderSlack = std::chrono::milliseconds(500);
--- a/src/direct/model_demand.cc
+++ b/src/direct/model_demand.cc
@@ -68,22 +68,27 @@
     }
     const double newest = std::max(0.0, work.engine_ms - before) / window_ms;
     const double weight =
-        rate.is_measured ? 1 - std::exp(-window_ms / Milli(kSmoothing)) : 1;
+        rate.windows > 0 ? 1 - std::exp(-window_ms / Milli(kSmoothing)) : 1;
     rate.groups += weight * (newest - rate.groups);
-    rate.is_measured = true;
+    rate.windows += 1;
   }
 }
 
 std::vector<ModelDemand> DemandSum::Demand(TimePoint now) const {
   std::map<std::pair<std::string, std::string>, double> sums;
+  bool is_known = false;
   for (const auto& entry : this->entries) {
     if (now >= entry.second.heard_at + kLife) {
       continue;
     }
     for (const auto& rate : entry.second.rates) {
       sums[rate.first] += rate.second.groups;
+      is_known |= rate.second.windows >= kLeastWindows;
     }
   }
+  if (!is_known) {
+    return {};
+  }
   std::vector<ModelDemand> demand;
   for (const auto& sum : sums) {
     demand.push_back({sum.first.first, sum.first.second, sum.second});
--- a/src/direct/quorum_keeper.cc
+++ b/src/direct/quorum_keeper.cc
@@ -1,6 +1,7 @@
 #include "gooseberryturn/direct/quorum_keeper.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace gooseberryturn::direct {
 
@@ -47,26 +48,37 @@
   return peer == input.self || is_heard || has_asked;
 }
 
+bool QuorumKeeper::MayPromote(std::size_t voters, std::size_t live_voters,
+                              std::size_t candidates) noexcept {
+  const bool is_odd = voters % 2 == 1;
+  return !is_odd || live_voters < voters || candidates >= 2;
+}
+
 std::optional<consensus::Membership> QuorumKeeper::Next(
     const QuorumInput& input, TimePoint now) const {
   std::size_t live_voters = 0;
+  std::vector<consensus::Peer> candidates;
   for (const consensus::Peer& peer : input.membership.peers) {
-    live_voters += peer.is_voter && this->IsAlive(input, peer.id, now) ? 1 : 0;
-  }
-  for (const consensus::Peer& peer : input.membership.peers) {
+    const bool is_alive = this->IsAlive(input, peer.id, now);
     const bool is_caught_up = input.match(peer.id) >= input.commit;
-    if (peer.is_voter || !is_caught_up || !this->IsAlive(input, peer.id, now)) {
-      continue;
+    live_voters += peer.is_voter && is_alive ? 1 : 0;
+    if (!peer.is_voter && is_alive && is_caught_up) {
+      candidates.push_back(peer);
     }
+  }
+  for (const consensus::Peer& peer : candidates) {
     // The identity that the address had before is gone with its disk.
     for (const consensus::Peer& old : input.membership.peers) {
       if (old.id != peer.id && old.link == peer.link && old.id != input.self) {
         return Without(input.membership, old.id);
       }
     }
-    consensus::Membership next = input.membership;
-    next.Find(peer.id)->is_voter = true;
-    return next;
+    if (MayPromote(input.membership.VoterCount(), live_voters,
+                   candidates.size())) {
+      consensus::Membership next = input.membership;
+      next.Find(peer.id)->is_voter = true;
+      return next;
+    }
   }
   const std::size_t needed = 2 * input.tolerated + 1;
   for (const consensus::Peer& peer : input.membership.peers) {
--- a/tests/direct_decision_test.cc
+++ b/tests/direct_decision_test.cc
@@ -342,6 +342,36 @@
   BOOST_TEST(MostResting(0, kEntries) > 1U);
 }
 
+BOOST_AUTO_TEST_CASE(demand_is_what_callers_of_all_entries_ask_for) {
+  // Two entries, each with work for half a group; one restarts with its
+  // totals at zero, the other falls silent.
+  DemandSum sum;
+  const auto work = [](double ms) {
+    return std::vector<ModelWork>{{"engines", "large", ms}};
+  };
+  BOOST_TEST(sum.Demand(At(0)).empty());
+  std::int64_t now = 0;
+  for (; now <= 4000; now += 100) {
+    sum.Take({"a", 1, work(static_cast<double>(now) / 2)}, At(now));
+    sum.Take({"b", 1, work(static_cast<double>(now) / 2)}, At(now));
+  }
+  BOOST_REQUIRE(sum.Demand(At(now)).size() == 1U);
+  BOOST_TEST(std::abs(sum.Demand(At(now)).front().groups - 1) < 0.05);
+  const std::int64_t restart = now;
+  for (; now <= 9000; now += 100) {
+    sum.Take({"a", 2, work(static_cast<double>(now - restart) / 2)}, At(now));
+  }
+  BOOST_TEST(std::abs(sum.Demand(At(now)).front().groups - 0.5) < 0.05);
+}
+
+BOOST_AUTO_TEST_CASE(each_further_host_serves_less_than_the_one_before) {
+  BOOST_TEST(ServedShare(0) == 0);
+  BOOST_TEST(ServedShare(1) - ServedShare(0.5) < ServedShare(0.5));
+  BOOST_TEST(ServedShare(2) - ServedShare(1.5) <
+             ServedShare(1.5) - ServedShare(1));
+  BOOST_TEST(ServedByHost(0.5, 8) > ServedByHost(1, 8));
+}
+
 BOOST_AUTO_TEST_CASE(loads_stay_within_the_rate_of_the_weight_store) {
   EngineProfile engine;
   engine.loads_per_s = 3;
@@ -458,6 +488,40 @@
   BOOST_TEST(next->IsVoter(9));
 }
 
+BOOST_AUTO_TEST_CASE(half_of_the_hosts_still_hold_a_majority) {
+  // Six hosts with a disk, three of them the first voters: five vote, so that
+  // of any two halves one holds three of them.
+  consensus::Membership membership;
+  for (std::uint16_t id = 1; id <= 6; ++id) {
+    membership.peers.push_back(
+        {id, {"10.0.0.1", id}, {"10.0.0.2", id}, id <= 3, 0});
+  }
+  QuorumKeeper keeper;
+  keeper.StartLeading(membership, At(0));
+  const auto settle = [&keeper, &membership](TimePoint now) {
+    for (int change = 0; change < 10; ++change) {
+      const std::optional<consensus::Membership> next = keeper.Next(
+          {membership, 1, 10, [](consensus::NodeId) { return 10U; }, 2}, now);
+      if (next.has_value()) {
+        membership = *next;
+      }
+    }
+  };
+  settle(At(100));
+  BOOST_TEST(membership.VoterCount() == 5U);
+  BOOST_TEST(membership.peers.size() == 6U);
+  // One voter is gone for good: the learner takes its place.
+  const TimePoint later = At(100) + QuorumKeeper::kSilentAfter;
+  for (const consensus::Peer& peer : membership.peers) {
+    if (peer.id != 2) {
+      keeper.Heard(peer.id, later);
+    }
+  }
+  settle(later + Milliseconds(10));
+  BOOST_TEST(membership.VoterCount() == 5U);
+  BOOST_TEST(membership.Find(2) == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(a_learner_that_has_not_spoken_yet_stays) {
   // Seen on tsuzuri-kyushu, incident inc-1f61: added and removed in turns.
   QuorumKeeper keeper;
