Requests go where they start in time; late ones leave the last slots free

First events came a median of 99 ms later than reckoned (a delay that no published figure tells), requests were handed over that could no longer be on time, and late ones took the slots of fresh ones. Change: a line learnt from recent first events corrects what is reckoned; waiting for a slot is reckoned; a request goes only to a head where it can be on time; one that is late already fills at most 0.85 of a head's slots and ranks behind others at the engine; two requests instead of four go beyond the slots. request_ended tells waited_ms, first_event_ms, longest_pause_ms. Tests: delays_that_no_figure_tells_are_learnt, what_no_head_starts_in_time_waits.

--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -102,12 +102,17 @@
   std::string target;
   std::shared_ptr<TargetConnection> connection;
   std::uint32_t last_choice_load = 0;  ///< At the target, when it was chosen.
-  std::int64_t last_choice_ms = 0;     ///< Expected until its first event.
+  double last_choice_ms = 0;           ///< Expected until its first event.
   TimePoint tried_at;
+  TimePoint first_tried_at;  ///< End of its wait for a first target.
+  TimePoint first_event_at;
+  TimePoint last_event_at;
+  Duration longest_pause = Duration(0);  ///< Between two events.
   TimePoint progress_at;
   std::uint64_t try_number = 0;
   int runs = 0;  ///< Tries that may have run.
   bool is_waiting = false;
+  bool is_sent_late = false;  ///< Its last try could not be on time.
   bool is_done = false;
   bool is_sent_head = false;  ///< The caller got the head of a stream.
   bool is_streaming = false;  ///< The answer in progress is a stream.
--- a/include/gooseberryturn/direct/target_chooser.h
+++ b/include/gooseberryturn/direct/target_chooser.h
@@ -3,11 +3,13 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
 #include "gooseberryturn/core/name_table.h"
+#include "gooseberryturn/direct/delay_model.h"
 #include "gooseberryturn/direct/fleet_view.h"
 #include "gooseberryturn/direct/target_book.h"
 
@@ -37,6 +39,9 @@
   double prompt_tokens = 0;
   /// Longest wait for prompts in front of its own, milliseconds.
   double most_queue_ms = 0;
+  /// Time left until its first event is late, milliseconds; none when it is
+  /// late already.
+  std::optional<double> on_time_within_ms;
 };
 
 /// \brief A choice, or why there is none.
@@ -67,15 +72,27 @@
                               const FleetView& view, TargetBook& book,
                               double cold_factor, TimePoint now);
 
+  /// \brief A first event came `actual_ms` after the hand-over of a request
+  /// for which Choose had reckoned `expected_ms`.
+  void Learn(double expected_ms, double actual_ms) noexcept {
+    this->delays.Observe(expected_ms, actual_ms);
+  }
+  /// \brief Milliseconds until a first event that is reckoned to take
+  /// `expected_ms` by the published figures.
+  [[nodiscard]] double FirstEventAfter(double expected_ms) const noexcept {
+    return this->delays.Predict(expected_ms);
+  }
+
   /// \brief Requests given to a head beyond its slots: they fill the slots
   /// that came free since the other entries last told of theirs.
-  static constexpr std::uint32_t kBeyondSlots = 4;
+  static constexpr std::uint32_t kBeyondSlots = 2;
   /// \brief Requests in progress at a plain target for each of its slots.
   static constexpr std::uint32_t kPlainLimit = 16;
 
  private:
   std::string data_centre;
   std::mt19937_64 random;
+  DelayModel delays;
 };
 
 }  // namespace gooseberryturn::direct
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -29,6 +29,9 @@
 /// Rank at the engine of a stream that goes on after a break: its caller has
 /// waited already.
 constexpr char kResumedPriority[] = "2";
+/// Rank of a request that cannot be on time any more: it takes the place of
+/// none that can.
+constexpr char kLatePriority[] = "7";
 /// Share of a route's time after which a silent plain target is given up.
 constexpr double kSilentShare = 0.42;
 /// Share of its objective that a request may wait behind other prompts at a
@@ -41,6 +44,10 @@
 /// Callers honour a pause of at most a third of the time they have left.
 constexpr double kRetryAfterShare = 0.25;
 
+std::int64_t Ms(Duration duration) {
+  return std::chrono::duration_cast<Milliseconds>(duration).count();
+}
+
 std::int64_t ReadNumber(std::string_view text, std::int64_t fallback) {
   std::int64_t value = 0;
   const std::from_chars_result read =
@@ -174,7 +181,8 @@
   }
   const Duration first = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(
-          FirstEventMs(*this->Engine(), *profile, this->prompt_tokens)));
+          this->host.chooser.FirstEventAfter(
+              FirstEventMs(*this->Engine(), *profile, this->prompt_tokens))));
   return std::max(Duration(0), objective - first);
 }
 
@@ -215,12 +223,18 @@
   request.tried = this->tried;
   request.prompt_tokens = this->prompt_tokens;
   const double objective_ms = static_cast<double>(this->route->objective_ms);
+  const TimePoint now = Clock::now();
+  const bool is_late = now >= this->objective_at;
   request.most_queue_ms =
-      objective_ms *
-      (Clock::now() < this->objective_at ? kQueueShare : kLateQueueShare);
+      objective_ms * (is_late ? kLateQueueShare : kQueueShare);
+  if (!is_late) {
+    request.on_time_within_ms =
+        objective_ms - static_cast<double>(Ms(now - this->begun_at));
+  }
+  this->is_sent_late = is_late;
   const Choice choice =
       this->host.chooser.Choose(request, this->host.view, this->host.book,
-                                this->host.settings.cold_factor, Clock::now());
+                                this->host.settings.cold_factor, now);
   if (choice.target == nullptr) {
     if (choice.reason == NoChoice::kNoTarget && this->model.empty() &&
         !this->is_sent_head) {
@@ -232,7 +246,7 @@
   this->is_waiting = false;
   this->host.line.Remove(this->number);
   this->last_choice_load = choice.load;
-  this->last_choice_ms = static_cast<std::int64_t>(choice.expected_ms);
+  this->last_choice_ms = choice.expected_ms;
   this->Run(choice.target->name);
   return true;
 }
@@ -265,6 +279,8 @@
   if (this->last_event.has_value()) {
     add(kLastEventId, std::to_string(*this->last_event));
     add(names.priority, kResumedPriority);
+  } else if (this->is_sent_late && !this->model.empty()) {
+    add(names.priority, kLatePriority);
   }
   const bool has_body =
       !this->message.body().empty() ||
@@ -284,6 +300,9 @@
   this->target = to;
   this->tried.push_back(to);
   this->tried_at = now;
+  if (this->tried.size() == 1) {
+    this->first_tried_at = now;
+  }
   this->progress_at = now;
   this->is_streaming = false;
   this->body.clear();
@@ -374,9 +393,11 @@
   this->Detach();
   this->caller->on_gone = nullptr;
   this->caller->on_writable = nullptr;
-  const std::int64_t total_ms =
-      std::chrono::duration_cast<Milliseconds>(Clock::now() - this->begun_at)
-          .count();
+  const auto since_begun = [this](TimePoint moment) {
+    return moment == TimePoint() ? std::string()
+                                 : std::to_string(Ms(moment - this->begun_at));
+  };
+  const std::int64_t total_ms = Ms(Clock::now() - this->begun_at);
   LogEvent(Level::kInfo, this->id, "request_ended",
            {{"outcome", outcome},
             {"route", this->route == nullptr ? "" : this->route->name},
@@ -384,9 +405,13 @@
             {"tries", std::to_string(this->tried.size())},
             {"runs", std::to_string(this->runs)},
             {"events", std::to_string(this->events)},
+            {"waited_ms", since_begun(this->first_tried_at)},
+            {"first_event_ms", since_begun(this->first_event_at)},
+            {"longest_pause_ms", std::to_string(Ms(this->longest_pause))},
             {"ms", std::to_string(total_ms)},
             {"load", std::to_string(this->last_choice_load)},
-            {"expected_ms", std::to_string(this->last_choice_ms)},
+            {"expected_ms",
+             std::to_string(static_cast<std::int64_t>(this->last_choice_ms))},
             {"waiting", std::to_string(this->host.line.size())},
             {"view_age_ms", std::to_string(this->host.ViewAgeMs())},
             {"config_version", std::to_string(this->host.view.version())}});
@@ -439,13 +464,10 @@
   if (!is_lost || !this->MayTryAgain(true)) {
     return;
   }
-  LogEvent(
-      Level::kInfo, this->id, "target_given_up",
-      {{"target", this->target},
-       {"events", std::to_string(this->events)},
-       {"silent_ms", std::to_string(std::chrono::duration_cast<Milliseconds>(
-                                        now - this->progress_at)
-                                        .count())}});
+  LogEvent(Level::kInfo, this->id, "target_given_up",
+           {{"target", this->target},
+            {"events", std::to_string(this->events)},
+            {"silent_ms", std::to_string(Ms(now - this->progress_at))}});
   this->runs += 1;
   this->host.NoteCut({this->Fingerprint(), this->target});
   this->Abandon(Evidence::kBad);
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -68,12 +68,23 @@
   if (is_repeated || this->is_done) {
     return;
   }
+  const TimePoint now = Clock::now();
   if (!this->is_sent_head) {
     this->is_sent_head = true;
+    this->first_event_at = now;
+    this->host.chooser.Learn(
+        this->last_choice_ms,
+        static_cast<double>(
+            std::chrono::duration_cast<Milliseconds>(now - this->tried_at)
+                .count()));
     this->caller->BeginChunks(this->HeadLines());
     this->host.metrics.Observe(observe::Timing::kFirstByte,
-                               Clock::now() - this->begun_at);
+                               now - this->begun_at);
+  } else {
+    this->longest_pause =
+        std::max(this->longest_pause, now - this->last_event_at);
   }
+  this->last_event_at = now;
   if (event.id.has_value()) {
     this->last_event = event.id;
   }
--- a/src/direct/target_chooser.cc
+++ b/src/direct/target_chooser.cc
@@ -14,6 +14,9 @@
 /// An avoided target is used only when there is no other.
 constexpr double kAvoidedPenaltyMs = 100'000.0;
 constexpr double kPlainRequestMs = 10.0;
+/// Share of a head's slots that requests may fill which are late already: the
+/// rest is for those that can still be on time.
+constexpr double kLateSlotShare = 0.85;
 /// Share of a cold target's rate that all entries together use.
 constexpr double kColdShare = 0.8;
 /// A view may name fewer entries than there are.
@@ -44,6 +47,19 @@
   return tokens * (plain + writing);
 }
 
+/// Milliseconds until a slot is free for one that comes behind `load` others.
+double SlotWaitMs(const EngineProfile& engine, const ModelProfile& model,
+                  std::uint32_t load) {
+  if (load < engine.slots) {
+    return 0;
+  }
+  const double slots = static_cast<double>(engine.slots);
+  const double ahead = static_cast<double>(load - engine.slots) + 1;
+  const double hold_ms =
+      model.pace * engine.usual_answer * StepMs(engine, slots);
+  return ahead * hold_ms / slots;
+}
+
 }  // namespace
 
 double FirstEventMs(const EngineProfile& engine, const ModelProfile& model,
@@ -94,12 +110,18 @@
       const EngineProfile& engine = *service->engine;
       const double queue_ms =
           model->pace * ReadMs(engine, load, book.Unread(target->name));
-      is_full = is_avoided || load >= engine.slots + kBeyondSlots ||
-                queue_ms > request.most_queue_ms;
-      expected = queue_ms +
+      expected = queue_ms + SlotWaitMs(engine, *model, load) +
                  model->pace * (ReadMs(engine, load, request.prompt_tokens) +
                                 static_cast<double>(engine.stride) *
                                     StepMs(engine, load));
+      const bool is_late = !request.on_time_within_ms.has_value();
+      const double places = static_cast<double>(engine.slots);
+      const bool has_place = is_late ? load < kLateSlotShare * places
+                                     : load < engine.slots + kBeyondSlots;
+      const bool is_in_time = is_late || this->delays.Predict(expected) <=
+                                             *request.on_time_within_ms;
+      is_full = is_avoided || !has_place || queue_ms > request.most_queue_ms ||
+                !is_in_time;
     }
     if (is_full) {
       choice.reason = NoChoice::kFull;
--- a/tests/direct_decision_test.cc
+++ b/tests/direct_decision_test.cc
@@ -297,6 +297,41 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(delays_that_no_figure_tells_are_learnt) {
+  // Load pattern: each first event takes 110 ms more than is published, and
+  // prompts are read twice as fast as other entries' late reports suggest.
+  DelayModel delays;
+  BOOST_TEST(delays.Predict(80) == 80);
+  for (int number = 0; number < 400; ++number) {
+    const double expected = 50 + 5 * (number % 50);
+    delays.Observe(expected, 110 + expected / 2);
+  }
+  BOOST_TEST(std::abs(delays.Predict(80) - 150) < 5);
+  BOOST_TEST(std::abs(delays.Predict(280) - 250) < 5);
+  // A head that stands still for ten seconds does not spoil it.
+  delays.Observe(80, 10'000);
+  BOOST_TEST(delays.Predict(80) < 160);
+}
+
+BOOST_AUTO_TEST_CASE(what_no_head_starts_in_time_waits) {
+  // Load pattern: an overload leaves 5 prompts unread at the only head. One
+  // that came just now can be on time there, one that waited cannot; it is not
+  // put in front of those that can.
+  const FleetView view = ViewOf({"h1"});
+  TargetBook book;
+  TargetChooser chooser("a", 7);
+  for (int number = 0; number < 5; ++number) {
+    book.Begin("h1", 900, At(0));
+  }
+  ChoiceRequest request = Prompt(900, 1000);
+  request.on_time_within_ms = 2000;
+  BOOST_TEST(
+      (chooser.Choose(request, view, book, 1.5, At(0)).target != nullptr));
+  request.on_time_within_ms = 60;
+  BOOST_TEST(
+      (chooser.Choose(request, view, book, 1.5, At(0)).target == nullptr));
+}
+
 BOOST_AUTO_TEST_CASE(a_stalled_head_gets_nothing_while_it_is_silent) {
   const FleetView view = ViewOf({"h1"});
   TargetBook book;
