--- a/include/gooseberryturn/core/time.h
+++ b/include/gooseberryturn/core/time.h
@@ -30,6 +30,9 @@
 [[nodiscard]] std::int64_t RemainingMs(TimePoint deadline,
                                        TimePoint now) noexcept;
 
+/// \brief Whole milliseconds of a duration.
+[[nodiscard]] std::int64_t WholeMs(Duration duration) noexcept;
+
 /// \brief A duration from seconds with a fraction.
 [[nodiscard]] Duration FromSeconds(double seconds) noexcept;
 
--- a/include/gooseberryturn/direct/control_relay.h
+++ b/include/gooseberryturn/direct/control_relay.h
@@ -40,7 +40,6 @@
            TimePoint deadline);
   void Learn(const std::vector<Endpoint>& links);
 
-  boost::asio::io_context& context;
   HostSettings settings;
   Dialect dialect;
   observe::Metrics& metrics;
--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -123,6 +123,14 @@
     TimePoint free_at;
   };
 
+  /// Groups to be closed for another model, and what that gains.
+  struct Move {
+    std::string domain;
+    std::vector<std::string> closed;
+    double gain_s = 0;
+    TimePoint until;  ///< The domain's hosts are kept for the model.
+  };
+
   /// Doubts about a target.
   struct Doubt {
     int failed_probes = 0;
@@ -184,9 +192,22 @@
       const std::string& domain, const std::vector<std::string>& spares,
       const PlanInput& input) const;
   /// Share of the service's work that groups of this coverage serve well.
-  [[nodiscard]] double Served(
-      const Service& service,
-      const std::map<std::string, double>& coverage) const;
+  [[nodiscard]] static double Served(
+      const Service& service, const std::map<std::string, double>& coverage);
+  [[nodiscard]] static const ModelProfile* PoorestModel(
+      const Service& service, const std::map<std::string, double>& coverage);
+  /// Seconds of all work that are served more when the groups `closed` give
+  /// their hosts to one of `poor`.
+  [[nodiscard]] double GainOfClosing(
+      const Service& service, const ModelProfile& poor,
+      const std::vector<std::string>& closed,
+      const std::map<std::string, double>& coverage,
+      const PlanInput& input) const;
+  /// The closing of groups in one domain that gains most; none is closed when
+  /// none pays.
+  [[nodiscard]] Move BestMove(const Service& service, const ModelProfile& poor,
+                              const std::map<std::string, double>& coverage,
+                              const PlanInput& input, TimePoint now) const;
   /// Members of groups that are being dissolved, by fabric domain.
   [[nodiscard]] std::map<std::string, Returning> ReturningByDomain(
       const Service& service, const PlanInput& input, TimePoint now) const;
--- a/src/core/time.cc
+++ b/src/core/time.cc
@@ -19,6 +19,10 @@
   return std::chrono::duration_cast<Milliseconds>(deadline - now).count();
 }
 
+std::int64_t WholeMs(Duration duration) noexcept {
+  return std::chrono::duration_cast<Milliseconds>(duration).count();
+}
+
 Duration FromSeconds(double seconds) noexcept {
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(seconds));
--- a/src/direct/control_relay.cc
+++ b/src/direct/control_relay.cc
@@ -20,8 +20,7 @@
 ControlRelay::ControlRelay(boost::asio::io_context& context,
                            HostSettings host_settings, Dialect host_dialect,
                            observe::Metrics& metrics)
-    : context(context),
-      settings(std::move(host_settings)),
+    : settings(std::move(host_settings)),
       dialect(std::move(host_dialect)),
       metrics(metrics),
       channels(context),
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -149,9 +149,7 @@
 }
 
 std::int64_t EntryHost::ViewAgeMs() const {
-  return std::chrono::duration_cast<Milliseconds>(Clock::now() -
-                                                  this->follow.heard_at())
-      .count();
+  return WholeMs(Clock::now() - this->follow.heard_at());
 }
 
 void EntryHost::NoteCut(CutRequest cut) {
--- a/src/direct/model_demand.cc
+++ b/src/direct/model_demand.cc
@@ -90,6 +90,7 @@
     return {};
   }
   std::vector<ModelDemand> demand;
+  demand.reserve(sums.size());
   for (const auto& sum : sums) {
     demand.push_back({sum.first.first, sum.first.second, sum.second});
   }
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -74,9 +74,7 @@
     this->first_event_at = now;
     this->host.chooser.Learn(
         this->last_choice_ms,
-        static_cast<double>(
-            std::chrono::duration_cast<Milliseconds>(now - this->tried_at)
-                .count()));
+        static_cast<double>(WholeMs(now - this->tried_at)));
     this->caller->BeginChunks(this->HeadLines());
     this->host.metrics.Observe(observe::Timing::kFirstByte,
                                now - this->begun_at);
