Tests: a reservation outlives its leader; survivors of a broken group are awaited

Both failed on a copy with the mechanism taken out (no reservation under the new leader; survivors not counted: two small groups closed instead of one).

--- a/tests/direct_group_planner_test.cc
+++ b/tests/direct_group_planner_test.cc
@@ -401,6 +401,58 @@
   BOOST_TEST(fleet.CountOpen(kSmall) == before);
 }
 
+BOOST_AUTO_TEST_CASE(hosts_kept_for_a_model_stay_kept_under_a_new_leader) {
+  // Seen on tdb-ops, incident inc-44cd: the large model was without a group
+  // for 8 s, as the next leader gave its hosts to the small one again.
+  Fleet fleet(7);
+  fleet.AddDomain("a", 8);
+  fleet.Run(8000);
+  fleet.has_traffic = true;
+  fleet.Run(9000);
+  BOOST_REQUIRE(fleet.CountOpen(kLarge) == 1U);
+  std::vector<GroupView> views = fleet.planner.Groups();
+  for (GroupView& view : views) {
+    if (view.model == kSmall) {
+      view.phase = GroupPhase::kClosing;
+      view.closing_for = kLarge;
+    }
+  }
+  fleet.ChangeLeader(2, views);
+  fleet.Run(9000 + 1600);
+  std::size_t new_large = 0;
+  for (const GroupView& view : fleet.planner.Groups()) {
+    const bool is_new = view.phase == GroupPhase::kForming;
+    BOOST_TEST((!is_new || view.model == kLarge));
+    new_large += is_new ? 1 : 0;
+  }
+  BOOST_TEST(new_large == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(survivors_of_a_broken_group_are_awaited) {
+  // Load pattern: the small model needs all its groups; the large one loses
+  // the head of its only group. Its three survivors are free 5.4 s later, so
+  // one small group is enough to make it whole, not two.
+  Fleet fleet(8);
+  fleet.AddDomain("a", 10);
+  fleet.Run(8000);
+  fleet.has_traffic = true;
+  BOOST_REQUIRE(fleet.CountOpen(kLarge) == 1U);
+  BOOST_REQUIRE(fleet.CountOpen(kSmall) == 3U);
+  fleet.demand = {{kService, kLarge, 0.9}, {kService, kSmall, 2.5}};
+  std::string head;
+  for (const GroupView& view : fleet.planner.Groups()) {
+    head = view.model == kLarge ? view.members.front() : head;
+  }
+  fleet.Kill(head);
+  std::size_t fewest = 3;
+  while (fleet.now < 8000 + 12'000) {
+    fleet.Run(fleet.now + 50);
+    fewest = std::min(fewest, fleet.CountOpen(kSmall));
+  }
+  BOOST_TEST(fewest == 2U);
+  BOOST_TEST(fleet.CountOpen(kLarge) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_target_that_refuses_probes_is_not_probed_in_a_loop) {
   // Seen on tsuzuri-kyushu, incident inc-1f61: 428 probes in four seconds,
   // each answered at once by a refused connection.
