The rest of a broken stream is not held to the slots left for late requests

Cause: found on rereading: a stream that goes on elsewhere is past its objective, so it counted as late and waited for 0.85 of the slots, while its caller gives up after 2 s and sees a broken answer. Change: only requests whose caller has nothing yet are held to that share. Test: late_requests_leave_the_last_slots_free.

--- a/include/gooseberryturn/direct/target_chooser.h
+++ b/include/gooseberryturn/direct/target_chooser.h
@@ -42,6 +42,7 @@
   /// Time left until its first event is late, milliseconds; none when it is
   /// late already.
   std::optional<double> on_time_within_ms;
+  bool is_resumed = false;  ///< Its caller waits for the rest of an answer.
 };
 
 /// \brief A choice, or why there is none.
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -217,6 +217,7 @@
     request.on_time_within_ms =
         objective_ms - static_cast<double>(WholeMs(now - this->begun_at));
   }
+  request.is_resumed = this->last_event.has_value();
   this->is_sent_late = is_late;
   const Choice choice =
       this->host.chooser.Choose(request, this->host.view, this->host.book,
--- a/src/direct/target_chooser.cc
+++ b/src/direct/target_chooser.cc
@@ -116,8 +116,9 @@
                                     StepMs(engine, load));
       const bool is_late = !request.on_time_within_ms.has_value();
       const double places = static_cast<double>(engine.slots);
-      const bool has_place = is_late ? load < kLateSlotShare * places
-                                     : load < engine.slots + kBeyondSlots;
+      const bool has_place = is_late && !request.is_resumed
+                                 ? load < kLateSlotShare * places
+                                 : load < engine.slots + kBeyondSlots;
       const bool is_in_time = is_late || this->delays.Predict(expected) <=
                                              *request.on_time_within_ms;
       is_full = is_avoided || !has_place || queue_ms > request.most_queue_ms ||
--- a/tests/direct_decision_test.cc
+++ b/tests/direct_decision_test.cc
@@ -332,6 +332,25 @@
       (chooser.Choose(request, view, book, 1.5, At(0)).target == nullptr));
 }
 
+BOOST_AUTO_TEST_CASE(late_requests_leave_the_last_slots_free) {
+  // Load pattern: a head is nearly full. One that is late already waits, a
+  // fresh one and the rest of a broken stream are taken.
+  const FleetView view = ViewOf({"h1"});
+  TargetBook book;
+  TargetChooser chooser("a", 7);
+  for (int number = 0; number < 33; ++number) {
+    book.Begin("h1", 0, At(0));
+  }
+  ChoiceRequest late = Prompt(100, 1000);
+  BOOST_TEST((chooser.Choose(late, view, book, 1.5, At(0)).target == nullptr));
+  ChoiceRequest fresh = late;
+  fresh.on_time_within_ms = 2000;
+  BOOST_TEST((chooser.Choose(fresh, view, book, 1.5, At(0)).target != nullptr));
+  ChoiceRequest rest = late;
+  rest.is_resumed = true;
+  BOOST_TEST((chooser.Choose(rest, view, book, 1.5, At(0)).target != nullptr));
+}
+
 BOOST_AUTO_TEST_CASE(a_stalled_head_gets_nothing_while_it_is_silent) {
   const FleetView view = ViewOf({"h1"});
   TargetBook book;
