A control host that was taken out of the quorum asks to be let in again

Change: a host that knows no leader asks to join. Ruled out: never taking silent hosts out: a lost host would count for ever. Test: a_control_host_that_was_taken_out_comes_back (real programs) fails before, passes after.

--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -193,8 +193,11 @@
 // -------------------------------------------------------------- not leading
 
 void ControlHost::AskToJoin(TimePoint now) {
+  // Its own membership may be old: a host that was silent for long is taken
+  // out, and nobody tells it so.
   const bool is_member =
-      this->driver->node().membership().Find(this->id) != nullptr;
+      this->driver->node().membership().Find(this->id) != nullptr &&
+      this->driver->Leader() != nullptr;
   if (is_member || now < this->join_at) {
     return;
   }
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -191,6 +191,37 @@
   BOOST_TEST(fleet.controls[3]->WaitExit() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(a_control_host_that_was_taken_out_comes_back) {
+  // Seen on tdb-ops-grown, incident inc-867c: a host that was down for 5 s was
+  // taken out of the quorum and never asked to be let in again.
+  PlatformFleet fleet(66);
+  fleet.StartControl(4);
+  const auto count = [&fleet](const std::string& text) {
+    std::size_t found = 0;
+    for (const std::unique_ptr<Process>& control : fleet.controls) {
+      const std::string log = control->Log();
+      for (std::size_t at = log.find(text); at != std::string::npos;
+           at = log.find(text, at + 1)) {
+        found += 1;
+      }
+    }
+    return found;
+  };
+  BOOST_REQUIRE(Eventually(
+      [&count] { return count(R"("hosts":"4","voters":"3")") == 1; }));
+  fleet.Put(5);
+  fleet.controls[2]->Kill();
+  BOOST_REQUIRE(Eventually(
+      [&count] { return count(R"("hosts":"3","voters":"3")") >= 1; }));
+  fleet.controls[2]->Start();
+  BOOST_TEST(Eventually(
+      [&count] { return count(R"("hosts":"4","voters":"3")") == 2; }));
+  BOOST_TEST(Eventually([&fleet] {
+    return Get(fleet.Control(3), "/api/config").body ==
+           fleet.Configuration(5, 2000);
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(what_was_acknowledged_survives_a_kill_of_all_hosts) {
   PlatformFleet fleet(61);
   fleet.Put(8);
