Agent notices a target's restart by its first answer

Change: a target may name its boot in the header X-Boot of every answer; Exchange passes the head as ResponseHead, RequestExecutor hands the name to Monitor::ObserveBoot, which acts like a poll that sees another boot. The fake engine sends the header and can delay its health checks.

--- a/include/gooseberryturn/agent/request_executor.h
+++ b/include/gooseberryturn/agent/request_executor.h
@@ -84,8 +84,7 @@
   void OnStreamClose(const ExecutionPtr& execution);
   /// Admits a completely received request and starts it at the target.
   void Dispatch(const ExecutionPtr& execution);
-  void OnHead(const ExecutionPtr& execution, int status,
-              const std::string& type);
+  void OnHead(const ExecutionPtr& execution, const target::ResponseHead& head);
   void OnBody(const ExecutionPtr& execution, std::string_view bytes);
   /// Stores the answer of a non-idempotent request for resends, unless it is
   /// too long to keep.
--- a/include/gooseberryturn/target/exchange.h
+++ b/include/gooseberryturn/target/exchange.h
@@ -32,6 +32,15 @@
   std::string body;
 };
 
+/// \brief Head of a target's answer.
+struct ResponseHead {
+  int status = 0;
+  std::string content_type;
+  /// Boot name of the run that answers, from the header X-Boot; empty if the
+  /// target does not send it.
+  std::string boot_name;
+};
+
 /// \brief Sends one HTTP/1.1 request to a target and streams the answer back.
 ///
 /// \details Must be used only from the thread of the context and owned by a
@@ -44,7 +53,7 @@
            TimePoint deadline);
 
   /// \brief Called once, before the body.
-  std::function<void(int status, const std::string& content_type)> on_head;
+  std::function<void(const ResponseHead&)> on_head;
   /// \brief Called with each part of the body; the view is valid only during
   /// the call.
   std::function<void(std::string_view)> on_body;
--- a/include/gooseberryturn/target/monitor.h
+++ b/include/gooseberryturn/target/monitor.h
@@ -37,6 +37,10 @@
   /// \brief Marks the target as not ready until a poll finds it ready again; to
   /// be called when a request saw the target fail.
   void ReportFailure();
+  /// \brief Notices a restart by the boot name in an answer to a request,
+  /// without waiting for the next poll. Ignored if empty, or before the first
+  /// successful poll.
+  void ObserveBoot(const std::string& name);
   /// \brief Prepares the target to serve under `fence`: a model engine is
   /// reset.
   ///
@@ -65,6 +69,8 @@
   void SchedulePoll();
   void HandleHealth(const std::string& body);
   void HandlePollFailure();
+  /// Records that the run of the target is the one named `name`.
+  void SetBoot(const std::string& name);
   void SetReady(bool is_ready);
   void SendReset();
 
--- a/programs/fakes/engine_main.cc
+++ b/programs/fakes/engine_main.cc
@@ -52,6 +52,8 @@
   /// Crashes on a body that contains this.
   std::string crash_text;
   bool check_fence = false;
+  /// Delay of each answer to GET /health.
+  std::int64_t health_delay_ms = 0;
 };
 
 class Engine;
@@ -119,9 +121,7 @@
               const http::request<http::string_body>& request) {
     const std::string path(request.target());
     if (path == "/health") {
-      Reply(session, 200,
-            "{\"boot\":\"" + this->boot + "\",\"ready\":true,\"in_flight\":" +
-                std::to_string(this->batch.size()) + "}");
+      this->ReplyToHealthCheck(session);
     } else if (path == "/counts") {
       Reply(session, 200,
             "{\"runs\":" + std::to_string(this->runs) +
@@ -151,6 +151,17 @@
   }
 
  private:
+  void ReplyToHealthCheck(const std::shared_ptr<Session>& session) {
+    const std::shared_ptr<asio::steady_timer> delay =
+        std::make_shared<asio::steady_timer>(
+            this->context, Milliseconds(this->options.health_delay_ms));
+    delay->async_wait([this, session, delay](const error_code& /*error*/) {
+      Reply(session, 200,
+            "{\"boot\":\"" + this->boot + "\",\"ready\":true,\"in_flight\":" +
+                std::to_string(this->batch.size()) + "}");
+    });
+  }
+
   [[nodiscard]] bool IsCold() const {
     return this->completed_since_cold < this->options.warm_after_requests;
   }
@@ -223,8 +234,9 @@
       std::_Exit(4);
     }
     session->Send(
-        "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: "
-        "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Boot: " + this->boot +
+            "\r\nContent-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n",
         false);
   }
 
@@ -382,7 +394,9 @@
       "poison", po::value<std::string>(&options.crash_text),
       "crashes on a body that contains this")(
       "check-fence", po::bool_switch(&options.check_fence),
-      "refuse requests with a stale fencing token");
+      "refuse requests with a stale fencing token")(
+      "health-delay-ms", number_option(&options.health_delay_ms),
+      "delay of each answer to a health check");
   const std::optional<int> exit_code =
       app::ParseOptions(argc, argv, "fake-engine", description);
   if (exit_code.has_value()) {
--- a/src/agent/request_executor.cc
+++ b/src/agent/request_executor.cc
@@ -199,9 +199,9 @@
   request.body = std::move(execution->body);
   execution->exchange = std::make_shared<target::Exchange>(
       this->context, this->target, std::move(request), execution->deadline);
-  execution->exchange->on_head = [this, execution](int status,
-                                                   const std::string& type) {
-    this->OnHead(execution, status, type);
+  execution->exchange->on_head = [this,
+                                  execution](const target::ResponseHead& head) {
+    this->OnHead(execution, head);
   };
   execution->exchange->on_body = [this, execution](std::string_view bytes) {
     this->OnBody(execution, bytes);
@@ -220,14 +220,15 @@
 
 // ------------------------------------------------------------------ answers
 
-void RequestExecutor::OnHead(const ExecutionPtr& execution, int status,
-                             const std::string& type) {
+void RequestExecutor::OnHead(const ExecutionPtr& execution,
+                             const target::ResponseHead& head) {
+  this->monitor.ObserveBoot(head.boot_name);
   execution->time_to_first_byte = Clock::now() - execution->admitted_at;
-  execution->kept_answer.status = status;
-  execution->kept_answer.content_type = type;
+  execution->kept_answer.status = head.status;
+  execution->kept_answer.content_type = head.content_type;
   execution->stream->Send(protocol::EncodeFrame(
       FrameType::kMessage,
-      protocol::Encode(protocol::AnswerHead{status, type})));
+      protocol::Encode(protocol::AnswerHead{head.status, head.content_type})));
 }
 
 void RequestExecutor::AppendToKeptAnswer(const ExecutionPtr& execution,
--- a/src/target/exchange.cc
+++ b/src/target/exchange.cc
@@ -111,8 +111,9 @@
         }
         self->has_head = true;
         const http::response_header<>& head = self->parser.get();
-        const std::string type(head[http::field::content_type]);
-        self->on_head(head.result_int(), type);
+        self->on_head({static_cast<int>(head.result_int()),
+                       std::string(head[http::field::content_type]),
+                       std::string(head["X-Boot"])});
         self->ReadBody();
       });
 }
@@ -183,8 +184,8 @@
       std::make_shared<Exchange>(context, target, std::move(request), deadline);
   const std::shared_ptr<std::string> body = std::make_shared<std::string>();
   const std::shared_ptr<int> status = std::make_shared<int>(0);
-  exchange->on_head = [status](int code, const std::string& /*type*/) {
-    *status = code;
+  exchange->on_head = [status](const ResponseHead& head) {
+    *status = head.status;
   };
   exchange->on_body = [body](std::string_view bytes) {
     if (body->size() + bytes.size() <= kMaxShortBodyBytes) {
--- a/src/target/monitor.cc
+++ b/src/target/monitor.cc
@@ -62,24 +62,35 @@
     return;
   }
   this->consecutive_failures = 0;
-  if (new_boot_name != this->boot_name) {
-    const bool is_restart = !this->boot_name.empty();
-    this->boot_name = new_boot_name;
-    this->random_boot_id = RandomId();
-    this->completed_fence = 0;
-    if (is_restart) {
-      LogEvent(Level::kWarn, "", "target_restarted");
-    }
-    if (this->on_restart) {
-      this->on_restart();
-    }
-  }
+  this->SetBoot(new_boot_name);
   if (this->requested_fence != this->completed_fence) {
     this->SendReset();
   }
   this->SetReady(is_ready);
 }
 
+void Monitor::ObserveBoot(const std::string& name) {
+  if (!name.empty() && !this->boot_name.empty()) {
+    this->SetBoot(name);
+  }
+}
+
+void Monitor::SetBoot(const std::string& name) {
+  if (name == this->boot_name) {
+    return;
+  }
+  const bool is_restart = !this->boot_name.empty();
+  this->boot_name = name;
+  this->random_boot_id = RandomId();
+  this->completed_fence = 0;
+  if (is_restart) {
+    LogEvent(Level::kWarn, "", "target_restarted");
+  }
+  if (this->on_restart) {
+    this->on_restart();
+  }
+}
+
 void Monitor::HandlePollFailure() {
   this->consecutive_failures += 1;
   if (this->consecutive_failures >= kMaxConsecutiveFailures) {
--- a/tests/load_fault_test.cc
+++ b/tests/load_fault_test.cc
@@ -73,6 +73,28 @@
                   .Contains("gooseberryturn_concurrency_limit 32"));
 }
 
+// The health checks of the new run answer too late to tell of it, so that only
+// the request's own answer can.
+BOOST_AUTO_TEST_CASE(restart_is_noticed_by_the_first_answer) {
+  Fleet fleet(25);
+  DocumentPlan plan;
+  plan.in_flight = 32;
+  plan.cold_in_flight = 2;
+  StartAll(fleet, plan, 1, {"--health-delay-ms", "900"});
+  for (int number = 0; number < 40; ++number) {
+    fleet.Post(1, "/gen", Body(number, 1));
+  }
+  BOOST_REQUIRE(Get(fleet.AgentHttp(1), "/metrics")
+                    .Contains("gooseberryturn_concurrency_limit 32"));
+  fleet.GetProcess("target-1").Kill();
+  fleet.GetProcess("target-1").Start();
+  BOOST_REQUIRE(Eventually(
+      [&] { return Get(fleet.TargetEndpoint(1), "/counts").status == 200; }));
+  BOOST_REQUIRE(fleet.Post(1, "/gen", Body(0, 1)).is_complete);
+  BOOST_TEST(!Get(fleet.AgentHttp(1), "/metrics")
+                  .Contains("gooseberryturn_concurrency_limit 32"));
+}
+
 BOOST_AUTO_TEST_CASE(reservations_never_exceed_the_memory_of_the_target) {
   Fleet fleet(22);
   DocumentPlan plan;
