Send configurations as compressed patches, and bound what waits for a peer

Cause: a PUT of a document of 1,400 routes put half a megabyte into the log, sent it to 14 peers and, whole, to each of 39 followers. On links of 40 to 100 Mbit/s the copies, sent again every 500 ms (up to 128 MiB a peer, 16 messages for one that cannot be reached), delayed heartbeats; the leader lost its lease at each version, told all followers to go away, and they came back for everything. Change: ConfigurationHistory makes one Zstandard patch for each base version that followers hold, with a digest; a patch that doesn't fit is refused and the whole asked for. A leader without its lease keeps silent instead of sending followers away. Only the leader parses the document. An entry that knows of a newer version answers 503 where its own would make it answer 401 or 404. Both formats are read; a control host of an older build cannot read what this one writes to the log.

--- a/include/gooseberryturn/consensus/driver.h
+++ b/include/gooseberryturn/consensus/driver.h
@@ -93,8 +93,12 @@
   static constexpr std::size_t kMaxPendingProposals = 20'000;
   /// Applied entries after which the log is compacted into a new snapshot.
   static constexpr std::uint64_t kSnapshotThreshold = 5000;
+  /// Bytes of applied entries after which it is compacted as well; the log is
+  /// kept in memory.
+  static constexpr std::size_t kSnapshotBytes = 8U * 1024U * 1024U;
   /// Messages queued for a peer while its stream is being opened; the oldest
-  /// are dropped first.
+  /// are dropped first. Of those with entries or a snapshot only the newest is
+  /// kept.
   static constexpr std::size_t kMaxUnsentMessages = 16;
   static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
   static constexpr Duration kStorageRetryInterval =
@@ -142,6 +146,7 @@
   std::map<NodeId, std::shared_ptr<link::Stream>> streams;
   std::map<NodeId, bool> is_opening;
   std::map<NodeId, std::deque<Message>> unsent_messages;
+  std::size_t bytes_since_snapshot = 0;
   bool is_write_in_progress = false;
   bool was_leader = false;
   Term last_led_term = 0;
--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -13,6 +13,7 @@
 #include "gooseberryturn/consensus/driver.h"
 #include "gooseberryturn/control/versioned_map.h"
 #include "gooseberryturn/direct/async_http.h"
+#include "gooseberryturn/direct/configuration_text.h"
 #include "gooseberryturn/direct/crash_tracker.h"
 #include "gooseberryturn/direct/dialect.h"
 #include "gooseberryturn/direct/fleet_state.h"
@@ -134,6 +135,10 @@
   void Probe(const std::string& target);
   void OnFollower(const std::shared_ptr<link::Stream>& stream);
   void OnReport(Follower& follower, const EntryReport& report);
+  /// True while this host is elected and cannot prove that it still leads. Its
+  /// followers are then left waiting: sent away, all would come back at once
+  /// and ask for everything.
+  [[nodiscard]] bool IsAwaitingLease() const;
   void SendUpdates(TimePoint now);
   /// The fields of an update that are the same for all followers.
   [[nodiscard]] FleetUpdate MakeCommonUpdate(TimePoint now);
@@ -148,8 +153,13 @@
   /// Work in flight of all entries, recomputed at most once per
   /// kInFlightSumInterval.
   [[nodiscard]] const std::vector<InFlightWork>& SumInFlightWork(TimePoint now);
+  /// Records the replicated configuration for the followers; as the leader
+  /// also parses it.
+  void OnApplied();
   /// Parses the replicated configuration if its version changed.
   void ParseConfiguration();
+  /// Adds the configuration to an update if the follower lacks it.
+  void AddConfiguration(Follower& follower, FleetUpdate& update);
 
   // Not leading.
   /// Asks the other control hosts to be added to the quorum.
@@ -179,6 +189,7 @@
   std::uint64_t revision = 1;                 ///< Of `targets` and `groups`.
   std::uint64_t published_plan_revision = 0;  ///< Of the planner.
   std::optional<Configuration> configuration;
+  ConfigurationHistory configuration_history;
   std::uint64_t parsed_version = 0;  ///< Of `configuration`.
   bool is_elected = false;           ///< Leader of the log.
   /// Elected, and has since taken over the recorded state of the fleet; see
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -65,7 +65,12 @@
   void Accept();
   void OnRequest(const std::shared_ptr<CallerConnection>& caller,
                  CallerMessage message, TimePoint received_at);
-  void ApplyUpdate(const FleetUpdate& update);
+  /// Applies an update; false if its configuration cannot be restored, which
+  /// is then asked for as a whole.
+  [[nodiscard]] bool ApplyUpdate(const FleetUpdate& update);
+  /// Text of the update's configuration, `held` if it brings none.
+  [[nodiscard]] Result<ConfigurationText> ReadText(
+      const FleetUpdate& update) const;
   /// Sends a report if one is due or further groups are stalled.
   void SendReport(TimePoint now);
   void Tick();
@@ -96,6 +101,8 @@
   AsyncHttpServer ready_server;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
   FleetView view;
+  /// Base of the next patch. Held also when the configuration is not valid.
+  ConfigurationText held_text;
   TargetTracker target_tracker;
   TargetChooser chooser;
   TargetConnectionPool target_pool;
--- a/include/gooseberryturn/direct/fleet_state.h
+++ b/include/gooseberryturn/direct/fleet_state.h
@@ -45,7 +45,8 @@
 struct FleetCommand {
   FleetCommandKind kind = FleetCommandKind::kPutConfiguration;
   std::uint64_t version = 0;  ///< Of the configuration.
-  std::string text;           ///< The configuration as submitted.
+  /// The configuration as submitted, compressed or not; see IsCompressed.
+  std::string text;
   std::string data_centre;
   bool is_evacuated = false;
   FleetDelta delta;
@@ -91,6 +92,7 @@
   }
 
  private:
+  void PutConfiguration(const FleetCommand& command);
   void ApplyDelta(const FleetDelta& delta);
 
   consensus::Index applied = 0;
--- a/include/gooseberryturn/direct/fleet_view.h
+++ b/include/gooseberryturn/direct/fleet_view.h
@@ -26,6 +26,11 @@
   [[nodiscard]] std::uint64_t version() const noexcept {
     return this->config_version;
   }
+  /// \brief True when the leader has told of a newer configuration than this
+  /// one: what this one doesn't allow may be allowed by now.
+  [[nodiscard]] bool IsBehind() const noexcept {
+    return this->newest_version > this->config_version;
+  }
   /// \brief Null until a configuration is known.
   [[nodiscard]] const std::shared_ptr<const RouteTable>& routes()
       const noexcept {
@@ -60,6 +65,7 @@
 
  private:
   std::uint64_t config_version = 0;
+  std::uint64_t newest_version = 0;  ///< Highest that an update named.
   std::shared_ptr<const RouteTable> table;
   std::map<std::string, TargetView> targets;
   std::map<std::string, GroupView> groups;
--- a/include/gooseberryturn/direct/follow_client.h
+++ b/include/gooseberryturn/direct/follow_client.h
@@ -28,7 +28,9 @@
 
   /// \brief Creates the first message of each new stream.
   std::function<FollowerHello()> make_hello;
-  std::function<void(const FleetUpdate&)> on_update;
+  /// \brief Returns false for an update that cannot be applied; a new stream
+  /// is then opened.
+  std::function<bool(const FleetUpdate&)> on_update;
   /// \brief Called when the stream to a leader is lost.
   std::function<void(const std::string& why)> on_lost;
 
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -77,6 +77,9 @@
   void OnAttemptFailed(const std::string& cause, bool may_have_executed);
   void ForwardAnswer();
   void Refuse(int status, Reason reason);
+  /// Refuses what the configuration doesn't allow; with 503 while a newer one
+  /// is known to be in force elsewhere.
+  void RefuseByConfiguration(int status, Reason reason);
   /// Cancels pending work, logs the outcome and leaves the entry.
   void Finish(const std::string& outcome);
   /// Cancels the attempt in progress; its end is not reported to OnEnd.
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -8,6 +8,7 @@
 
 #include "gooseberryturn/core/endpoint.h"
 #include "gooseberryturn/direct/announcement.h"
+#include "gooseberryturn/direct/configuration_text.h"
 #include "gooseberryturn/direct/model_demand.h"
 
 namespace gooseberryturn::direct {
@@ -76,8 +77,11 @@
   std::string data_centre;
   std::uint64_t incarnation = 0;     ///< Differs after each restart.
   std::uint64_t config_version = 0;  ///< Configuration it has; 0 for none.
+  /// Takes ConfigurationPatch, and updates that are compressed as a whole.
+  bool takes_compressed = false;
 
-  MSGPACK_DEFINE(host, data_centre, incarnation, config_version)
+  MSGPACK_DEFINE(host, data_centre, incarnation, config_version,
+                 takes_compressed)
 };
 
 /// \brief A request that broke off at a target, which it may have crashed.
@@ -109,7 +113,8 @@
   std::uint64_t term = 0;
   bool is_full = false;  ///< Replaces all targets and groups.
   std::uint64_t config_version = 0;
-  std::string config_text;  ///< Empty if the follower has this version.
+  /// Whole, for a follower that takes no patches; empty if it has this version.
+  std::string config_text;
   std::vector<TargetView> targets;
   std::vector<std::string> removed_targets;
   std::vector<GroupView> groups;
@@ -119,10 +124,12 @@
   std::vector<std::string> quarantined;      ///< Fingerprints of requests.
   std::vector<Endpoint> control_hosts;
   std::uint32_t entries = 1;  ///< Number of entries that follow.
+  ConfigurationPatch config_patch;
 
   MSGPACK_DEFINE(is_leader, leader, term, is_full, config_version, config_text,
                  targets, removed_targets, groups, removed_groups, evacuated,
-                 in_flight_work, quarantined, control_hosts, entries)
+                 in_flight_work, quarantined, control_hosts, entries,
+                 config_patch)
 };
 
 /// \brief A control request that a control host forwards to the leader.
--- a/src/consensus/driver.cc
+++ b/src/consensus/driver.cc
@@ -1,5 +1,6 @@
 #include "gooseberryturn/consensus/driver.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <optional>
 #include <utility>
@@ -17,7 +18,15 @@
 
 /// Messages to a peer whose stream holds this many unsent bytes are dropped;
 /// the node sends again what is still needed.
-constexpr std::size_t kMaxUnsentBytes = 128U * 1024U * 1024U;
+constexpr std::size_t kMaxUnsentBytes = 1024U * 1024U;
+/// The same for entries and snapshots. Lower, so that heartbeats and votes
+/// don't wait behind copies of entries that are still on their way.
+constexpr std::size_t kMaxUnsentBulkBytes = 64U * 1024U;
+
+/// True for messages whose size goes with the log or the state.
+bool IsBulk(const Message& message) {
+  return !message.entries.empty() || message.type == MessageType::kSnapshot;
+}
 
 Error LeadershipLostError() {
   return {Reason::kControlUnavailable, Step::kCommit, Outcome::kUnknown,
@@ -150,10 +159,12 @@
 void Driver::CompactIfNeeded() {
   const Index applied = this->machine.applied_index();
   const Index snapshot_index = this->raft.log().snapshot().index;
-  if (this->is_write_in_progress ||
-      applied < snapshot_index + kSnapshotThreshold) {
+  const bool is_due = applied >= snapshot_index + kSnapshotThreshold ||
+                      this->bytes_since_snapshot >= kSnapshotBytes;
+  if (this->is_write_in_progress || !is_due) {
     return;
   }
+  this->bytes_since_snapshot = 0;
   WriteJob job;
   job.compaction = std::make_shared<Snapshot>(
       this->raft.Compact(applied, this->machine.save()));
@@ -198,6 +209,10 @@
 
 void Driver::QueueUnsent(const Message& message) {
   std::deque<Message>& queue = this->unsent_messages[message.to];
+  if (IsBulk(message)) {
+    queue.erase(std::remove_if(queue.begin(), queue.end(), IsBulk),
+                queue.end());
+  }
   queue.push_back(message);
   if (queue.size() > kMaxUnsentMessages) {
     queue.pop_front();
@@ -241,13 +256,16 @@
                });
     return;
   }
-  if (stream->unsent_bytes() < kMaxUnsentBytes) {
+  const std::size_t max_unsent_bytes =
+      IsBulk(message) ? kMaxUnsentBulkBytes : kMaxUnsentBytes;
+  if (stream->unsent_bytes() < max_unsent_bytes) {
     stream->Send(protocol::EncodeFrame(protocol::FrameType::kMessage,
                                        protocol::Encode(message)));
   }
 }
 
 void Driver::ApplyEntry(const Entry& entry) {
+  this->bytes_since_snapshot += entry.data.size();
   this->machine.apply(entry);
   const auto found = this->pending_proposals.find(entry.index);
   if (found == this->pending_proposals.end()) {
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -121,14 +121,11 @@
     this->is_elected = true;
     this->has_taken_over = false;
   };
-  this->driver->on_applied = [this] {
-    this->ParseConfiguration();
-    this->StartLeadingIfReady();
-  };
+  this->driver->on_applied = [this] { this->OnApplied(); };
   this->driver->on_peer_message = [this](consensus::NodeId peer) {
     this->quorum_planner.RecordMessage(peer, Clock::now());
   };
-  this->ParseConfiguration();
+  this->configuration_history.Record(this->state.version(), this->state.text());
   this->ServeStreams();
   this->driver->Start(this->listener);
   const Result<void> listening = this->listener.Start(this->settings.link());
--- a/src/direct/control_host_calls.cc
+++ b/src/direct/control_host_calls.cc
@@ -1,6 +1,7 @@
 #include <optional>
 #include <utility>
 
+#include "gooseberryturn/core/compression.h"
 #include "gooseberryturn/direct/call_forwarder.h"
 #include "gooseberryturn/direct/control_host.h"
 #include "gooseberryturn/observe/log.h"
@@ -172,7 +173,7 @@
   FleetCommand command;
   command.kind = FleetCommandKind::kPutConfiguration;
   command.version = read->version;
-  command.text = call.body;
+  command.text = Compress(call.body);
   this->Propose(command, std::move(reply));
 }
 
--- a/src/direct/control_host_followers.cc
+++ b/src/direct/control_host_followers.cc
@@ -2,6 +2,7 @@
 #include <map>
 #include <utility>
 
+#include "gooseberryturn/core/compression.h"
 #include "gooseberryturn/direct/control_host.h"
 #include "gooseberryturn/observe/log.h"
 #include "gooseberryturn/protocol/codec.h"
@@ -11,6 +12,13 @@
 using observe::Level;
 using observe::LogEvent;
 
+namespace {
+
+/// Shorter updates are sent as they are.
+constexpr std::size_t kMinCompressedBytes = 4096;
+
+}  // namespace
+
 // ---------------------------------------------------------------- followers
 
 void ControlHost::OnFollower(const std::shared_ptr<link::Stream>& stream) {
@@ -34,8 +42,10 @@
       locked->hello = *hello;
       locked->sent_config_version = hello->config_version;
       locked->last_heard_at = Clock::now();
-      this->SendUpdate(*locked, this->MakeCommonUpdate(locked->last_heard_at),
-                       locked->last_heard_at);
+      if (!this->IsAwaitingLease()) {
+        this->SendUpdate(*locked, this->MakeCommonUpdate(locked->last_heard_at),
+                         locked->last_heard_at);
+      }
       return;
     }
     const std::optional<EntryReport> report =
@@ -95,7 +105,14 @@
   return this->in_flight_work;
 }
 
+bool ControlHost::IsAwaitingLease() const {
+  return this->is_elected && !this->IsLeading();
+}
+
 void ControlHost::SendUpdates(TimePoint now) {
+  if (this->IsAwaitingLease()) {
+    return;
+  }
   const FleetUpdate common = this->MakeCommonUpdate(now);
   const std::list<std::shared_ptr<Follower>> all = this->followers;
   for (const std::shared_ptr<Follower>& follower : all) {
@@ -152,10 +169,7 @@
   }
   FleetUpdate update = common;
   update.is_full = is_full_state_due;
-  if (follower.sent_config_version < update.config_version) {
-    update.config_text = this->state.text();
-    follower.sent_config_version = update.config_version;
-  }
+  this->AddConfiguration(follower, update);
   const std::uint64_t from =
       follower.is_new || is_full_state_due ? 0 : follower.sent_revision;
   this->targets.CollectChanges(from, update.targets, update.removed_targets);
@@ -168,8 +182,29 @@
   follower.has_full_state |= is_full_state_due;
   follower.sent_revision = this->revision;
   follower.last_sent_at = now;
-  follower.stream->Send(protocol::EncodeFrame(protocol::FrameType::kMessage,
-                                              protocol::Encode(update)));
+  std::string payload = protocol::Encode(update);
+  if (follower.hello.takes_compressed &&
+      payload.size() >= kMinCompressedBytes) {
+    payload = Compress(payload);
+  }
+  follower.stream->Send(
+      protocol::EncodeFrame(protocol::FrameType::kMessage, payload));
+}
+
+void ControlHost::AddConfiguration(Follower& follower, FleetUpdate& update) {
+  if (follower.sent_config_version >= update.config_version) {
+    return;
+  }
+  if (follower.hello.takes_compressed) {
+    // A change is sent as soon as it is applied, before OnApplied runs.
+    this->configuration_history.Record(this->state.version(),
+                                       this->state.text());
+    update.config_patch =
+        this->configuration_history.PatchFrom(follower.sent_config_version);
+  } else {
+    update.config_text = this->state.text();
+  }
+  follower.sent_config_version = update.config_version;
 }
 
 }  // namespace gooseberryturn::direct
--- a/src/direct/control_host_leader.cc
+++ b/src/direct/control_host_leader.cc
@@ -14,6 +14,14 @@
 
 // ------------------------------------------------------------------- leader
 
+void ControlHost::OnApplied() {
+  this->configuration_history.Record(this->state.version(), this->state.text());
+  if (this->has_taken_over) {
+    this->ParseConfiguration();
+  }
+  this->StartLeadingIfReady();
+}
+
 void ControlHost::ParseConfiguration() {
   if (this->parsed_version == this->state.version()) {
     return;
@@ -39,6 +47,7 @@
     return;
   }
   const TimePoint now = Clock::now();
+  this->ParseConfiguration();
   this->has_taken_over = true;
   this->settled_at = now + kSettleTime;
   this->followers.clear();
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -62,11 +62,12 @@
     hello.host = this->settings.host;
     hello.data_centre = this->settings.data_centre;
     hello.incarnation = this->incarnation;
-    hello.config_version = this->view.version();
+    hello.config_version = this->held_text.version;
+    hello.takes_compressed = true;
     return hello;
   };
   this->follow_client.on_update = [this](const FleetUpdate& update) {
-    this->ApplyUpdate(update);
+    return this->ApplyUpdate(update);
   };
   this->follow_client.on_lost = [](const std::string& why) {
     LogEvent(Level::kWarn, "", "leader_lost", {{"why", why}});
@@ -165,12 +166,30 @@
   }
 }
 
-void EntryHost::ApplyUpdate(const FleetUpdate& update) {
+Result<ConfigurationText> EntryHost::ReadText(const FleetUpdate& update) const {
+  if (update.config_patch.version > this->held_text.version) {
+    return ApplyPatch(update.config_patch, this->held_text);
+  }
+  const bool is_newer = update.config_version > this->held_text.version;
+  if (is_newer && !update.config_text.empty()) {
+    return ConfigurationText{update.config_version, update.config_text};
+  }
+  return this->held_text;
+}
+
+bool EntryHost::ApplyUpdate(const FleetUpdate& update) {
+  Result<ConfigurationText> text = this->ReadText(update);
+  if (!text.has_value()) {
+    LogEvent(Level::kWarn, "", "configuration_patch_refused",
+             observe::FieldsOf(text.error()));
+    this->held_text = {};
+    return false;
+  }
   std::shared_ptr<const RouteTable> table;
-  if (!update.config_text.empty() &&
-      update.config_version > this->view.version()) {
+  if (text->version > this->held_text.version) {
+    this->held_text = std::move(*text);
     const Result<Configuration> read =
-        this->dialect.read_configuration(update.config_text);
+        this->dialect.read_configuration(this->held_text.text);
     if (read.has_value()) {
       table = std::make_shared<const RouteTable>(*read);
     }
@@ -187,6 +206,7 @@
     this->target_pool.CloseIdle(removed);
   }
   this->DispatchQueued();
+  return true;
 }
 
 void EntryHost::SendReport(TimePoint now) {
--- a/src/direct/fleet_state.cc
+++ b/src/direct/fleet_state.cc
@@ -1,12 +1,21 @@
 #include "gooseberryturn/direct/fleet_state.h"
 
 #include <optional>
+#include <utility>
 
+#include "gooseberryturn/core/compression.h"
+#include "gooseberryturn/direct/configuration_text.h"
 #include "gooseberryturn/observe/log.h"
 #include "gooseberryturn/protocol/codec.h"
 
 namespace gooseberryturn::direct {
 
+namespace {
+
+constexpr std::size_t kMaxSnapshotBytes = 64U * 1024U * 1024U;
+
+}  // namespace
+
 void FleetState::Apply(const consensus::Entry& entry) {
   this->applied = entry.index;
   if (entry.kind != consensus::EntryKind::kCommand) {
@@ -21,10 +30,7 @@
   }
   switch (command->kind) {
     case FleetCommandKind::kPutConfiguration:
-      if (command->version > this->config_version) {
-        this->config_version = command->version;
-        this->config_text = command->text;
-      }
+      this->PutConfiguration(*command);
       break;
     case FleetCommandKind::kEvacuate:
       if (command->is_evacuated) {
@@ -39,6 +45,25 @@
   }
 }
 
+void FleetState::PutConfiguration(const FleetCommand& command) {
+  if (command.version <= this->config_version) {
+    return;
+  }
+  if (!IsCompressed(command.text)) {
+    this->config_version = command.version;
+    this->config_text = command.text;
+    return;
+  }
+  Result<std::string> text = Decompress(command.text, kMaxConfigurationBytes);
+  if (!text.has_value()) {
+    observe::LogEvent(observe::Level::kError, "", "configuration_not_readable",
+                      observe::FieldsOf(text.error()));
+    return;
+  }
+  this->config_version = command.version;
+  this->config_text = std::move(*text);
+}
+
 void FleetState::ApplyDelta(const FleetDelta& delta) {
   for (const TargetView& target : delta.targets) {
     this->known_targets[target.name] = target;
@@ -54,10 +79,20 @@
   }
 }
 
-std::string FleetState::Save() const { return protocol::Encode(*this); }
+std::string FleetState::Save() const {
+  return Compress(protocol::Encode(*this));
+}
 
 bool FleetState::Load(const std::string& bytes) {
-  const std::optional<FleetState> loaded = protocol::Decode<FleetState>(bytes);
+  Result<std::string> encoded = bytes;
+  if (IsCompressed(bytes)) {
+    encoded = Decompress(bytes, kMaxSnapshotBytes);
+  }
+  if (!encoded.has_value()) {
+    return false;
+  }
+  const std::optional<FleetState> loaded =
+      protocol::Decode<FleetState>(*encoded);
   if (!loaded.has_value()) {
     return false;
   }
--- a/src/direct/fleet_view.cc
+++ b/src/direct/fleet_view.cc
@@ -1,11 +1,13 @@
 #include "gooseberryturn/direct/fleet_view.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace gooseberryturn::direct {
 
 void FleetView::Apply(const FleetUpdate& update,
                       std::shared_ptr<const RouteTable> configuration) {
+  this->newest_version = std::max(this->newest_version, update.config_version);
   if (configuration != nullptr &&
       update.config_version > this->config_version) {
     this->table = std::move(configuration);
--- a/src/direct/follow_client.cc
+++ b/src/direct/follow_client.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "gooseberryturn/core/compression.h"
 #include "gooseberryturn/protocol/codec.h"
 
 namespace gooseberryturn::direct {
@@ -96,8 +97,14 @@
 }
 
 void FollowClient::HandleUpdate(std::string_view payload) {
+  Result<std::string> expanded;
+  if (IsCompressed(payload)) {
+    expanded = Decompress(payload, protocol::kMaxFrameBytes);
+  }
   const std::optional<FleetUpdate> update =
-      protocol::Decode<FleetUpdate>(payload);
+      expanded.has_value() ? protocol::Decode<FleetUpdate>(
+                                 expanded->empty() ? payload : *expanded)
+                           : std::nullopt;
   if (!update.has_value()) {
     this->Disconnect("an update cannot be decoded", false);
     return;
@@ -115,7 +122,9 @@
   this->last_heard = now;
   this->silence_deadline = now + kSilenceTimeout;
   this->AddControlHosts(update->control_hosts);
-  this->on_update(*update);
+  if (!this->on_update(*update)) {
+    this->Disconnect("an update cannot be applied", false);
+  }
 }
 
 void FollowClient::Disconnect(const std::string& why, bool is_silent) {
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -89,6 +89,14 @@
   return Digest(text);
 }
 
+void RequestFlow::RefuseByConfiguration(int status, Reason reason) {
+  if (this->entry.view.IsBehind()) {
+    this->Refuse(kUnavailable, Reason::kNoView);
+  } else {
+    this->Refuse(status, reason);
+  }
+}
+
 bool RequestFlow::Admit() {
   const HeaderNames& names = this->entry.dialect.headers;
   this->caller_attempt_id = std::string(this->message[names.attempt]);
@@ -101,7 +109,7 @@
   this->route = this->route_table->FindRoute(
       ToView(this->message[http::field::host]), path);
   if (this->route == nullptr) {
-    this->Refuse(kNotFound, Reason::kNoRoute);
+    this->RefuseByConfiguration(kNotFound, Reason::kNoRoute);
     return false;
   }
   if (this->route_table->configuration().has_teams && !this->route->is_public) {
@@ -112,7 +120,7 @@
                      ? this->route_table->FindTeam(key.substr(prefix_size))
                      : nullptr;
     if (this->team == nullptr) {
-      this->Refuse(kUnauthorized, Reason::kUnknownTeam);
+      this->RefuseByConfiguration(kUnauthorized, Reason::kUnknownTeam);
       return false;
     }
   }
