Deal cold targets out to eight entries; let joins reach the leader

Change 1: the leader assigns eight entries to each cold target (rendezvous hashing, recorded with the target, never taken away while it is cold); only these send, each an eighth of the rate, whatever the number of entries in touch. Change 2: the answer names all members, who are asked the next time. Measured: many_entries_keep_a_cold_target_within_its_rate and a_control_host_joins_that_knows_only_a_follower, the latter failed without the change.

--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -150,6 +150,10 @@
   [[nodiscard]] std::vector<Endpoint> MemberLinks() const;
   /// Copies a target from the registry to `targets`, or removes it there.
   void PublishTarget(const std::string& id);
+  /// Names of the entries that follow.
+  [[nodiscard]] std::vector<std::string> FollowingEntries() const;
+  /// Assigns entries to the cold targets that lack some.
+  void AssignColdEntries();
   /// Work in flight of all entries, recomputed at most once per
   /// kInFlightSumInterval.
   [[nodiscard]] const std::vector<InFlightWork>& SumInFlightWork(TimePoint now);
@@ -164,6 +168,8 @@
   // Not leading.
   /// Asks the other control hosts to be added to the quorum.
   void RequestToJoin(TimePoint now);
+  /// Links of all known control hosts but this one.
+  [[nodiscard]] std::vector<Endpoint> HostsToJoin() const;
 
   boost::asio::io_context& context;
   boost::asio::steady_timer timer;
@@ -204,6 +210,7 @@
   TimePoint in_flight_summed_at;
   TimePoint settled_at;  ///< Full updates are sent from then on.
   TimePoint next_join_request_at;
+  std::vector<Endpoint> members_by_answers;  ///< See JoinAnswer.
   TimePoint next_expiry_at;
 };
 
--- a/include/gooseberryturn/direct/registry.h
+++ b/include/gooseberryturn/direct/registry.h
@@ -54,6 +54,11 @@
   /// \returns Ids of the targets that are no longer cold.
   [[nodiscard]] std::vector<std::string> Expire(TimePoint now);
 
+  /// \brief Assigns `entries` to the cold targets that lack some.
+  /// \returns Ids of the targets that got some.
+  [[nodiscard]] std::vector<std::string> AssignColdEntries(
+      const std::vector<std::string>& entries);
+
   /// \brief The record of a target, or null if it is not registered.
   [[nodiscard]] const TargetRecord* Find(const std::string& id) const;
   [[nodiscard]] const std::map<std::string, TargetRecord>& targets()
--- a/include/gooseberryturn/direct/target_chooser.h
+++ b/include/gooseberryturn/direct/target_chooser.h
@@ -69,8 +69,11 @@
 /// requests and a short queue; the rest waits at the entry or is rejected.
 class TargetChooser {
  public:
-  TargetChooser(std::string data_centre, std::uint64_t seed)
-      : data_centre(std::move(data_centre)), random(seed) {}
+  /// \param entry Name of the entry that chooses.
+  TargetChooser(std::string data_centre, std::string entry, std::uint64_t seed)
+      : data_centre(std::move(data_centre)),
+        entry(std::move(entry)),
+        random(seed) {}
 
   /// \brief Chooses a target, and takes from the rate limit of a cold one.
   /// `view` must have a configuration: its routes() must not be null.
@@ -97,7 +100,14 @@
   static constexpr std::uint32_t kMaxPlainRequests = 16;
 
  private:
+  /// True if the target is warm, or takes one more cold request from this
+  /// entry, at most `per_s` a second.
+  [[nodiscard]] bool TakeColdRequest(const TargetView& target,
+                                     TargetTracker& tracker, double per_s,
+                                     TimePoint now) const;
+
   std::string data_centre;
+  std::string entry;
   std::mt19937_64 random;
   DelayModel delays;
 };
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -29,9 +29,11 @@
   bool is_cold = false;    ///< Still warming up; takes few requests.
   EngineReport engine;     ///< Empty for plain targets.
   std::string last_model;  ///< Model last loaded since the start.
+  /// Entries that may send to it while it is cold; see AssignColdEntries.
+  std::vector<std::string> cold_entries;
 
   MSGPACK_DEFINE(name, address, service, data_centre, start_time_ms, is_leaving,
-                 is_cold, engine, last_model)
+                 is_cold, engine, last_model, cold_entries)
 };
 
 /// \brief Phase of a group in the leader's plan.
@@ -165,8 +167,11 @@
 /// membership when it has joined.
 struct JoinAnswer {
   bool is_received = true;
+  /// Links of all members, to be asked next time: only the leader handles the
+  /// request, and it need not be one of the configured hosts.
+  std::vector<Endpoint> control_hosts;
 
-  MSGPACK_DEFINE(is_received)
+  MSGPACK_DEFINE(is_received, control_hosts)
 };
 
 }  // namespace gooseberryturn::direct
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -194,7 +194,7 @@
         if (request.has_value() && this->IsLeading()) {
           this->quorum_planner.HandleJoinRequest(*request, Clock::now());
         }
-        link::Reply(*stream, JoinAnswer{});
+        link::Reply(*stream, JoinAnswer{true, this->MemberLinks()});
       });
 }
 
@@ -210,21 +210,36 @@
     return;
   }
   this->next_join_request_at = now + kJoinRequestInterval;
-  std::vector<Endpoint> hosts = this->settings.ControlLinks();
-  for (const consensus::Peer& peer : this->driver->node().membership().peers) {
-    hosts.push_back(peer.link);
-  }
-  const Endpoint link = this->settings.link();
-  const JoinRequest request = {this->id, this->disk_id, link,
+  const JoinRequest request = {this->id, this->disk_id, this->settings.link(),
                                *this->settings.control_endpoint};
-  // The answers are ignored: the membership shows when this host has joined.
-  for (const Endpoint& host : hosts) {
-    if (host != link) {
-      this->channels.Get(host)->Call(
-          kJoinPath, protocol::Encode(request), now + kCallTimeout,
-          [](const Result<std::string>& /*answered*/) {});
+  for (const Endpoint& host : this->HostsToJoin()) {
+    this->channels.Get(host)->Call(
+        kJoinPath, protocol::Encode(request), now + kCallTimeout,
+        [this](const Result<std::string>& answered) {
+          const std::optional<JoinAnswer> answer =
+              answered.has_value() ? protocol::Decode<JoinAnswer>(*answered)
+                                   : std::nullopt;
+          if (answer.has_value() && !answer->control_hosts.empty()) {
+            this->members_by_answers = answer->control_hosts;
+          }
+        });
+  }
+}
+
+std::vector<Endpoint> ControlHost::HostsToJoin() const {
+  std::vector<Endpoint> hosts;
+  for (const std::vector<Endpoint>& links :
+       {this->settings.ControlLinks(), this->MemberLinks(),
+        this->members_by_answers}) {
+    for (const Endpoint& link : links) {
+      const bool is_listed =
+          std::find(hosts.begin(), hosts.end(), link) != hosts.end();
+      if (!is_listed && link != this->settings.link()) {
+        hosts.push_back(link);
+      }
     }
   }
+  return hosts;
 }
 
 void ControlHost::Tick() {
@@ -246,6 +261,7 @@
       for (const std::string& removed : this->registry.TakeRemoved()) {
         this->PublishTarget(removed);
       }
+      this->AssignColdEntries();
     }
     this->UpdateQuorum(now);
     this->PlanGroups(now);
--- a/src/direct/control_host_calls.cc
+++ b/src/direct/control_host_calls.cc
@@ -123,6 +123,7 @@
       this->registry.HandleAnnouncement(*announcement, Clock::now());
   if (result == AnnouncementResult::kNew ||
       result == AnnouncementResult::kChanged) {
+    this->AssignColdEntries();
     this->PublishTarget(target);
     this->SchedulePlan();
     LogEvent(Level::kInfo, "", "target_heard",
--- a/src/direct/control_host_followers.cc
+++ b/src/direct/control_host_followers.cc
@@ -135,16 +135,28 @@
                           this->state.evacuated().end());
   update.quarantined = this->crash_tracker.Quarantined(now);
   update.control_hosts = this->MemberLinks();
-  const auto entries =
-      std::count_if(this->followers.begin(), this->followers.end(),
-                    [](const std::shared_ptr<Follower>& follower) {
-                      return !follower->hello.host.empty();
-                    });
-  update.entries =
-      std::max<std::uint32_t>(1, static_cast<std::uint32_t>(entries));
+  update.entries = std::max<std::uint32_t>(
+      1, static_cast<std::uint32_t>(this->FollowingEntries().size()));
   return update;
 }
 
+std::vector<std::string> ControlHost::FollowingEntries() const {
+  std::vector<std::string> entries;
+  for (const std::shared_ptr<Follower>& follower : this->followers) {
+    if (!follower->hello.host.empty()) {
+      entries.push_back(follower->hello.host);
+    }
+  }
+  return entries;
+}
+
+void ControlHost::AssignColdEntries() {
+  for (const std::string& changed :
+       this->registry.AssignColdEntries(this->FollowingEntries())) {
+    this->PublishTarget(changed);
+  }
+}
+
 void ControlHost::SendUpdate(Follower& follower, const FleetUpdate& common,
                              TimePoint now) {
   if (!common.is_leader) {
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -21,8 +21,8 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
-/// Lower bound for the number of entries that share a limit. The same value as
-/// kMinEntries in target_chooser.cc.
+/// Lower bound for the number of entries that share a limit: a view may name
+/// fewer than there are.
 constexpr double kMinSharingEntries = 8;
 /// Fraction of a retry burst that the entries divide among them.
 constexpr double kBurstFraction = 0.9;
@@ -51,7 +51,7 @@
               reply({kNotFound, "text/plain", ""});
             }
           }),
-      chooser(this->settings.data_centre, RandomId()),
+      chooser(this->settings.data_centre, this->settings.host, RandomId()),
       target_pool(context),
       incarnation(RandomId()),
       random(RandomId()) {}
--- a/src/direct/registry.cc
+++ b/src/direct/registry.cc
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "gooseberryturn/direct/cold_entries.h"
+
 namespace gooseberryturn::direct {
 
 namespace {
@@ -111,6 +113,9 @@
   record.view.is_leaving = announcement.is_leaving || has_withdrawn ||
                            (before.is_leaving && !is_new_run);
   record.view.is_cold = announcement.cold_left_ms > 0;
+  if (!record.view.is_cold) {
+    record.view.cold_entries.clear();
+  }
   record.view.engine = announcement.engine.value_or(EngineReport{});
   if (!record.view.engine.loaded_model.empty()) {
     record.view.last_model = record.view.engine.loaded_model;
@@ -157,6 +162,7 @@
     TargetRecord& record = entry->second;
     if (record.view.is_cold && now >= record.cold_until) {
       record.view.is_cold = false;
+      record.view.cold_entries.clear();
       changed.push_back(entry->first);
     }
     const Duration limit =
@@ -173,6 +179,19 @@
   return changed;
 }
 
+std::vector<std::string> Registry::AssignColdEntries(
+    const std::vector<std::string>& entries) {
+  std::vector<std::string> changed;
+  for (std::pair<const std::string, TargetRecord>& entry : this->records) {
+    TargetView& view = entry.second.view;
+    if (view.is_cold &&
+        direct::AssignColdEntries(view.name, entries, view.cold_entries)) {
+      changed.push_back(view.name);
+    }
+  }
+  return changed;
+}
+
 const TargetRecord* Registry::Find(const std::string& id) const {
   const auto found = this->records.find(id);
   return found == this->records.end() ? nullptr : &found->second;
--- a/src/direct/target_chooser.cc
+++ b/src/direct/target_chooser.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "gooseberryturn/direct/cold_entries.h"
+
 namespace gooseberryturn::direct {
 
 namespace {
@@ -21,10 +23,6 @@
 constexpr double kLateSlotShare = 0.85;
 /// Share of a cold target's rate limit that all entries together use.
 constexpr double kColdRateShare = 0.8;
-/// Lower bound for the number of entries that share a cold target: a view may
-/// name fewer than there are. The same value as kMinSharingEntries in
-/// entry_host.cc.
-constexpr double kMinEntries = 8;
 
 /// A target that can take the request.
 struct Candidate {
@@ -86,6 +84,18 @@
   return model.time_factor * (prefill_ms + decode_ms);
 }
 
+bool TargetChooser::TakeColdRequest(const TargetView& target,
+                                    TargetTracker& tracker, double per_s,
+                                    TimePoint now) const {
+  if (!target.is_cold || per_s <= 0) {
+    return true;
+  }
+  const bool is_assigned =
+      std::find(target.cold_entries.begin(), target.cold_entries.end(),
+                this->entry) != target.cold_entries.end();
+  return is_assigned && tracker.TakeColdRequest(target.name, per_s, now);
+}
+
 Choice TargetChooser::Choose(const ChoiceRequest& request,
                              const FleetView& view, TargetTracker& tracker,
                              double cold_factor, TimePoint now) {
@@ -145,14 +155,10 @@
   std::sort(
       scored.begin(), scored.end(),
       [](const Candidate& a, const Candidate& b) { return a.score < b.score; });
-  const double entry_count =
-      std::max(kMinEntries, static_cast<double>(view.entries()));
-  const double cold_rate =
-      service->cold_requests_per_s * cold_factor * kColdRateShare / entry_count;
+  const double cold_rate = service->cold_requests_per_s * cold_factor *
+                           kColdRateShare / static_cast<double>(kColdEntries);
   for (const Candidate& candidate : scored) {
-    const bool is_limited = candidate.target->is_cold && cold_rate > 0;
-    if (is_limited &&
-        !tracker.TakeColdRequest(candidate.target->name, cold_rate, now)) {
+    if (!this->TakeColdRequest(*candidate.target, tracker, cold_rate, now)) {
       choice.reason = ChoiceFailure::kFull;
       continue;
     }
--- a/tests/direct_decision_test.cc
+++ b/tests/direct_decision_test.cc
@@ -1,8 +1,11 @@
 #define BOOST_TEST_MODULE direct_decision
 #include <boost/test/unit_test.hpp>
+#include <map>
+#include <numeric>
 #include <string>
 #include <vector>
 
+#include "gooseberryturn/direct/cold_entries.h"
 #include "gooseberryturn/direct/configuration.h"
 #include "gooseberryturn/direct/crash_tracker.h"
 #include "gooseberryturn/direct/event_splitter.h"
@@ -288,7 +291,7 @@
   // A group is lost and its 30 requests need new targets at once.
   const FleetView view = MakeView({"h1", "h2", "h3"});
   TargetTracker tracker;
-  TargetChooser chooser("a", 7);
+  TargetChooser chooser("a", "entry", 7);
   std::size_t placed = 0;
   for (int number = 0; number < 30; ++number) {
     const Choice choice =
@@ -330,7 +333,7 @@
   // the place of requests that can.
   const FleetView view = MakeView({"h1"});
   TargetTracker tracker;
-  TargetChooser chooser("a", 7);
+  TargetChooser chooser("a", "entry", 7);
   for (int number = 0; number < 5; ++number) {
     tracker.BeginRequest("h1", 900, At(0));
   }
@@ -348,7 +351,7 @@
   // stream are accepted.
   const FleetView view = MakeView({"h1"});
   TargetTracker tracker;
-  TargetChooser chooser("a", 7);
+  TargetChooser chooser("a", "entry", 7);
   for (int number = 0; number < 33; ++number) {
     tracker.BeginRequest("h1", 0, At(0));
   }
@@ -368,7 +371,7 @@
 BOOST_AUTO_TEST_CASE(a_stalled_head_gets_no_requests) {
   const FleetView view = MakeView({"h1"});
   TargetTracker tracker;
-  TargetChooser chooser("a", 7);
+  TargetChooser chooser("a", "entry", 7);
   tracker.BeginRequest("h1", 100, At(0));
   tracker.RecordProgress("h1", At(100));
   BOOST_TEST(!tracker.IsStalled("h1", At(200)));
@@ -403,6 +406,109 @@
   BOOST_TEST(taken <= kColdRequestsPerS * kColdFactor + 5);
 }
 
+// A target comes back cold under load. All 39 entries have a request for it at
+// every moment, and none has sent to it before.
+BOOST_AUTO_TEST_CASE(many_entries_keep_a_cold_target_within_its_rate) {
+  constexpr int kEntries = 39;
+  constexpr double kColdFactor = 1.5;
+  constexpr double kColdRequestsPerS = 14;
+  constexpr double kColdBurst = 5;
+  Configuration configuration = MakeConfiguration();
+  configuration.services[1].cold_requests_per_s = kColdRequestsPerS;
+  std::vector<std::string> names;
+  for (int number = 0; number < kEntries; ++number) {
+    names.push_back("entry-" + std::to_string(number));
+  }
+  Registry registry;
+  Announcement announcement = MakeAnnouncement("h1", "10.0.0.1", 100, 1);
+  announcement.cold_left_ms = 60'000;
+  registry.HandleAnnouncement(announcement, At(0));
+  BOOST_TEST(registry.AssignColdEntries(names) ==
+             std::vector<std::string>{"h1"});
+  BOOST_TEST(registry.AssignColdEntries(names).empty());
+  FleetUpdate update;
+  update.config_version = 3;
+  update.entries = kEntries;
+  TargetView target = registry.Find("h1")->view;
+  target.service = "engines";
+  update.targets = {target};
+  GroupView group;
+  group.name = "g";
+  group.service = "engines";
+  group.model = "small";
+  group.members = {"h1", "h2"};
+  group.phase = GroupPhase::kOpen;
+  update.groups = {group};
+  FleetView view;
+  view.Apply(update, std::make_shared<const RouteTable>(configuration));
+  std::vector<TargetTracker> trackers(kEntries);
+  std::vector<TargetChooser> choosers;
+  for (const std::string& name : names) {
+    choosers.emplace_back("a", name, 7);
+  }
+  constexpr int kStepMs = 5;
+  std::vector<int> sent;
+  for (int ms = 0; ms < 3000; ms += kStepMs) {
+    int now_sent = 0;
+    for (std::size_t entry = 0; entry < choosers.size(); ++entry) {
+      const Choice choice =
+          choosers[entry].Choose(MakeChoiceRequest(900, 200), view,
+                                 trackers[entry], kColdFactor, At(9000 + ms));
+      now_sent += choice.target != nullptr ? 1 : 0;
+    }
+    sent.push_back(now_sent);
+  }
+  const std::size_t steps_per_s = 1000 / kStepMs;
+  const double allowed = kColdRequestsPerS * kColdFactor + kColdBurst;
+  for (std::size_t from = 0; from + steps_per_s <= sent.size(); ++from) {
+    const auto begin = sent.begin() + static_cast<std::ptrdiff_t>(from);
+    const int in_a_second = std::accumulate(
+        begin, begin + static_cast<std::ptrdiff_t>(steps_per_s), 0);
+    BOOST_REQUIRE(in_a_second <= allowed);
+  }
+  BOOST_TEST(std::accumulate(sent.begin(), sent.end(), 0) >
+             2 * kColdRequestsPerS);
+}
+
+BOOST_AUTO_TEST_CASE(entries_of_a_cold_target_are_kept_and_spread) {
+  std::vector<std::string> names;
+  for (int number = 0; number < 39; ++number) {
+    names.push_back("entry-" + std::to_string(number));
+  }
+  std::vector<std::string> assigned;
+  BOOST_TEST(AssignColdEntries("t", {names[0], names[1]}, assigned));
+  const std::vector<std::string> first = assigned;
+  BOOST_TEST(first.size() == 2U);
+  BOOST_TEST(AssignColdEntries("t", names, assigned));
+  BOOST_TEST(assigned.size() == kColdEntries);
+  BOOST_TEST(std::equal(first.begin(), first.end(), assigned.begin()));
+  // Those that are gone still count.
+  BOOST_TEST(!AssignColdEntries("t", {"entry-new"}, assigned));
+  std::map<std::string, int> uses;
+  for (int number = 0; number < 380; ++number) {
+    std::vector<std::string> of_target;
+    AssignColdEntries("t" + std::to_string(number), names, of_target);
+    for (const std::string& name : of_target) {
+      uses[name] += 1;
+    }
+  }
+  for (const std::string& name : names) {
+    BOOST_TEST(uses[name] > 380 * 8 / 39 / 2);
+    BOOST_TEST(uses[name] < 380 * 8 / 39 * 2);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_warm_target_is_open_to_all_entries) {
+  Registry registry;
+  Announcement announcement = MakeAnnouncement("h1", "10.0.0.1", 100, 1);
+  announcement.cold_left_ms = 500;
+  registry.HandleAnnouncement(announcement, At(0));
+  BOOST_TEST(registry.AssignColdEntries({"e1", "e2"}).size() == 1U);
+  BOOST_TEST(registry.Find("h1")->view.cold_entries.size() == 2U);
+  BOOST_TEST(registry.Expire(At(600)).size() == 1U);
+  BOOST_TEST(registry.Find("h1")->view.cold_entries.empty());
+}
+
 BOOST_AUTO_TEST_CASE(idle_connections_of_all_entries_stay_within_limit) {
   // 17 entries share a plain target that accepts 69 connections.
   constexpr std::size_t kMaxConnections = 69;
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -100,12 +100,15 @@
 
   /// Starts control host `number`; one without a disk forwards calls to the
   /// leader.
-  void StartControl(int number, bool has_disk = true) {
+  /// \param known Numbers of the control hosts that its settings name.
+  void StartControl(int number, bool has_disk = true,
+                    const std::vector<int>& known = {1, 2, 3}) {
     const std::string name = this->folder + "/c" + std::to_string(number);
     this->WriteSettings(
         name + ".conf", number,
         "listen.control=" + ToString(this->ControlEndpoint(number)) +
-            (has_disk ? "\ndata_dir=" + name : "") + "\n");
+            (has_disk ? "\ndata_dir=" + name : "") + "\n",
+        known);
     this->controls.push_back(std::make_unique<Process>(
         std::vector<std::string>{
             std::string(BINARY_ROOT) + "/gooseberryturn-direct-control",
@@ -119,14 +122,17 @@
 
  private:
   void WriteSettings(const std::string& file, int number,
-                     const std::string& lines) {
+                     const std::string& lines,
+                     const std::vector<int>& known = {1, 2, 3}) {
+    std::string seeds;
+    for (const int control : known) {
+      seeds +=
+          (seeds.empty() ? "" : ",") + ToString(this->ControlEndpoint(control));
+    }
     std::ofstream(file)
         << "node_name=host-" << number
         << "\nzone=za\nip=" << this->EndpointAt(number, 1).address
-        << "\nport_range=7340,7355\nseeds="
-        << ToString(this->ControlEndpoint(1)) << ","
-        << ToString(this->ControlEndpoint(2)) << ","
-        << ToString(this->ControlEndpoint(3))
+        << "\nport_range=7340,7355\nseeds=" << seeds
         << "\nbootstrap=true\nheartbeat_ms=300\nbounds.grace_s=6\n"
         << "bounds.retry_budget_ratio=0.2\nbounds.retry_budget_burst=160\n"
         << lines;
@@ -240,6 +246,26 @@
   }));
 }
 
+BOOST_AUTO_TEST_CASE(a_control_host_joins_that_knows_only_a_follower) {
+  // A disk was lost on tdb-ops-large while the leader was none of the hosts
+  // named in the settings: its host was not let in again, and the next two lost
+  // disks took the majority.
+  PlatformFleet fleet(67);
+  fleet.PutConfiguration(5);
+  int follower = 0;
+  for (int number = 1; number <= 3; ++number) {
+    const bool is_leader = Get(fleet.ControlEndpoint(number), "/metrics")
+                               .Contains("gooseberryturn_is_leader 1");
+    follower = is_leader ? follower : number;
+  }
+  BOOST_REQUIRE(follower != 0);
+  fleet.StartControl(4, true, {follower});
+  BOOST_TEST(Eventually([&fleet] {
+    return Get(fleet.ControlEndpoint(4), "/api/config").body ==
+           fleet.ConfigurationJson(5, 2000);
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(acknowledged_configurations_survive_a_kill_of_all_hosts) {
   PlatformFleet fleet(61);
   fleet.PutConfiguration(8);
