End exchanges with targets that send bytes which are no answer

Interim heads (status 1xx) were read without a bound, and so was the body of an answer to another request that a target sends on a connection in use again: until the caller's deadline, at the target's pace, without the target counting as failing. Change: more than 8 interim heads, or more than 256 KiB of a foreign answer, end the exchange as invalid, which counts against the target and closes the connection.

--- a/src/direct/target_connection.cc
+++ b/src/direct/target_connection.cc
@@ -20,6 +20,10 @@
 /// Body limit that is never reached; Boost 1.74 treats boost::none as a limit
 /// that is always exceeded.
 constexpr std::uint64_t kNoLimit = std::uint64_t{1} << 40U;
+/// Interim answers (status 1xx) to one request.
+constexpr int kMaxInterimHeads = 8;
+/// Body of an answer to an earlier request that is read and dropped.
+constexpr std::size_t kMaxSkippedBytes = 256U * 1024U;
 constexpr std::string_view kTimeoutField = "timeout=";
 constexpr std::size_t kDefaultIdleConnections = 64;
 /// Fraction of a target's connection limit that may be idle; the rest is left
@@ -60,6 +64,8 @@
   this->is_paused = false;
   this->is_read_due = false;
   this->has_skipped_answer = false;
+  this->interim_heads = 0;
+  this->skipped_bytes = 0;
   if (this->connected) {
     error_code ignored;
     this->socket.cancel(ignored);
@@ -155,7 +161,12 @@
 void TargetConnection::OnHead() {
   const ResponseHead& head = this->parser->get().base();
   if (head.result_int() >= 100 && head.result_int() < 200) {
-    this->ReadHead();
+    this->interim_heads += 1;
+    if (this->interim_heads > kMaxInterimHeads) {
+      this->End(ExchangeEnd::kInvalid, "too many interim answers");
+    } else {
+      this->ReadHead();
+    }
     return;
   }
   const bool is_own_answer = head[this->id_header] == this->id;
@@ -216,7 +227,12 @@
 void TargetConnection::DeliverBody() {
   const std::size_t size =
       this->body_buffer.size() - this->parser->get().body().size;
-  if (size > 0 && !this->is_skipping_answer) {
+  if (this->is_skipping_answer) {
+    this->skipped_bytes += size;
+    if (this->skipped_bytes > kMaxSkippedBytes) {
+      this->End(ExchangeEnd::kInvalid, "answer to another request");
+    }
+  } else if (size > 0) {
     this->hooks.on_body(std::string_view(this->body_buffer.data(), size));
   }
 }
--- /dev/null
+++ b/tests/target_connection_test.cc
@@ -0,0 +1,209 @@
+#define BOOST_TEST_MODULE target_connection
+#include "gooseberryturn/direct/target_connection.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+/// A connection to a target that sends what belongs to no request.
+using namespace gooseberryturn;          // NOLINT
+using namespace gooseberryturn::direct;  // NOLINT
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr char kIdHeader[] = "Attempt-Id";
+constexpr std::size_t kMaxSentBytes = 8U * 1024U * 1024U;
+
+/// Answers a request with fixed bytes, and then again and again with others.
+class WrongTarget {
+ public:
+  WrongTarget(asio::io_context& context, std::string first, std::string endless)
+      : acceptor(context,
+                 tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+        socket(context),
+        first(std::move(first)),
+        endless(std::move(endless)) {
+    this->acceptor.async_accept(this->socket, [this](const error_code& error) {
+      if (!error) {
+        this->ReadRequest();
+      }
+    });
+  }
+
+  [[nodiscard]] Endpoint endpoint() const {
+    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+  }
+
+  std::size_t sent_bytes = 0;  ///< Of the endless part.
+  int requests = 0;
+  /// Sent for each request from the second one on, instead of `first`.
+  std::string next;
+
+ private:
+  void ReadRequest() {
+    asio::async_read_until(this->socket, this->input, "\r\n\r\n",
+                           [this](const error_code& error, std::size_t size) {
+                             if (error) {
+                               return;
+                             }
+                             this->input.consume(size);
+                             this->requests += 1;
+                             const std::string& answer =
+                                 this->requests == 1 ? this->first : this->next;
+                             asio::async_write(
+                                 this->socket, asio::buffer(answer),
+                                 [this](const error_code& failed, std::size_t) {
+                                   if (!failed) {
+                                     this->Continue();
+                                   }
+                                 });
+                           });
+  }
+  void Continue() {
+    if (this->endless.empty()) {
+      this->ReadRequest();
+      return;
+    }
+    asio::async_write(this->socket, asio::buffer(this->endless),
+                      [this](const error_code& error, std::size_t size) {
+                        this->sent_bytes += size;
+                        if (!error && this->sent_bytes < kMaxSentBytes) {
+                          this->Continue();
+                        }
+                      });
+  }
+
+  tcp::acceptor acceptor;
+  tcp::socket socket;
+  asio::streambuf input;
+  std::string first;
+  std::string endless;
+};
+
+/// What one exchange delivered.
+struct Outcome {
+  std::optional<ExchangeEnd> end;
+  std::string body;
+};
+
+Outcome Exchange(asio::io_context& context,
+                 const std::shared_ptr<TargetConnection>& connection,
+                 const std::string& id) {
+  Outcome outcome;
+  ExchangeHooks hooks;
+  hooks.on_head = [](const ResponseHead& /*head*/) {};
+  hooks.on_body = [&outcome](std::string_view bytes) { outcome.body += bytes; };
+  hooks.on_end = [&outcome](ExchangeEnd end, const std::string& /*why*/) {
+    outcome.end = end;
+  };
+  connection->Exchange("GET / HTTP/1.1\r\n\r\n", kIdHeader, id,
+                       std::move(hooks));
+  const TimePoint limit = Clock::now() + std::chrono::seconds(5);
+  while (!outcome.end.has_value() && Clock::now() < limit) {
+    context.run_one_for(std::chrono::milliseconds(50));
+  }
+  if (!outcome.end.has_value()) {
+    connection->Cancel();
+  }
+  return outcome;
+}
+
+std::string MakeAnswer(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\n" + std::string(kIdHeader) + ": " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(interim_answers_without_end_are_invalid) {
+  asio::io_context context;
+  WrongTarget target(context, "HTTP/1.1 100 Continue\r\n\r\n",
+                     "HTTP/1.1 100 Continue\r\n\r\n");
+  const std::shared_ptr<TargetConnection> connection =
+      std::make_shared<TargetConnection>(context, target.endpoint());
+  const Outcome outcome = Exchange(context, connection, "a");
+  BOOST_REQUIRE(outcome.end.has_value());
+  BOOST_TEST((*outcome.end == ExchangeEnd::kInvalid));
+  BOOST_TEST(target.sent_bytes < kMaxSentBytes / 8);
+}
+
+BOOST_AUTO_TEST_CASE(a_head_without_end_is_invalid) {
+  asio::io_context context;
+  WrongTarget target(context, "HTTP/1.1 200 OK\r\n",
+                     "Filler: " + std::string(1000, 'x') + "\r\n");
+  const std::shared_ptr<TargetConnection> connection =
+      std::make_shared<TargetConnection>(context, target.endpoint());
+  const Outcome outcome = Exchange(context, connection, "a");
+  BOOST_REQUIRE(outcome.end.has_value());
+  BOOST_TEST((*outcome.end == ExchangeEnd::kInvalid));
+  BOOST_TEST(target.sent_bytes < kMaxSentBytes / 8);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_of_another_request_without_end_is_invalid) {
+  asio::io_context context;
+  const std::string chunk = "400\r\n" + std::string(1024, 'x') + "\r\n";
+  WrongTarget target(context,
+                     "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n",
+                     chunk);
+  const std::shared_ptr<TargetConnection> connection =
+      std::make_shared<TargetConnection>(context, target.endpoint());
+  const Outcome outcome = Exchange(context, connection, "a");
+  BOOST_REQUIRE(outcome.end.has_value());
+  BOOST_TEST((*outcome.end == ExchangeEnd::kInvalid));
+  BOOST_TEST(outcome.body.empty());
+  BOOST_TEST(target.sent_bytes < kMaxSentBytes / 2);
+}
+
+// A second copy of the first answer arrives before the answer to the next
+// request on the same connection.
+BOOST_AUTO_TEST_CASE(a_second_copy_of_an_answer_reaches_nobody) {
+  asio::io_context context;
+  WrongTarget target(context, MakeAnswer("a", "first"), "");
+  target.next = MakeAnswer("a", "first") + MakeAnswer("b", "second");
+  const std::shared_ptr<TargetConnection> connection =
+      std::make_shared<TargetConnection>(context, target.endpoint());
+  const Outcome first = Exchange(context, connection, "a");
+  BOOST_TEST(first.body == "first");
+  BOOST_REQUIRE(connection->is_reusable());
+  const Outcome second = Exchange(context, connection, "b");
+  BOOST_REQUIRE(second.end.has_value());
+  BOOST_TEST((*second.end == ExchangeEnd::kComplete));
+  BOOST_TEST(second.body == "second");
+  // The target is out of step, so the connection is not used again.
+  BOOST_TEST(!connection->is_reusable());
+}
+
+BOOST_AUTO_TEST_CASE(bytes_behind_an_answer_close_the_connection) {
+  asio::io_context context;
+  WrongTarget target(context, MakeAnswer("a", "first") + MakeAnswer("a", "x"),
+                     "");
+  const std::shared_ptr<TargetConnection> connection =
+      std::make_shared<TargetConnection>(context, target.endpoint());
+  const Outcome first = Exchange(context, connection, "a");
+  BOOST_TEST(first.body == "first");
+  BOOST_TEST(!connection->is_reusable());
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_breaks_off_is_not_complete) {
+  asio::io_context context;
+  WrongTarget target(context,
+                     "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+                     "not a chunk\r\n");
+  const std::shared_ptr<TargetConnection> connection =
+      std::make_shared<TargetConnection>(context, target.endpoint());
+  const Outcome outcome = Exchange(context, connection, "a");
+  BOOST_REQUIRE(outcome.end.has_value());
+  BOOST_TEST((*outcome.end == ExchangeEnd::kInvalid));
+}
