Acknowledge a leaving target once the log holds it

Trace: the leader acknowledged that a head leaves at 20.683 s and was frozen in the same moment; the change was to reach the log with the next delta. The next leader did not know, and the target, told to leave already, announced itself again only at 24.08 s. Change: an announcement that says leaving, and a withdrawal, are answered once the log holds the target as leaving; at once if it does already, with 503 if leadership is lost meanwhile.

--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -105,6 +105,10 @@
   void HandleAsLeader(const HttpRequest& call, AsyncHttpServer::Reply reply);
   void HandleAnnouncement(const std::string& id, const HttpRequest& call,
                           const AsyncHttpServer::Reply& reply);
+  /// Answers with `body` once the log holds that the target is leaving, so that
+  /// the next leader keeps what this one acknowledged.
+  void AcknowledgeLeaving(const std::string& target, const std::string& body,
+                          const AsyncHttpServer::Reply& reply);
   void PutConfiguration(const HttpRequest& call, AsyncHttpServer::Reply reply);
   void GetConfiguration(const AsyncHttpServer::Reply& reply);
   void SetEvacuated(const std::string& data_centre, bool is_out,
--- a/src/direct/control_host_calls.cc
+++ b/src/direct/control_host_calls.cc
@@ -88,7 +88,7 @@
       this->PublishTarget(decoded.name);
       LogEvent(Level::kInfo, "", "target_withdrawn",
                {{"target", decoded.name}});
-      reply({kOk, "application/json", "{}"});
+      this->AcknowledgeLeaving(decoded.name, "{}", reply);
       break;
     case ControlCallKind::kPutConfiguration:
       this->PutConfiguration(call, std::move(reply));
@@ -142,9 +142,40 @@
     this->crash_tracker.RecordCrash(removed, Clock::now());
     this->PublishTarget(removed);
   }
-  reply({kOk, "application/json",
-         this->dialect.write_announcement_reply(
-             *this->settings.control_endpoint)});
+  const std::string body =
+      this->dialect.write_announcement_reply(*this->settings.control_endpoint);
+  if (announcement->is_leaving && result != AnnouncementResult::kStale) {
+    this->AcknowledgeLeaving(target, body, reply);
+  } else {
+    reply({kOk, "application/json", body});
+  }
+}
+
+void ControlHost::AcknowledgeLeaving(const std::string& target,
+                                     const std::string& body,
+                                     const AsyncHttpServer::Reply& reply) {
+  const TargetRecord* record = this->registry.Find(target);
+  const auto committed = this->state.targets().find(target);
+  const bool is_committed =
+      committed != this->state.targets().end() && record != nullptr &&
+      committed->second.is_leaving &&
+      committed->second.start_time_ms == record->view.start_time_ms;
+  if (record == nullptr || is_committed) {
+    reply({kOk, "application/json", body});
+    return;
+  }
+  FleetCommand command;
+  command.kind = FleetCommandKind::kFleetDelta;
+  command.delta.targets = {record->view};
+  this->driver->Propose(
+      protocol::Encode(command),
+      [this, body, reply](const Result<consensus::Index>& applied) {
+        if (applied.has_value()) {
+          reply({kOk, "application/json", body});
+        } else {
+          reply(this->ErrorResponse(kUnavailable, applied.error().message));
+        }
+      });
 }
 
 void ControlHost::PutConfiguration(const HttpRequest& call,
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <memory>
 #include <string>
 #include <vector>
@@ -266,6 +267,53 @@
   }));
 }
 
+BOOST_AUTO_TEST_CASE(a_leaving_target_is_acknowledged_by_a_majority_only) {
+  // tdb-ops, groups-under-late-orders --vary --seed 744914029446: the leader
+  // froze just after it had acknowledged that a target leaves. The next leader
+  // did not know, and the target got requests for another second.
+  PlatformFleet fleet(68);
+  fleet.PutConfiguration(5);
+  const auto leader = [&fleet] {
+    for (int number = 1; number <= 3; ++number) {
+      if (Get(fleet.ControlEndpoint(number), "/metrics")
+              .Contains("gooseberryturn_is_leader 1")) {
+        return number;
+      }
+    }
+    return 0;
+  };
+  const int leading = leader();
+  BOOST_REQUIRE(leading != 0);
+  const auto announce = [&fleet, leading](const std::string& state,
+                                          int sequence) {
+    return Call(fleet.ControlEndpoint(leading), "PUT", "/api/instances/i-1", {},
+                R"({"service":"plain","address":"127.68.0.50:9000",)"
+                R"("zone":"za","state":")" +
+                    state + R"(","born":1,"seq":)" + std::to_string(sequence) +
+                    "}")
+        .ReadAll()
+        .status;
+  };
+  BOOST_REQUIRE(announce("ready", 1) == 200);
+  const auto signal_followers = [&fleet, leading](int signal) {
+    for (int number = 1; number <= 3; ++number) {
+      if (number != leading) {
+        fleet.controls[static_cast<std::size_t>(number - 1)]->Signal(signal);
+      }
+    }
+  };
+  // The leader still holds its lease for a moment.
+  signal_followers(SIGSTOP);
+  std::future<int> answered = std::async(
+      std::launch::async, [&announce] { return announce("draining", 2); });
+  const bool is_answered_alone =
+      answered.wait_for(std::chrono::milliseconds(300)) ==
+      std::future_status::ready;
+  signal_followers(SIGCONT);
+  const int status = answered.get();
+  BOOST_TEST((!is_answered_alone || status != 200));
+}
+
 BOOST_AUTO_TEST_CASE(acknowledged_configurations_survive_a_kill_of_all_hosts) {
   PlatformFleet fleet(61);
   fleet.PutConfiguration(8);
