Split the choice of copies for spares into short functions

Cause: read as a newcomer, StagingsOfSpares did four things in 45 lines. Change: SpareDemand, SpareDemands and BestCopyForSpare. One difference: a spare that held two models counts for neither of them once it gets a third.

--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -148,6 +148,13 @@
     double priority = 0;
   };
 
+  /// How much spares with a copy of one model are needed, by fabric domain.
+  struct SpareDemand {
+    const ModelProfile* model = nullptr;
+    std::map<std::string, double> exposed_work;  ///< See ExposedWorkByDomain.
+    std::map<std::string, std::size_t> spares;   ///< That have the model.
+  };
+
   /// A copy that was ordered.
   struct StagingInProgress {
     std::string model;
@@ -350,6 +357,14 @@
   [[nodiscard]] bool CanStage(const TargetRecord& record,
                               const Service& service, const PlanInput& input,
                               TimePoint now) const;
+  [[nodiscard]] std::vector<SpareDemand> SpareDemands(const Service& service,
+                                                      const PlanInput& input,
+                                                      TimePoint now) const;
+  /// The copy that `spare` should hold, which may be one that it has; no model
+  /// if its domain has no groups.
+  [[nodiscard]] Staging BestCopyForSpare(const TargetRecord& spare,
+                                         std::vector<SpareDemand>& demands,
+                                         TimePoint now) const;
   /// Copies for hosts in no group.
   ///
   /// \details Groups lose single members all the time, and large ones most
--- a/src/direct/group_planner_staging.cc
+++ b/src/direct/group_planner_staging.cc
@@ -72,43 +72,57 @@
   return exposed;
 }
 
-std::vector<GroupPlanner::Staging> GroupPlanner::StagingsOfSpares(
+std::vector<GroupPlanner::SpareDemand> GroupPlanner::SpareDemands(
     const Service& service, const PlanInput& input, TimePoint now) const {
-  std::map<std::string, std::map<std::string, std::size_t>> spares;
-  std::map<std::string, std::map<std::string, double>> exposed;
+  std::vector<SpareDemand> demands;
   for (const ModelProfile& model : service.engine->models) {
-    spares[model.name] = this->CountSparesByDomain(model.name, input, now);
-    exposed[model.name] = this->ExposedWorkByDomain(service, model, input);
+    demands.push_back({&model, this->ExposedWorkByDomain(service, model, input),
+                       this->CountSparesByDomain(model.name, input, now)});
+  }
+  return demands;
+}
+
+GroupPlanner::Staging GroupPlanner::BestCopyForSpare(
+    const TargetRecord& spare, std::vector<SpareDemand>& demands,
+    TimePoint now) const {
+  const std::string& domain = spare.view.engine.domain;
+  Staging best;
+  for (SpareDemand& demand : demands) {
+    const bool is_held = this->IsSpareWith(spare, demand.model->name, now);
+    const std::size_t others = demand.spares[domain] - (is_held ? 1 : 0);
+    const double priority = demand.exposed_work[domain] /
+                            static_cast<double>(1 + others) /
+                            demand.model->load_s;
+    if (priority > best.priority) {
+      best = {spare.view.name, demand.model, priority};
+    }
   }
+  return best;
+}
+
+std::vector<GroupPlanner::Staging> GroupPlanner::StagingsOfSpares(
+    const Service& service, const PlanInput& input, TimePoint now) const {
+  std::vector<SpareDemand> demands = this->SpareDemands(service, input, now);
   std::vector<Staging> stagings;
   for (const std::pair<const std::string, TargetRecord>& entry :
        input.registry.targets()) {
     const TargetRecord& record = entry.second;
-    const std::string& domain = record.view.engine.domain;
     if (this->group_by_target.count(entry.first) > 0 ||
         !this->CanLoad(record, service, input, now)) {
       continue;
     }
-    Staging best;
-    const ModelProfile* held = nullptr;
-    for (const ModelProfile& model : service.engine->models) {
-      const bool is_held = this->IsSpareWith(record, model.name, now);
-      held = is_held ? &model : held;
-      const std::size_t others = spares[model.name][domain] - (is_held ? 1 : 0);
-      const double priority = exposed[model.name][domain] /
-                              static_cast<double>(1 + others) / model.load_s;
-      if (priority > best.priority) {
-        best = {entry.first, &model, priority};
-      }
+    const Staging best = this->BestCopyForSpare(record, demands, now);
+    if (best.model == nullptr ||
+        this->IsSpareWith(record, best.model->name, now)) {
+      continue;
     }
-    if (best.model != nullptr &&
-        !this->IsSpareWith(record, best.model->name, now)) {
-      spares[best.model->name][domain] += 1;
-      if (held != nullptr) {
-        spares[held->name][domain] -= 1;
-      }
-      stagings.push_back(best);
+    for (SpareDemand& demand : demands) {
+      const bool was_held = this->IsSpareWith(record, demand.model->name, now);
+      std::size_t& spares = demand.spares[record.view.engine.domain];
+      spares += demand.model == best.model ? 1 : 0;
+      spares -= was_held ? 1 : 0;
     }
+    stagings.push_back(best);
   }
   return stagings;
 }
