Say who closed a caller's connection and what was left unanswered

Change: CloseCause; counters closes_total{cause} and requests_after_close_total; log line caller_closed for what was left incomplete; request_ended names the cause (unanswered_CAUSE instead of caller_gone). No change of logic.

--- a/include/gooseberryturn/direct/caller_connection.h
+++ b/include/gooseberryturn/direct/caller_connection.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 
+#include "gooseberryturn/core/close_cause.h"
 #include "gooseberryturn/core/time.h"
 #include "gooseberryturn/direct/configuration.h"
 
@@ -37,13 +38,16 @@
   std::function<void(std::shared_ptr<CallerConnection>, CallerMessage,
                      TimePoint)>
       on_request;
-  /// \brief Called when the caller disconnects while a request is in progress.
-  std::function<void()> on_disconnected;
+  /// \brief Called when the connection is closed while a request is in
+  /// progress, by the caller or by this side.
+  std::function<void(CloseCause)> on_disconnected;
   /// \brief Called when all queued bytes were sent and the answer is not
   /// complete yet.
   std::function<void()> on_writable;
   /// \brief Called once, when the connection is closed.
-  std::function<void()> on_closed;
+  std::function<void(CloseCause)> on_closed;
+  /// \brief Called when a request was read whose connection is closed already.
+  std::function<void()> on_request_after_close;
 
   void Start();
   /// \brief Sends a complete answer. `head` holds the status line and all
@@ -77,8 +81,11 @@
   void Send(std::string bytes);
   void WriteNext();
   void OnWritten();
-  void StartTimer(TimePoint deadline);
-  void Close();
+  /// Closes the connection for `cause` when `deadline` has passed.
+  void StartTimer(TimePoint deadline, CloseCause cause);
+  void Close(CloseCause cause);
+  /// Logs a closing that leaves a request or an answer incomplete.
+  void LogClose(CloseCause cause) const;
 
   boost::asio::ip::tcp::socket socket;
   boost::asio::steady_timer timer;
@@ -95,6 +102,7 @@
   bool is_answer_queued = false;  ///< To its last byte.
   bool keep_alive = true;
   bool is_leaving = false;
+  bool is_aborted = false;
   bool is_closed = false;
   TimePoint received_at;
 };
--- a/include/gooseberryturn/observe/metrics.h
+++ b/include/gooseberryturn/observe/metrics.h
@@ -18,6 +18,7 @@
 #include <sstream>
 #include <string>
 
+#include "gooseberryturn/core/close_cause.h"
 #include "gooseberryturn/core/name_table.h"
 #include "gooseberryturn/core/reason.h"
 #include "gooseberryturn/core/time.h"
@@ -41,16 +42,18 @@
   kClaims,
   kReservedTokens,
   kConcurrencyLimit,
+  kRequestsAfterClose,
 };
 
-inline constexpr std::size_t kMetricCount = 15;
+inline constexpr std::size_t kMetricCount = 16;
 
 /// \brief Exported names, without the prefix `gooseberryturn_`.
 inline constexpr NameTable<Metric, kMetricCount> kMetricNames = {
     {"requests_total", "answers_total", "answer_bytes_total", "in_flight",
      "connections", "relay_buffer_bytes", "view_renewals_total",
      "view_renewal_bytes_total", "view_index", "log_commit_index", "is_leader",
-     "groups", "claims", "reserved_tokens", "concurrency_limit"}};
+     "groups", "claims", "reserved_tokens", "concurrency_limit",
+     "requests_after_close_total"}};
 
 /// \brief Durations that are exported as summaries with quantiles.
 enum class Timing : std::uint8_t { kFirstByte, kRequest, kCommit };
@@ -76,6 +79,8 @@
   [[nodiscard]] std::int64_t Get(Metric metric) const noexcept;
   /// \brief Counts a refused request.
   void CountRefusal(Reason reason) noexcept;
+  /// \brief Counts a closed connection of a caller.
+  void CountClose(CloseCause cause) noexcept;
   /// \brief Counts a retry; `reason` is why the attempt before it failed.
   void CountRetry(Reason reason) noexcept;
   void Observe(Timing timing, Duration duration);
@@ -92,6 +97,7 @@
   std::array<std::atomic<std::int64_t>, kMetricCount> values;
   std::array<std::atomic<std::int64_t>, kReasonCount> refusals;
   std::array<std::atomic<std::int64_t>, kReasonCount> retries;
+  std::array<std::atomic<std::int64_t>, kCloseCauseCount> closes;
   mutable std::mutex timing_mutex;
   std::array<Quantiles, kTimingCount> timings;
 };
--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -9,6 +9,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "gooseberryturn/observe/log.h"
+
 namespace gooseberryturn::direct {
 
 namespace asio = boost::asio;
@@ -38,13 +40,13 @@
 
 // ------------------------------------------------------------------ reading
 
-void CallerConnection::StartTimer(TimePoint deadline) {
+void CallerConnection::StartTimer(TimePoint deadline, CloseCause cause) {
   this->timer.expires_after(deadline - Clock::now());
   const std::weak_ptr<CallerConnection> weak = this->weak_from_this();
-  this->timer.async_wait([weak](const error_code& error) {
+  this->timer.async_wait([weak, cause](const error_code& error) {
     const std::shared_ptr<CallerConnection> self = weak.lock();
     if (!error && self != nullptr) {
-      self->Close();
+      self->Close(cause);
     }
   });
 }
@@ -57,13 +59,15 @@
       static_cast<std::uint32_t>(this->limits.max_header_bytes));
   this->parser->body_limit(this->limits.max_body_bytes);
   const std::shared_ptr<CallerConnection> self = this->shared_from_this();
-  this->StartTimer(Clock::now() + Milliseconds(this->limits.idle_timeout_ms));
+  this->StartTimer(Clock::now() + Milliseconds(this->limits.idle_timeout_ms),
+                   CloseCause::kIdleTimeout);
   const auto read = [self] {
     self->received_at = Clock::now();
     self->is_reading = true;
     self->StartTimer(self->received_at +
-                     Milliseconds(self->limits.header_timeout_ms) +
-                     kWriteTimeout);
+                         Milliseconds(self->limits.header_timeout_ms) +
+                         kWriteTimeout,
+                     CloseCause::kReadTimeout);
     http::async_read(self->socket, self->buffer, *self->parser,
                      [self](const error_code& error, std::size_t /*size*/) {
                        self->timer.cancel();
@@ -82,7 +86,7 @@
   this->socket.async_wait(tcp::socket::wait_read,
                           [self, read](const error_code& error) {
                             if (error) {
-                              self->Close();
+                              self->Close(CloseCause::kReadFailed);
                             } else if (!self->is_closed) {
                               read();
                             }
@@ -103,7 +107,11 @@
              error != http::error::partial_message) {
     this->SendError(400, "Bad Request");
   } else {
-    this->Close();
+    const bool has_caller_left = error == http::error::end_of_stream ||
+                                 error == http::error::partial_message ||
+                                 error == asio::error::connection_reset;
+    this->Close(has_caller_left ? CloseCause::kCallerLeft
+                                : CloseCause::kReadFailed);
   }
 }
 
@@ -113,6 +121,9 @@
 }
 
 void CallerConnection::OnRequestRead() {
+  if (this->is_closed && this->on_request_after_close) {
+    this->on_request_after_close();
+  }
   this->in_request = true;
   CallerMessage message = this->parser->release();
   this->keep_alive = message.keep_alive() && !this->is_leaving;
@@ -133,7 +144,7 @@
         const ssize_t size = recv(self->socket.native_handle(), &byte, 1,
                                   MSG_PEEK | MSG_DONTWAIT);
         if (size == 0 || (size < 0 && errno != EAGAIN)) {
-          self->Close();
+          self->Close(CloseCause::kCallerLeft);
         }
         // Otherwise the next request has arrived; it is read after this one.
       });
@@ -196,12 +207,12 @@
     this->write_queue.front() += this->write_queue[1];
     this->write_queue.erase(this->write_queue.begin() + 1);
   }
-  this->StartTimer(Clock::now() + kWriteTimeout);
+  this->StartTimer(Clock::now() + kWriteTimeout, CloseCause::kWriteTimeout);
   const std::shared_ptr<CallerConnection> self = this->shared_from_this();
   asio::async_write(this->socket, asio::buffer(this->write_queue.front()),
                     [self](const error_code& error, std::size_t size) {
                       if (error || self->is_closed) {
-                        self->Close();
+                        self->Close(CloseCause::kWriteFailed);
                         return;
                       }
                       self->unsent -= size;
@@ -226,7 +237,8 @@
   this->on_disconnected = nullptr;
   this->on_writable = nullptr;
   if (!this->keep_alive || this->is_leaving) {
-    this->Close();
+    this->Close(this->is_aborted ? CloseCause::kAborted
+                                 : CloseCause::kAnswered);
     return;
   }
   error_code ignored;
@@ -238,38 +250,57 @@
   // A write in progress still finishes. Without its last chunk or its full
   // length the answer is recognised as incomplete.
   this->keep_alive = false;
+  this->is_aborted = true;
   this->is_answer_queued = true;
   this->on_disconnected = nullptr;
   if (!this->is_writing) {
-    this->Close();
+    this->Close(CloseCause::kAborted);
   }
 }
 
 void CallerConnection::Leave() {
   this->is_leaving = true;
   if (!this->in_request && !this->is_reading) {
-    this->Close();
+    this->Close(CloseCause::kLeaving);
+  }
+}
+
+void CallerConnection::LogClose(CloseCause cause) const {
+  const bool is_read_partly =
+      this->is_reading && (this->parser->got_some() || this->buffer.size() > 0);
+  const bool is_unanswered = this->in_request && !this->is_answer_queued;
+  if (!is_read_partly && !is_unanswered && this->unsent == 0) {
+    return;
   }
+  observe::LogEvent(
+      observe::Level::kInfo, "", "caller_closed",
+      {{"cause", std::string(kCloseCauseNames.Name(cause))},
+       {"read_partly", is_read_partly ? "true" : "false"},
+       {"unanswered", is_unanswered ? "true" : "false"},
+       {"unsent", std::to_string(this->unsent)},
+       {"ms", std::to_string(WholeMs(Clock::now() - this->received_at))}});
 }
 
-void CallerConnection::Close() {
+void CallerConnection::Close(CloseCause cause) {
   if (this->is_closed) {
     return;
   }
+  this->LogClose(cause);
   this->is_closed = true;
   this->timer.cancel();
   error_code ignored;
   this->socket.shutdown(tcp::socket::shutdown_both, ignored);
   this->socket.close(ignored);
-  const std::function<void()> disconnected =
+  const std::function<void(CloseCause)> disconnected =
       std::exchange(this->on_disconnected, nullptr);
   if (disconnected && this->in_request && !this->is_answer_queued) {
-    disconnected();
+    disconnected(cause);
   }
   this->on_writable = nullptr;
-  const std::function<void()> closed = std::exchange(this->on_closed, nullptr);
+  const std::function<void(CloseCause)> closed =
+      std::exchange(this->on_closed, nullptr);
   if (closed) {
-    closed();
+    closed(cause);
   }
 }
 
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -107,7 +107,14 @@
       const std::shared_ptr<CallerConnection> caller =
           std::make_shared<CallerConnection>(std::move(socket), limits);
       const std::weak_ptr<CallerConnection> weak = caller;
-      caller->on_closed = [this, weak] { this->callers.erase(weak.lock()); };
+      caller->on_closed = [this, weak](CloseCause cause) {
+        this->metrics.CountClose(cause);
+        this->callers.erase(weak.lock());
+      };
+      caller->on_request_after_close = [this] {
+        this->metrics.Add(observe::Metric::kRequestsAfterClose);
+        LogEvent(Level::kError, "", "request_after_close");
+      };
       caller->on_request = [this](const std::shared_ptr<CallerConnection>& from,
                                   CallerMessage message,
                                   TimePoint received_at) {
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -63,10 +63,10 @@
 void RequestFlow::Start() {
   this->entry.metrics.Add(observe::Metric::kInFlight);
   const std::weak_ptr<RequestFlow> weak = this->weak_from_this();
-  this->caller->on_disconnected = [weak] {
+  this->caller->on_disconnected = [weak](CloseCause cause) {
     const std::shared_ptr<RequestFlow> self = weak.lock();
     if (self != nullptr) {
-      self->Finish("caller_gone");
+      self->Finish("unanswered_" + std::string(kCloseCauseNames.Name(cause)));
     }
   };
   this->caller->on_writable = [weak] {
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -34,14 +34,16 @@
   return resident_pages * sysconf(_SC_PAGESIZE);
 }
 
-void RenderByReason(
-    const std::string& name,
-    const std::array<std::atomic<std::int64_t>, kReasonCount>& counts,
-    std::string& output) {
+/// Appends one counter for each value of an enumeration from `first` on.
+template <typename Enum, std::size_t Size>
+void RenderByLabel(const std::string& name, const std::string& label,
+                   const NameTable<Enum, Size>& names,
+                   const std::array<std::atomic<std::int64_t>, Size>& counts,
+                   std::size_t first, std::string& output) {
   output += "# TYPE " + std::string(kPrefix) + name + " counter\n";
-  for (std::size_t index = 1; index < kReasonCount; ++index) {
-    const std::string reason(kReasonNames.names[index]);
-    output += FormatSample(name, "{reason=\"" + reason + "\"}",
+  for (std::size_t index = first; index < Size; ++index) {
+    const std::string value(names.names[index]);
+    output += FormatSample(name, "{" + label + "=\"" + value + "\"}",
                            std::to_string(counts[index].load()));
   }
 }
@@ -52,6 +54,7 @@
     : values(),
       refusals(),
       retries(),
+      closes(),
       timings{
           Quantiles(accumulators::extended_p_square_probabilities = kQuantiles),
           Quantiles(accumulators::extended_p_square_probabilities = kQuantiles),
@@ -74,6 +77,10 @@
   this->refusals[static_cast<std::size_t>(reason)] += 1;
 }
 
+void Metrics::CountClose(CloseCause cause) noexcept {
+  this->closes[static_cast<std::size_t>(cause)] += 1;
+}
+
 void Metrics::CountRetry(Reason reason) noexcept {
   this->retries[static_cast<std::size_t>(reason)] += 1;
 }
@@ -97,8 +104,13 @@
   }
   output += "# TYPE " + std::string(kPrefix) + "resident_bytes gauge\n";
   output += FormatSample("resident_bytes", "", std::to_string(ResidentBytes()));
-  RenderByReason("refusals_total", this->refusals, output);
-  RenderByReason("retries_total", this->retries, output);
+  // Reason::kNone is no reason of a refusal or retry.
+  RenderByLabel("refusals_total", "reason", kReasonNames, this->refusals, 1,
+                output);
+  RenderByLabel("retries_total", "reason", kReasonNames, this->retries, 1,
+                output);
+  RenderByLabel("closes_total", "cause", kCloseCauseNames, this->closes, 0,
+                output);
   const std::lock_guard<std::mutex> guard(this->timing_mutex);
   for (std::size_t index = 0; index < kTimingCount; ++index) {
     const std::string name(kTimingNames.names[index]);
