Limits of callers' connections follow the configuration in force

Bodies that are allowed since were refused with 413 on older connections. Cause: the limits were copied when the connection was accepted. Change: a configuration in force hands its limits to the open connections. A raised idle timeout holds at once, a lowered one from the next request on, as the caller of an idle connection may still go by the longer one. Measured: with SetLimits doing nothing, as before, the tests of a raised idle timeout and of a raised body limit fail (no request read, the connection closed); they pass now.

--- a/include/gooseberryturn/direct/caller_connection.h
+++ b/include/gooseberryturn/direct/caller_connection.h
@@ -50,6 +50,11 @@
   std::function<void()> on_request_after_close;
 
   void Start();
+  /// \brief Replaces the limits from the next request on.
+  ///
+  /// \details The caller of an idle connection may go by the earlier or by the
+  /// new idle timeout; the longer one holds until its next request.
+  void SetLimits(const CallerLimits& next);
   /// \brief Sends a complete answer. `head` holds the status line and all
   /// headers except Content-Length and Connection, each line with its CRLF.
   void SendAnswer(std::string head, const std::string& body);
@@ -75,6 +80,7 @@
   void ReadRequest();
   /// Reads the request whose first bytes have arrived.
   void ReadArrivedRequest();
+  void ExtendIdleTime();
   void OnIdleTimeout();
   void OnReadError(const boost::system::error_code& error);
   void OnRequestRead();
@@ -97,9 +103,12 @@
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser;
+  TimePoint idle_since;
+  TimePoint idle_deadline;
   std::deque<std::string> write_queue;
   std::size_t unsent = 0;
   bool is_writing = false;
+  bool is_idle = false;  ///< No byte of the next request was seen.
   bool is_reading = false;
   bool in_request = false;
   bool is_answer_queued = false;  ///< To its last byte.
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -63,6 +63,8 @@
   friend class RequestFlow;
 
   void Accept();
+  /// Limits of the configuration in force, or defaults before the first one.
+  [[nodiscard]] CallerLimits LimitsInForce() const;
   void OnRequest(const std::shared_ptr<CallerConnection>& caller,
                  CallerMessage message, TimePoint received_at);
   /// Applies an update; false if its configuration cannot be restored, which
--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -47,16 +48,14 @@
 void CallerConnection::ReadRequest() {
   this->in_request = false;
   this->is_answer_queued = false;
-  this->parser.emplace();
-  this->parser->header_limit(
-      static_cast<std::uint32_t>(this->limits.max_header_bytes));
-  this->parser->body_limit(this->limits.max_body_bytes);
   if (this->buffer.size() > 0) {
     this->ReadArrivedRequest();
     return;
   }
-  this->timer.Set(Clock::now() + Milliseconds(this->limits.idle_timeout_ms),
-                  [this] { this->OnIdleTimeout(); });
+  this->is_idle = true;
+  this->idle_since = Clock::now();
+  this->idle_deadline = this->idle_since;
+  this->ExtendIdleTime();
   const std::shared_ptr<CallerConnection> self = this->shared_from_this();
   this->socket.async_wait(tcp::socket::wait_read,
                           [self](const error_code& error) {
@@ -68,6 +67,20 @@
                           });
 }
 
+void CallerConnection::SetLimits(const CallerLimits& next) {
+  this->limits = next;
+  if (this->is_idle) {
+    this->ExtendIdleTime();
+  }
+}
+
+void CallerConnection::ExtendIdleTime() {
+  this->idle_deadline =
+      std::max(this->idle_deadline,
+               this->idle_since + Milliseconds(this->limits.idle_timeout_ms));
+  this->timer.Set(this->idle_deadline, [this] { this->OnIdleTimeout(); });
+}
+
 void CallerConnection::OnIdleTimeout() {
   error_code ignored;
   // A request that has arrived already is answered.
@@ -78,7 +91,12 @@
 
 void CallerConnection::ReadArrivedRequest() {
   this->received_at = Clock::now();
+  this->is_idle = false;
   this->is_reading = true;
+  this->parser.emplace();
+  this->parser->header_limit(
+      static_cast<std::uint32_t>(this->limits.max_header_bytes));
+  this->parser->body_limit(this->limits.max_body_bytes);
   this->StartTimer(this->received_at +
                        Milliseconds(this->limits.header_timeout_ms) +
                        kWriteTimeout,
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -93,6 +93,12 @@
   return !this->is_leaving && this->view.version() != 0;
 }
 
+CallerLimits EntryHost::LimitsInForce() const {
+  return this->view.routes() == nullptr
+             ? CallerLimits()
+             : this->view.routes()->configuration().limits;
+}
+
 void EntryHost::Accept() {
   this->acceptor->async_accept([this](const error_code& error,
                                       tcp::socket socket) {
@@ -100,12 +106,9 @@
       return;
     }
     if (!error) {
-      const CallerLimits limits =
-          this->view.routes() == nullptr
-              ? CallerLimits()
-              : this->view.routes()->configuration().limits;
       const std::shared_ptr<CallerConnection> caller =
-          std::make_shared<CallerConnection>(std::move(socket), limits);
+          std::make_shared<CallerConnection>(std::move(socket),
+                                             this->LimitsInForce());
       const std::weak_ptr<CallerConnection> weak = caller;
       caller->on_closed = [this, weak](CloseCause cause) {
         this->metrics.CountClose(cause);
@@ -205,7 +208,13 @@
              {{"version", std::to_string(update.config_version)},
               {"before", std::to_string(this->view.version())}});
   }
+  const bool has_new_limits = table != nullptr;
   this->view.Apply(update, std::move(table));
+  if (has_new_limits) {
+    for (const std::shared_ptr<CallerConnection>& caller : this->callers) {
+      caller->SetLimits(this->LimitsInForce());
+    }
+  }
   if (!update.in_flight_work.empty()) {
     this->target_tracker.SetTotals(update.in_flight_work);
   }
--- a/tests/caller_connection_test.cc
+++ b/tests/caller_connection_test.cc
@@ -110,6 +110,44 @@
   BOOST_TEST(connected.Answer() == kAnswerHead);
 }
 
+// A caller goes by the idle timeout in force, not by that of its connect.
+BOOST_AUTO_TEST_CASE(a_raised_idle_timeout_holds_for_open_connections) {
+  Connected connected;
+  CallerLimits raised;
+  raised.idle_timeout_ms = 10'000;
+  connected.connection->SetLimits(raised);
+  connected.RunFor(3 * kIdleTimeout);
+  connected.SendRequest();
+  connected.RunFor(kIdleTimeout);
+  BOOST_TEST(connected.requests == 1);
+  BOOST_TEST(connected.Answer() == kAnswerHead);
+}
+
+BOOST_AUTO_TEST_CASE(a_lowered_idle_timeout_spares_an_idle_connection) {
+  CallerLimits long_idle_time;
+  long_idle_time.idle_timeout_ms = 10'000;
+  Connected connected(long_idle_time);
+  connected.connection->SetLimits(Connected::ShortIdleTime());
+  connected.RunFor(3 * kIdleTimeout);
+  connected.SendRequest();
+  connected.RunFor(kIdleTimeout);
+  BOOST_TEST(connected.requests == 1);
+  BOOST_TEST(connected.Answer("") == kAnswerHead);
+  connected.RunFor(3 * kIdleTimeout);
+  BOOST_REQUIRE(connected.causes.size() == 1);
+  BOOST_TEST((connected.causes.front() == CloseCause::kIdleTimeout));
+}
+
+BOOST_AUTO_TEST_CASE(a_raised_body_limit_holds_for_open_connections) {
+  CallerLimits small_bodies;
+  small_bodies.max_body_bytes = 2;
+  Connected connected(small_bodies);
+  connected.connection->SetLimits(CallerLimits());
+  connected.SendRequest();
+  connected.RunFor(kIdleTimeout);
+  BOOST_TEST(connected.requests == 1);
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_connection_is_closed_when_its_time_ends) {
   Connected connected;
   connected.RunFor(kIdleTimeout + milliseconds(100));
