A planned stop answers the requests that have arrived

What callers saw: around a planned stop of an entry a request was reset whose bytes were in the kernel already, on a kept connection or on one that waited to be accepted; one that was read after the last flows had been ended was handed to a target and lost with the process. Cause: 2.3 s after SIGTERM the entry closed its acceptor and every connection without a request in progress, without looking at what had arrived; until then it invited callers to keep their connections. Change: from SIGTERM on every answer says Connection: close, so that callers move away while the entry still accepts; the connections that wait in the kernel's queue are accepted before the acceptor is closed; what is idle is closed once it has been idle for a second and nothing has arrived; a request that is read after the last deadline is refused (503, not run). Measured: without the look at what has arrived, as before, a_request_that_has_arrived_at_a_stop_is_answered fails (closed, no request read); it passes now.

--- a/include/gooseberryturn/direct/caller_connection.h
+++ b/include/gooseberryturn/direct/caller_connection.h
@@ -65,8 +65,12 @@
   void EndChunks();
   /// \brief Breaks off an answer so that the caller can tell it is incomplete.
   void Abort();
-  /// \brief Reads no further requests; an idle connection is closed at once.
-  void Leave();
+  /// \brief Makes the answer in progress, or that to the next request, the last
+  /// one of the connection, and says so in its head.
+  void EndKeepAlive();
+  /// \brief Closes the connection if it has been idle for kLeaveIdleTime. A
+  /// request that has arrived is still read and answered.
+  void CloseIfIdle(TimePoint now);
 
   [[nodiscard]] std::size_t unsent_bytes() const noexcept {
     return this->unsent;
@@ -74,12 +78,16 @@
   [[nodiscard]] bool is_busy() const noexcept { return this->in_request; }
 
   static constexpr std::size_t kHighWaterBytes = 64U * 1024U;
+  /// Within this time a caller that has just connected sends its request.
+  static constexpr Duration kLeaveIdleTime = std::chrono::seconds(1);
   static constexpr Duration kWriteTimeout = std::chrono::seconds(10);
 
  private:
   void ReadRequest();
   /// Reads the request whose first bytes have arrived.
   void ReadArrivedRequest();
+  /// True if bytes of the next request are in the receive buffer of the kernel.
+  [[nodiscard]] bool HasInput() const;
   void ExtendIdleTime();
   void OnIdleTimeout();
   void OnReadError(const boost::system::error_code& error);
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -42,8 +42,9 @@
   [[nodiscard]] Result<void> Start();
   /// \brief Applies the settings that may change at runtime: the control hosts.
   void Reload(const HostSettings& changed);
-  /// \brief Reports this entry as not ready, stops accepting connections after
-  /// kAcceptTimeAfterLeave, and calls `on_done` once all requests in flight are
+  /// \brief Reports this entry as not ready and ends keep-alive on all
+  /// connections. After kAcceptTimeAfterLeave it stops accepting connections
+  /// and closes idle ones. Calls `on_done` once all requests in flight are
   /// answered or the grace period is nearly over.
   void Leave(std::function<void()> on_done);
   /// \brief True while a configuration is known and Leave was not called.
@@ -63,6 +64,10 @@
   friend class RequestFlow;
 
   void Accept();
+  /// Accepts the connections that wait in the queue of the kernel: closing the
+  /// acceptor would reset them.
+  void AcceptBacklog();
+  void AddCaller(boost::asio::ip::tcp::socket socket);
   /// Limits of the configuration in force, or defaults before the first one.
   [[nodiscard]] CallerLimits LimitsInForce() const;
   void OnRequest(const std::shared_ptr<CallerConnection>& caller,
@@ -75,6 +80,8 @@
       const FleetUpdate& update) const;
   /// Sends a report if one is due or further groups are stalled.
   void SendReport(TimePoint now);
+  /// True once no further request can be answered before the process ends.
+  [[nodiscard]] bool HasLeft() const;
   void Tick();
   /// Tries to dispatch the requests in the wait queue.
   void DispatchQueued();
--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -81,10 +81,14 @@
   this->timer.Set(this->idle_deadline, [this] { this->OnIdleTimeout(); });
 }
 
-void CallerConnection::OnIdleTimeout() {
+bool CallerConnection::HasInput() const {
   error_code ignored;
+  return this->socket.available(ignored) > 0;
+}
+
+void CallerConnection::OnIdleTimeout() {
   // A request that has arrived already is answered.
-  if (this->socket.available(ignored) == 0) {
+  if (!this->HasInput()) {
     this->Close(CloseCause::kIdleTimeout);
   }
 }
@@ -283,9 +287,11 @@
   }
 }
 
-void CallerConnection::Leave() {
-  this->is_leaving = true;
-  if (!this->in_request && !this->is_reading) {
+void CallerConnection::EndKeepAlive() { this->is_leaving = true; }
+
+void CallerConnection::CloseIfIdle(TimePoint now) {
+  if (this->is_idle && now >= this->idle_since + kLeaveIdleTime &&
+      !this->HasInput()) {
     this->Close(CloseCause::kLeaving);
   }
 }
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -89,6 +89,8 @@
   this->follow_client.AddControlHosts(changed.ControlLinks());
 }
 
+bool EntryHost::HasLeft() const { return this->is_leaving && !this->on_left; }
+
 bool EntryHost::IsReady() const {
   return !this->is_leaving && this->view.version() != 0;
 }
@@ -100,34 +102,51 @@
 }
 
 void EntryHost::Accept() {
-  this->acceptor->async_accept([this](const error_code& error,
-                                      tcp::socket socket) {
-    if (!this->acceptor->is_open()) {
-      return;
-    }
+  this->acceptor->async_accept(
+      [this](const error_code& error, tcp::socket socket) {
+        if (!error) {
+          this->AddCaller(std::move(socket));
+        }
+        if (this->acceptor->is_open()) {
+          this->Accept();
+        }
+      });
+}
+
+void EntryHost::AddCaller(tcp::socket socket) {
+  const std::shared_ptr<CallerConnection> caller =
+      std::make_shared<CallerConnection>(std::move(socket),
+                                         this->LimitsInForce());
+  const std::weak_ptr<CallerConnection> weak = caller;
+  caller->on_closed = [this, weak](CloseCause cause) {
+    this->metrics.CountClose(cause);
+    this->callers.erase(weak.lock());
+  };
+  caller->on_request_after_close = [this] {
+    this->metrics.Add(observe::Metric::kRequestsAfterClose);
+    LogEvent(Level::kError, "", "request_after_close");
+  };
+  caller->on_request = [this](const std::shared_ptr<CallerConnection>& from,
+                              CallerMessage message, TimePoint received_at) {
+    this->OnRequest(from, std::move(message), received_at);
+  };
+  if (this->is_leaving) {
+    caller->EndKeepAlive();
+  }
+  this->callers.insert(caller);
+  caller->Start();
+}
+
+void EntryHost::AcceptBacklog() {
+  error_code error;
+  this->acceptor->non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(this->context);
+    this->acceptor->accept(socket, error);
     if (!error) {
-      const std::shared_ptr<CallerConnection> caller =
-          std::make_shared<CallerConnection>(std::move(socket),
-                                             this->LimitsInForce());
-      const std::weak_ptr<CallerConnection> weak = caller;
-      caller->on_closed = [this, weak](CloseCause cause) {
-        this->metrics.CountClose(cause);
-        this->callers.erase(weak.lock());
-      };
-      caller->on_request_after_close = [this] {
-        this->metrics.Add(observe::Metric::kRequestsAfterClose);
-        LogEvent(Level::kError, "", "request_after_close");
-      };
-      caller->on_request = [this](const std::shared_ptr<CallerConnection>& from,
-                                  CallerMessage message,
-                                  TimePoint received_at) {
-        this->OnRequest(from, std::move(message), received_at);
-      };
-      this->callers.insert(caller);
-      caller->Start();
+      this->AddCaller(std::move(socket));
     }
-    this->Accept();
-  });
+  }
 }
 
 void EntryHost::OnRequest(const std::shared_ptr<CallerConnection>& caller,
@@ -312,6 +331,9 @@
   this->leave_deadline = now + this->settings.grace_period - kLeaveMargin;
   LogEvent(Level::kInfo, "", "leaving",
            {{"open", std::to_string(this->flows.size())}});
+  for (const std::shared_ptr<CallerConnection>& caller : this->callers) {
+    caller->EndKeepAlive();
+  }
 }
 
 void EntryHost::AdvanceLeave(TimePoint now) {
@@ -319,12 +341,14 @@
     return;
   }
   if (this->acceptor->is_open()) {
+    this->AcceptBacklog();
     error_code ignored;
     this->acceptor->close(ignored);
-    const std::set<std::shared_ptr<CallerConnection>> open = this->callers;
-    for (const std::shared_ptr<CallerConnection>& caller : open) {
-      caller->Leave();
-    }
+  }
+  const std::set<std::shared_ptr<CallerConnection>> open_callers =
+      this->callers;
+  for (const std::shared_ptr<CallerConnection>& caller : open_callers) {
+    caller->CloseIfIdle(now);
   }
   if (now >= this->leave_deadline) {
     const std::map<std::uint64_t, std::shared_ptr<RequestFlow>> open =
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -100,6 +100,10 @@
 bool RequestFlow::Admit() {
   const HeaderNames& names = this->entry.dialect.headers;
   this->caller_attempt_id = std::string(this->message[names.attempt]);
+  if (this->entry.HasLeft()) {
+    this->Refuse(kUnavailable, Reason::kLeaving);
+    return false;
+  }
   if (this->route_table == nullptr) {
     this->Refuse(kUnavailable, Reason::kNoView);
     return false;
--- a/tests/caller_connection_test.cc
+++ b/tests/caller_connection_test.cc
@@ -27,6 +27,7 @@
     "POST /a HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 4\r\n\r\nbody";
 constexpr char kAnswerHead[] = "HTTP/1.1 200 OK\r\n";
 constexpr milliseconds kIdleTimeout(100);
+constexpr milliseconds kLongEnough(60'000);
 
 /// A connection with its caller's side, and what was reported of it.
 class Connected {
@@ -148,6 +149,33 @@
   BOOST_TEST(connected.requests == 1);
 }
 
+// LOST: a request that was in the kernel at a planned stop was reset.
+BOOST_AUTO_TEST_CASE(a_request_that_has_arrived_at_a_stop_is_answered) {
+  Connected connected;
+  connected.connection->EndKeepAlive();
+  connected.SendRequest();
+  connected.connection->CloseIfIdle(Clock::now() + kLongEnough);
+  connected.Turn();
+  BOOST_TEST(connected.requests == 1);
+  BOOST_TEST(connected.causes.empty());
+  connected.connection->SendAnswer(kAnswerHead, "done");
+  connected.RunFor(kIdleTimeout);
+  error_code error;
+  const std::string answer = connected.Read(1000, error);
+  BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+  BOOST_TEST(answer.find("done") != std::string::npos);
+  BOOST_TEST((error == asio::error::eof));
+}
+
+BOOST_AUTO_TEST_CASE(an_idle_connection_is_closed_at_a_stop) {
+  Connected connected;
+  connected.connection->CloseIfIdle(Clock::now());
+  BOOST_TEST(connected.causes.empty());  // It may be about to be used.
+  connected.connection->CloseIfIdle(Clock::now() + kLongEnough);
+  BOOST_REQUIRE(connected.causes.size() == 1);
+  BOOST_TEST((connected.causes.front() == CloseCause::kLeaving));
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_connection_is_closed_when_its_time_ends) {
   Connected connected;
   connected.RunFor(kIdleTimeout + milliseconds(100));
