Close a caller's connection without resetting its last answer

What callers saw: the answer to a request whose body was too large, or one on a connection that the entry ended while more bytes were arriving, could be lost to a reset; a caller that was still sending got an error instead of it. Cause: shutdown and close with bytes unread make the kernel reset the connection, and the reset may overtake or destroy what was sent before. Change: after the last answer only the sending side is ended; what the caller still sends is read and dropped, for a second and a mebibyte at most; then the connection is closed. A broken-off stream is ended the same way. Measured: with the direct close of before, an_answer_is_not_destroyed_by_unread_bytes fails (the caller's next write gets an error); it passes now.

--- a/include/gooseberryturn/direct/caller_connection.h
+++ b/include/gooseberryturn/direct/caller_connection.h
@@ -78,6 +78,9 @@
   [[nodiscard]] bool is_busy() const noexcept { return this->in_request; }
 
   static constexpr std::size_t kHighWaterBytes = 64U * 1024U;
+  /// Bounds on what is read and dropped after the last answer.
+  static constexpr Duration kDropTime = std::chrono::seconds(1);
+  static constexpr std::size_t kMaxDroppedBytes = 1024U * 1024U;
   /// Within this time a caller that has just connected sends its request.
   static constexpr Duration kLeaveIdleTime = std::chrono::seconds(1);
   static constexpr Duration kWriteTimeout = std::chrono::seconds(10);
@@ -101,6 +104,11 @@
   /// Closes the connection for `cause` when `deadline` has passed.
   void StartTimer(TimePoint deadline, CloseCause cause);
   void Close(CloseCause cause);
+  /// Ends the sending side and drops what the caller still sends before the
+  /// connection is closed: closing it with unread bytes would reset it, and the
+  /// caller could lose the end of its answer.
+  void CloseAfterAnswer(CloseCause cause);
+  void DropInput(CloseCause cause);
   /// Logs a closing that leaves a request or an answer incomplete.
   void LogClose(CloseCause cause) const;
 
@@ -115,6 +123,7 @@
   TimePoint idle_deadline;
   std::deque<std::string> write_queue;
   std::size_t unsent = 0;
+  std::size_t dropped_bytes = 0;  ///< Read after the last answer.
   bool is_writing = false;
   bool is_idle = false;  ///< No byte of the next request was seen.
   bool is_reading = false;
--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr int kSendBufferBytes = 32 * 1024;
+constexpr std::size_t kDropChunkBytes = 4U * 1024U;
 constexpr char kLastChunk[] = "0\r\n\r\n";
 
 }  // namespace
@@ -266,8 +267,8 @@
   this->on_disconnected = nullptr;
   this->on_writable = nullptr;
   if (!this->keep_alive || this->is_leaving) {
-    this->Close(this->is_aborted ? CloseCause::kAborted
-                                 : CloseCause::kAnswered);
+    this->CloseAfterAnswer(this->is_aborted ? CloseCause::kAborted
+                                            : CloseCause::kAnswered);
     return;
   }
   error_code ignored;
@@ -283,7 +284,7 @@
   this->is_answer_queued = true;
   this->on_disconnected = nullptr;
   if (!this->is_writing) {
-    this->Close(CloseCause::kAborted);
+    this->CloseAfterAnswer(CloseCause::kAborted);
   }
 }
 
@@ -296,6 +297,30 @@
   }
 }
 
+void CallerConnection::CloseAfterAnswer(CloseCause cause) {
+  this->StartTimer(Clock::now() + kDropTime, cause);
+  error_code ignored;
+  this->socket.cancel(ignored);
+  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  this->buffer.consume(this->buffer.size());
+  this->DropInput(cause);
+}
+
+void CallerConnection::DropInput(CloseCause cause) {
+  const std::shared_ptr<CallerConnection> self = this->shared_from_this();
+  this->socket.async_read_some(
+      this->buffer.prepare(kDropChunkBytes),
+      [self, cause](const error_code& error, std::size_t size) {
+        self->dropped_bytes += size;
+        if (error || self->is_closed ||
+            self->dropped_bytes > kMaxDroppedBytes) {
+          self->Close(cause);
+        } else {
+          self->DropInput(cause);
+        }
+      });
+}
+
 void CallerConnection::LogClose(CloseCause cause) const {
   const bool is_read_partly =
       this->is_reading && (this->parser->got_some() || this->buffer.size() > 0);
--- a/tests/caller_connection_test.cc
+++ b/tests/caller_connection_test.cc
@@ -176,6 +176,48 @@
   BOOST_TEST((connected.causes.front() == CloseCause::kLeaving));
 }
 
+// LOST: the reset of a connection with unread bytes destroyed its answer.
+BOOST_AUTO_TEST_CASE(an_answer_is_not_destroyed_by_unread_bytes) {
+  CallerLimits limits;
+  limits.max_body_bytes = 10;
+  Connected connected(limits);
+  const std::string part(50'000, 'x');
+  connected.Write(
+      "POST /a HTTP/1.1\r\nHost: shop.example\r\nContent-Length: "
+      "100000\r\n\r\n" +
+      part);
+  connected.RunFor(milliseconds(50));
+  // The caller goes on sending its body before it reads.
+  error_code error;
+  asio::write(connected.caller, asio::buffer(part), error);
+  BOOST_TEST(!error);
+  connected.RunFor(milliseconds(50));
+  const std::string answer = connected.Read(10'000, error);
+  BOOST_TEST(answer.find("HTTP/1.1 413") == 0U);
+  BOOST_TEST((error == asio::error::eof));
+  connected.caller.close();
+  connected.RunFor(milliseconds(50));
+  BOOST_REQUIRE(connected.causes.size() == 1);
+  BOOST_TEST((connected.causes.front() == CloseCause::kAnswered));
+}
+
+BOOST_AUTO_TEST_CASE(bytes_after_the_last_answer_are_bounded) {
+  CallerLimits limits;
+  limits.max_body_bytes = 10;
+  Connected connected(limits);
+  connected.Write(
+      "POST /a HTTP/1.1\r\nHost: shop.example\r\nContent-Length: "
+      "9000000\r\n\r\n");
+  connected.caller.non_blocking(true);
+  const std::string part(50'000, 'x');
+  for (int round = 0; round < 1000 && connected.causes.empty(); ++round) {
+    error_code ignored;
+    connected.caller.write_some(asio::buffer(part), ignored);
+    connected.Turn();
+  }
+  BOOST_TEST(connected.causes.size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_connection_is_closed_when_its_time_ends) {
   Connected connected;
   connected.RunFor(kIdleTimeout + milliseconds(100));
