Keep the connection that an answer has promised to keep

What callers saw: at a planned stop, an answer without Connection: close was followed by a close; a next request that was on its way got no answer. Cause: whether the connection ends was decided twice, once in the head of the answer and once, by the state of then, after its last byte was written. Change: decided once, as the head is written. A connection that is kept gives its next answer with Connection: close, or is closed when idle. Measured: with the second decision, as before, an_answer_that_keeps_the_connection_is_kept_to fails (the second request is not read); it passes now.

--- a/include/gooseberryturn/direct/caller_connection.h
+++ b/include/gooseberryturn/direct/caller_connection.h
@@ -65,8 +65,8 @@
   void EndChunks();
   /// \brief Breaks off an answer so that the caller can tell it is incomplete.
   void Abort();
-  /// \brief Makes the answer in progress, or that to the next request, the last
-  /// one of the connection, and says so in its head.
+  /// \brief Makes the next answer that begins the last one of the connection,
+  /// and says so in its head.
   void EndKeepAlive();
   /// \brief Closes the connection if it has been idle for kLeaveIdleTime. A
   /// request that has arrived is still read and answered.
@@ -98,6 +98,8 @@
   void SendError(int status, const char* reason);
   /// Detects that the caller disconnects while its request is in progress.
   void WatchForDisconnect();
+  /// End of the head of an answer, with the Connection header it needs.
+  [[nodiscard]] std::string EndOfHead();
   void Send(std::string bytes);
   void WriteNext();
   void OnWritten();
@@ -131,6 +133,7 @@
   bool is_answer_queued = false;  ///< To its last byte.
   bool keep_alive = true;
   bool is_leaving = false;
+  bool is_last_answer = false;  ///< Its head says that the connection ends.
   bool is_aborted = false;
   bool is_closed = false;
   TimePoint received_at;
--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -182,10 +182,14 @@
 
 // ------------------------------------------------------------------ writing
 
+std::string CallerConnection::EndOfHead() {
+  this->is_last_answer = !this->keep_alive || this->is_leaving;
+  return this->is_last_answer ? "Connection: close\r\n\r\n" : "\r\n";
+}
+
 void CallerConnection::SendAnswer(std::string head, const std::string& body) {
   head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-  head += this->keep_alive && !this->is_leaving ? "\r\n"
-                                                : "Connection: close\r\n\r\n";
+  head += this->EndOfHead();
   head += body;
   this->is_answer_queued = true;
   this->Send(std::move(head));
@@ -193,8 +197,7 @@
 
 void CallerConnection::BeginChunks(std::string head) {
   head += "Transfer-Encoding: chunked\r\n";
-  head += this->keep_alive && !this->is_leaving ? "\r\n"
-                                                : "Connection: close\r\n\r\n";
+  head += this->EndOfHead();
   this->Send(std::move(head));
 }
 
@@ -266,7 +269,7 @@
   }
   this->on_disconnected = nullptr;
   this->on_writable = nullptr;
-  if (!this->keep_alive || this->is_leaving) {
+  if (this->is_last_answer) {
     this->CloseAfterAnswer(this->is_aborted ? CloseCause::kAborted
                                             : CloseCause::kAnswered);
     return;
@@ -279,7 +282,7 @@
 void CallerConnection::Abort() {
   // A write in progress still finishes. Without its last chunk or its full
   // length the answer is recognised as incomplete.
-  this->keep_alive = false;
+  this->is_last_answer = true;
   this->is_aborted = true;
   this->is_answer_queued = true;
   this->on_disconnected = nullptr;
--- a/tests/caller_connection_test.cc
+++ b/tests/caller_connection_test.cc
@@ -167,6 +167,26 @@
   BOOST_TEST((error == asio::error::eof));
 }
 
+// LOST: an answer without Connection: close was followed by a close, and the
+// next request got no answer.
+BOOST_AUTO_TEST_CASE(an_answer_that_keeps_the_connection_is_kept_to) {
+  Connected connected;
+  connected.SendRequest();
+  connected.Turn();
+  connected.connection->SendAnswer(kAnswerHead, "done");
+  connected.connection->EndKeepAlive();
+  connected.SendRequest();
+  connected.RunFor(milliseconds(50));
+  BOOST_TEST(connected.requests == 2);
+  connected.connection->SendAnswer(kAnswerHead, "last");
+  connected.RunFor(milliseconds(50));
+  error_code error;
+  const std::string answers = connected.Read(1000, error);
+  BOOST_TEST(answers.find("Connection: close") > answers.find("done"));
+  BOOST_TEST(answers.find("last") != std::string::npos);
+  BOOST_TEST((error == asio::error::eof));
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_connection_is_closed_at_a_stop) {
   Connected connected;
   connected.connection->CloseIfIdle(Clock::now());
