Go on watching for a caller that leaves after a wake-up without bytes

Cause, found by reading: a wake-up without bytes (EAGAIN) ended the watch, and an interrupted look (EINTR) counted as the caller's leaving, which closed the connection without an answer. Change: the watch goes on in both cases. Measured: a_caller_that_leaves_during_its_request_is_noticed covers the watch itself; the two cases have no test, as neither can be forced from outside.

--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -173,7 +173,11 @@
         char byte = 0;
         const ssize_t size = recv(self->socket.native_handle(), &byte, 1,
                                   MSG_PEEK | MSG_DONTWAIT);
-        if (size == 0 || (size < 0 && errno != EAGAIN)) {
+        const bool is_nothing_there =
+            size < 0 && (errno == EAGAIN || errno == EINTR);
+        if (is_nothing_there) {
+          self->WatchForDisconnect();
+        } else if (size <= 0) {
           self->Close(CloseCause::kCallerLeft);
         }
         // Otherwise the next request has arrived; it is read after this one.
--- a/tests/caller_connection_test.cc
+++ b/tests/caller_connection_test.cc
@@ -238,6 +238,20 @@
   BOOST_TEST(connected.causes.size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_during_its_request_is_noticed) {
+  Connected connected;
+  std::vector<CloseCause> disconnects;
+  connected.connection->on_disconnected = [&disconnects](CloseCause cause) {
+    disconnects.push_back(cause);
+  };
+  connected.SendRequest();
+  connected.Turn();
+  connected.caller.close();
+  connected.RunFor(milliseconds(50));
+  BOOST_REQUIRE(disconnects.size() == 1);
+  BOOST_TEST((disconnects.front() == CloseCause::kCallerLeft));
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_connection_is_closed_when_its_time_ends) {
   Connected connected;
   connected.RunFor(kIdleTimeout + milliseconds(100));
