Log only what a closed connection left incomplete

Cause: an idle connection that its caller closed was logged as unanswered, as reading its end counted as a request in progress; a request that was refused while it was read (413, 431, 400) left no line. Change: in_request is set only when an answer is due; caller_closed reads from the parser whether a request was read in part; log line request_not_read. Measured: tests of callers' connections pass; no test reads the log.

--- a/include/gooseberryturn/direct/caller_connection.h
+++ b/include/gooseberryturn/direct/caller_connection.h
@@ -128,7 +128,6 @@
   std::size_t dropped_bytes = 0;  ///< Read after the last answer.
   bool is_writing = false;
   bool is_idle = false;  ///< No byte of the next request was seen.
-  bool is_reading = false;
   bool in_request = false;
   bool is_answer_queued = false;  ///< To its last byte.
   bool keep_alive = true;
--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -97,7 +97,6 @@
 void CallerConnection::ReadArrivedRequest() {
   this->received_at = Clock::now();
   this->is_idle = false;
-  this->is_reading = true;
   this->parser.emplace();
   this->parser->header_limit(
       static_cast<std::uint32_t>(this->limits.max_header_bytes));
@@ -110,7 +109,6 @@
   http::async_read(this->socket, this->buffer, *this->parser,
                    [self](const error_code& error, std::size_t /*size*/) {
                      self->timer.Cancel();
-                     self->is_reading = false;
                      if (error) {
                        self->OnReadError(error);
                      } else {
@@ -120,8 +118,6 @@
 }
 
 void CallerConnection::OnReadError(const error_code& error) {
-  this->keep_alive = false;
-  this->in_request = true;
   if (error == http::error::body_limit) {
     this->SendError(413, "Payload Too Large");
   } else if (error == http::error::header_limit ||
@@ -142,6 +138,10 @@
 }
 
 void CallerConnection::SendError(int status, const char* reason) {
+  this->keep_alive = false;
+  this->in_request = true;
+  observe::LogEvent(observe::Level::kInfo, "", "request_not_read",
+                    {{"status", std::to_string(status)}});
   this->SendAnswer("HTTP/1.1 " + std::to_string(status) + " " + reason + "\r\n",
                    "");
 }
@@ -329,8 +329,9 @@
 }
 
 void CallerConnection::LogClose(CloseCause cause) const {
-  const bool is_read_partly =
-      this->is_reading && (this->parser->got_some() || this->buffer.size() > 0);
+  const bool is_read_partly = !this->in_request && this->parser.has_value() &&
+                              this->parser->got_some() &&
+                              !this->parser->is_done();
   const bool is_unanswered = this->in_request && !this->is_answer_queued;
   if (!is_read_partly && !is_unanswered && this->unsent == 0) {
     return;
