A leaving entry takes only what it can finish, and refuses the rest

Cause: whether a request may be taken was decided by the time since SIGTERM and not by the request's deadline. Change: 2.3 s after SIGTERM an entry takes only requests whose deadline lies within its grace time; others get 503 at once, not run, Retry-After 0 as another entry may take them. It accepts connections as long as a request is in flight, so as long as it lives anyway.

--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -43,9 +43,10 @@
   /// \brief Applies the settings that may change at runtime: the control hosts.
   void Reload(const HostSettings& changed);
   /// \brief Reports this entry as not ready and ends keep-alive on all
-  /// connections. After kAcceptTimeAfterLeave it stops accepting connections
-  /// and closes idle ones. Calls `on_done` once all requests in flight are
-  /// answered or the grace period is nearly over.
+  /// connections. After kAcceptTimeAfterLeave it closes idle connections and
+  /// takes only requests whose deadline is within the grace period. Calls
+  /// `on_done` once no request is in flight, or the grace period is nearly
+  /// over.
   void Leave(std::function<void()> on_done);
   /// \brief True while a configuration is known and Leave was not called.
   [[nodiscard]] bool IsReady() const;
@@ -54,7 +55,7 @@
   static constexpr Duration kReportInterval = std::chrono::milliseconds(100);
   static constexpr std::size_t kMaxCutRequests = 512;
   /// The load balancer sends no new connections after two failed readiness
-  /// checks.
+  /// checks, unless too few other entries are ready.
   static constexpr Duration kAcceptTimeAfterLeave =
       std::chrono::milliseconds(2300);
   /// Requests in flight are aborted this long before the grace period ends.
@@ -64,9 +65,8 @@
   friend class RequestFlow;
 
   void Accept();
-  /// Accepts the connections that wait in the queue of the kernel: closing the
-  /// acceptor would reset them.
-  void AcceptBacklog();
+  /// Accepts the connections that are established and closes the acceptor.
+  void CloseAcceptor();
   void AddCaller(boost::asio::ip::tcp::socket socket);
   /// Limits of the configuration in force, or defaults before the first one.
   [[nodiscard]] CallerLimits LimitsInForce() const;
@@ -80,8 +80,9 @@
       const FleetUpdate& update) const;
   /// Sends a report if one is due or further groups are stalled.
   void SendReport(TimePoint now);
-  /// True once no further request can be answered before the process ends.
-  [[nodiscard]] bool HasLeft() const;
+  /// True if this entry is leaving and may have ended before `deadline`, so
+  /// that a new request with that deadline might be cut.
+  [[nodiscard]] bool IsTooLateFor(TimePoint deadline) const;
   void Tick();
   /// Tries to dispatch the requests in the wait queue.
   void DispatchQueued();
@@ -129,7 +130,7 @@
   bool has_received_request = false;
   bool is_leaving = false;
   bool is_dispatching_queued = false;
-  TimePoint accept_deadline;  ///< The acceptor is closed then.
+  TimePoint accept_deadline;  ///< All requests are taken until then.
   TimePoint leave_deadline;   ///< Requests in flight are aborted then.
   std::function<void()> on_left;
 };
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -89,7 +89,10 @@
   this->follow_client.AddControlHosts(changed.ControlLinks());
 }
 
-bool EntryHost::HasLeft() const { return this->is_leaving && !this->on_left; }
+bool EntryHost::IsTooLateFor(TimePoint deadline) const {
+  return this->is_leaving && Clock::now() >= this->accept_deadline &&
+         deadline > this->leave_deadline;
+}
 
 bool EntryHost::IsReady() const {
   return !this->is_leaving && this->view.version() != 0;
@@ -137,7 +140,11 @@
   caller->Start();
 }
 
-void EntryHost::AcceptBacklog() {
+void EntryHost::CloseAcceptor() {
+  if (!this->acceptor->is_open()) {
+    return;
+  }
+  // Closing it would reset the connections that wait in the kernel's queue.
   error_code error;
   this->acceptor->non_blocking(true, error);
   while (!error) {
@@ -147,6 +154,7 @@
       this->AddCaller(std::move(socket));
     }
   }
+  this->acceptor->close(error);
 }
 
 void EntryHost::OnRequest(const std::shared_ptr<CallerConnection>& caller,
@@ -340,25 +348,24 @@
   if (now < this->accept_deadline || !this->on_left) {
     return;
   }
-  if (this->acceptor->is_open()) {
-    this->AcceptBacklog();
-    error_code ignored;
-    this->acceptor->close(ignored);
-  }
   const std::set<std::shared_ptr<CallerConnection>> open_callers =
       this->callers;
   for (const std::shared_ptr<CallerConnection>& caller : open_callers) {
     caller->CloseIfIdle(now);
   }
-  if (now >= this->leave_deadline) {
+  const bool is_time_up = now >= this->leave_deadline;
+  if (is_time_up) {
     const std::map<std::uint64_t, std::shared_ptr<RequestFlow>> open =
         this->flows;
     for (const auto& entry : open) {
       entry.second->Abort();
     }
   }
-  if (this->flows.empty() &&
-      (this->callers.empty() || now >= this->leave_deadline)) {
+  if (!this->flows.empty()) {
+    return;
+  }
+  this->CloseAcceptor();
+  if (this->callers.empty() || is_time_up) {
     std::exchange(this->on_left, nullptr)();
   }
 }
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -100,10 +100,6 @@
 bool RequestFlow::Admit() {
   const HeaderNames& names = this->entry.dialect.headers;
   this->caller_attempt_id = std::string(this->message[names.attempt]);
-  if (this->entry.HasLeft()) {
-    this->Refuse(kUnavailable, Reason::kLeaving);
-    return false;
-  }
   if (this->route_table == nullptr) {
     this->Refuse(kUnavailable, Reason::kNoView);
     return false;
@@ -143,6 +139,10 @@
   this->deadline =
       this->received_at +
       Milliseconds(std::min(caller_timeout_ms, this->route->timeout_ms));
+  if (this->entry.IsTooLateFor(this->deadline)) {
+    this->Refuse(kUnavailable, Reason::kLeaving);
+    return false;
+  }
   this->dispatch_by = this->received_at + this->MaxOnTimeWait();
   this->queue_deadline =
       std::min(this->deadline, this->received_at + kMaxQueueTime);
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -61,9 +61,11 @@
         std::chrono::duration<double>(this->deadline - Clock::now()).count();
     std::uniform_real_distribution<double> draw(kMinRetryAfterS,
                                                 kMaxRetryAfterS);
+    // Another entry may take at once what this one no longer takes.
+    const double wait_s =
+        reason == Reason::kLeaving ? 0 : draw(this->entry.random);
     const double retry_after_s =
-        std::min(draw(this->entry.random),
-                 std::max(0.0, remaining_s) * kRetryAfterShare);
+        std::min(wait_s, std::max(0.0, remaining_s) * kRetryAfterShare);
     std::array<char, 32> text{};
     std::snprintf(text.data(), text.size(), "%.2f", retry_after_s);
     lines += std::string("Retry-After: ") + text.data() + "\r\n";
--- a/tests/platform_fake_target.h
+++ b/tests/platform_fake_target.h
@@ -83,6 +83,8 @@
 
   std::atomic<Behaviour> behaviour = Behaviour::kServe;
   std::atomic<int> cut_after = 3;  ///< Events before kCutStream breaks off.
+  std::atomic<int> event_interval_ms = 10;
+  std::atomic<int> pause_ms = 0;  ///< Silence after the first event.
   static constexpr int kEventCount = 6;
 
  private:
@@ -186,7 +188,11 @@
       char size[16];
       std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
       asio::write(socket, asio::buffer(size + event + "\r\n"), error);
-      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      std::this_thread::sleep_for(
+          std::chrono::milliseconds(this->event_interval_ms));
+      if (number == 1) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(this->pause_ms));
+      }
     }
     if (this->behaviour == Behaviour::kCutStream) {
       asio::write(socket, asio::buffer(std::string("8\r\nid: 99\n")), error);
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -86,11 +86,12 @@
   [[nodiscard]] Answer SendRequest(const std::string& path,
                                    const std::string& id,
                                    const std::string& key = kKey,
-                                   bool is_stream = false) const {
+                                   bool is_stream = false,
+                                   int deadline_ms = 3000) const {
     std::map<std::string, std::string> headers = {
         {"Host", "shop.example"},
         {"X-Gooseberryturn-Attempt-Id", id},
-        {"X-Gooseberryturn-Deadline-Ms", "3000"},
+        {"X-Gooseberryturn-Deadline-Ms", std::to_string(deadline_ms)},
         {"Authorization", key}};
     if (is_stream) {
       headers["X-Gooseberryturn-Model"] = "m";
--- /dev/null
+++ b/tests/platform_stop_test.cc
@@ -0,0 +1,88 @@
+#define BOOST_TEST_MODULE platform_stop
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform_fake_target.h"
+#include "platform_fleet.h"
+
+/// Requests that an entry or its target may not finish, with the real programs.
+using namespace gooseberryturn;         // NOLINT
+using namespace gooseberryturn::fleet;  // NOLINT
+
+namespace {
+
+constexpr int kLongMs = 20'000;
+constexpr int kShortMs = 500;
+
+/// A fleet with one group of two engines and one plain target.
+class ServingFleet : public PlatformFleet {
+ public:
+  explicit ServingFleet(int net) : PlatformFleet(net) {
+    this->PutConfiguration(1, kLongMs);
+    this->plain = std::make_unique<FakeTarget>(
+        "p-1", this->EndpointAt(20, 9000), this->ControlEndpoint(1), "plain");
+    for (int number = 1; number <= 2; ++number) {
+      this->engines.push_back(std::make_unique<FakeTarget>(
+          "e-" + std::to_string(number), this->EndpointAt(30 + number, 9000),
+          this->ControlEndpoint(number), "engines"));
+    }
+    BOOST_REQUIRE(Eventually([this] {
+      return this->SendRequest("/stream/1", "warm", kKey, true).is_complete &&
+             this->SendRequest("/safe/1", "warm").status == 200;
+    }));
+  }
+
+  /// Starts a stream and returns once a target runs it.
+  [[nodiscard]] std::future<Answer> StartStream(const std::string& id) {
+    std::future<Answer> stream = std::async(std::launch::async, [this, id] {
+      return this->SendRequest("/stream/1", id, kKey, true, kLongMs);
+    });
+    BOOST_REQUIRE(Eventually([this, &id] { return this->HasRun(id); }));
+    return stream;
+  }
+  [[nodiscard]] bool HasRun(const std::string& id) const {
+    std::vector<std::string> runs = this->plain->Runs();
+    for (const std::unique_ptr<FakeTarget>& engine : this->engines) {
+      const std::vector<std::string> more = engine->Runs();
+      runs.insert(runs.end(), more.begin(), more.end());
+    }
+    return std::find(runs.begin(), runs.end(), id) != runs.end();
+  }
+
+  std::unique_ptr<FakeTarget> plain;
+  std::vector<std::unique_ptr<FakeTarget>> engines;
+};
+
+}  // namespace
+
+// LOST: a request was taken long after the stop began and given up at its end.
+BOOST_AUTO_TEST_CASE(a_leaving_entry_refuses_what_it_may_not_finish) {
+  ServingFleet fleet(81);
+  for (const std::unique_ptr<FakeTarget>& engine : fleet.engines) {
+    engine->event_interval_ms = 700;
+  }
+  std::future<Answer> stream = fleet.StartStream("early");
+  fleet.entry->Signal(SIGTERM);
+  int number = 0;
+  Answer late;
+  BOOST_REQUIRE(Eventually([&fleet, &number, &late] {
+    number += 1;
+    late = fleet.SendRequest("/safe/1", "late-" + std::to_string(number), kKey,
+                             false, kLongMs);
+    return late.status != 200;
+  }));
+  BOOST_TEST(late.status == 503);
+  BOOST_TEST(late.headers["Retry-After"] == "0.00");
+  BOOST_TEST(!fleet.HasRun("late-" + std::to_string(number)));
+  // What surely ends in time is still served, on new connections too.
+  BOOST_TEST(
+      fleet.SendRequest("/safe/1", "short", kKey, false, kShortMs).status ==
+      200);
+  const Answer early = stream.get();
+  BOOST_TEST(early.status == 200);
+  BOOST_TEST(early.is_complete);
+  BOOST_TEST(fleet.entry->WaitExit() == 0);
+}
