A silent target is left only for another that has room

The class: what was promised is given up before its replacement is there. Change: the request waits for another target while its attempt goes on. It moves when one takes it, and stays if its own target sends again or if none has room. Requests behind it in the queue are not held up. Measured: a_silent_target_is_kept_while_no_other_has_room failed on the code before (stream cut after its first event) and passes now.

--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -40,10 +40,17 @@
   /// \brief Chooses a target and sends the request to it.
   /// \returns False when the request has to wait.
   [[nodiscard]] bool TryDispatch();
-  /// \brief Ends a request that found no target in time or may not be retried.
-  void GiveUp();
-  /// \brief Enforces the deadline and moves requests away from targets that are
-  /// stalled or broken.
+  /// \brief True while an attempt is in progress whose target is silent; the
+  /// request may then wait in the queue for another target.
+  [[nodiscard]] bool IsMoving() const noexcept {
+    return this->connection != nullptr;
+  }
+  /// \brief Called when the time in the wait queue is over. A request whose
+  /// attempt is still in progress stays with its target; others are ended.
+  void OnQueueExpired();
+  /// \brief Enforces the deadline, and queues a request for another target when
+  /// its own is stalled or broken. The attempt in progress goes on until
+  /// another target takes the request: silence alone does not end an answer.
   void Tick(TimePoint now);
   /// \brief Ends the request because the entry shuts down.
   void Abort();
@@ -61,6 +68,8 @@
   [[nodiscard]] bool Admit();
   /// Digest of path, team and body; a request sent again has the same one.
   [[nodiscard]] std::string Fingerprint() const;
+  /// Ends a request that found no target in time or may not be retried.
+  void GiveUp();
   void Dispatch();
   void StartAttempt(const std::string& target_id);
   [[nodiscard]] std::string SerializeRequest(
@@ -68,6 +77,8 @@
   /// Takes the prompt off the pending prefill work of the target: its prefill
   /// is done, or will not be done.
   void EndPrefill();
+  /// Records that bytes arrived from the target.
+  void OnProgress(TimePoint now);
   void OnHead(const ResponseHead& head);
   void OnBody(std::string_view bytes);
   void OnEvent(const StreamEvent& event);
@@ -86,6 +97,14 @@
   void CancelAttempt(HealthSignal signal);
   /// Leaves the wait queue and cancels the attempt in progress.
   void CancelPendingWork();
+  /// True if the attempt in progress is not expected to end in time, or its
+  /// target is silent.
+  [[nodiscard]] bool IsAttemptLost(TimePoint now) const;
+  /// Cancels the attempt in progress, for another target that has room. False
+  /// if no retry may be taken; the attempt then goes on.
+  [[nodiscard]] bool TryLeaveTarget(TimePoint now);
+  void LeaveQueue();
+  [[nodiscard]] bool MayRetry(bool may_have_executed) const;
   /// Takes a retry from the service's budget if another attempt is allowed.
   [[nodiscard]] bool TryTakeRetry(bool may_have_executed);
   [[nodiscard]] std::string SerializeAnswerHead() const;
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -292,7 +292,8 @@
         continue;
       }
       const std::shared_ptr<RequestFlow> flow = found->second;
-      if (!flow->TryDispatch()) {
+      // One that moves to another target must not hold up those behind it.
+      if (!flow->TryDispatch() && !flow->IsMoving()) {
         break;
       }
     }
@@ -316,7 +317,7 @@
     const auto found = this->flows.find(flow_id);
     if (found != this->flows.end()) {
       const std::shared_ptr<RequestFlow> flow = found->second;
-      flow->GiveUp();
+      flow->OnQueueExpired();
     }
   }
   this->DispatchQueued();
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -242,14 +242,16 @@
       this->entry.settings.cold_factor, now);
   if (choice.target == nullptr) {
     if (choice.reason == ChoiceFailure::kNoTarget && this->model.empty() &&
-        !this->is_head_sent) {
+        !this->is_head_sent && !this->IsMoving()) {
       this->OnAttemptFailed("no_target", false);
       return true;
     }
     return false;
   }
-  this->is_queued = false;
-  this->entry.wait_queue.Remove(this->flow_id);
+  this->LeaveQueue();
+  if (this->IsMoving() && !this->TryLeaveTarget(now)) {
+    return true;
+  }
   this->load_at_choice = choice.load;
   this->expected_first_event_ms = choice.expected_ms;
   this->StartAttempt(choice.target->name);
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -28,9 +28,15 @@
       this->target, std::exchange(this->pending_prefill_tokens, 0));
 }
 
+void RequestFlow::OnProgress(TimePoint now) {
+  this->entry.target_tracker.RecordProgress(this->target, now);
+  this->last_progress_at = now;
+  // The target is no longer silent, so no other one is needed.
+  this->LeaveQueue();
+}
+
 void RequestFlow::OnHead(const ResponseHead& head) {
-  this->entry.target_tracker.RecordProgress(this->target, Clock::now());
-  this->last_progress_at = Clock::now();
+  this->OnProgress(Clock::now());
   this->answer_head = head;
   const HeaderNames& names = this->entry.dialect.headers;
   const std::string_view content_type = ToView(head[http::field::content_type]);
@@ -43,9 +49,7 @@
 }
 
 void RequestFlow::OnBody(std::string_view bytes) {
-  const TimePoint now = Clock::now();
-  this->entry.target_tracker.RecordProgress(this->target, now);
-  this->last_progress_at = now;
+  this->OnProgress(Clock::now());
   this->EndPrefill();
   if (!this->is_streaming) {
     this->answer_body.append(bytes);
@@ -96,6 +100,7 @@
   const std::shared_ptr<RequestFlow> self = this->shared_from_this();
   const std::shared_ptr<TargetConnection> used =
       std::exchange(this->connection, nullptr);
+  this->LeaveQueue();
   const TimePoint now = Clock::now();
   const bool is_rejected =
       end == ExchangeEnd::kComplete &&
@@ -180,16 +185,18 @@
   this->ForwardAnswer();
 }
 
-bool RequestFlow::TryTakeRetry(bool may_have_executed) {
-  if (may_have_executed) {
-    if (!this->route->IsIdempotent() ||
-        this->possible_executions + 1 >= this->route->max_executions) {
-      return false;
-    }
+bool RequestFlow::MayRetry(bool may_have_executed) const {
+  if (may_have_executed &&
+      (!this->route->IsIdempotent() ||
+       this->possible_executions + 1 >= this->route->max_executions)) {
+    return false;
   }
-  const bool has_time = Clock::now() < this->deadline;
-  const bool is_allowed = has_time &&
-                          this->tried_targets.size() < kMaxAttempts &&
+  return Clock::now() < this->deadline &&
+         this->tried_targets.size() < kMaxAttempts;
+}
+
+bool RequestFlow::TryTakeRetry(bool may_have_executed) {
+  const bool is_allowed = this->MayRetry(may_have_executed) &&
                           this->entry.RetryBudgetOf(this->service).TakeRetry();
   if (is_allowed) {
     this->entry.metrics.CountRetry(may_have_executed ? Reason::kAnswerCut
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -88,8 +88,7 @@
 }
 
 void RequestFlow::CancelPendingWork() {
-  this->entry.wait_queue.Remove(this->flow_id);
-  this->is_queued = false;
+  this->LeaveQueue();
   this->CancelAttempt(HealthSignal::kNone);
 }
 
@@ -158,23 +157,31 @@
     }
     return;
   }
-  if (this->connection == nullptr || !this->route->IsIdempotent()) {
-    return;
+  const bool may_move = this->connection != nullptr && !this->is_queued &&
+                        this->route->IsIdempotent();
+  if (may_move && this->IsAttemptLost(now) && this->MayRetry(true)) {
+    // The attempt goes on until another target takes the request.
+    this->queue_deadline = std::min(this->deadline, now + kMaxQueueTime);
+    this->Dispatch();
   }
-  bool is_attempt_lost = false;
+}
+
+bool RequestFlow::IsAttemptLost(TimePoint now) const {
   if (this->route->kind == RouteKind::kStreaming) {
     const bool is_group_broken = this->entry.view.IsBroken(this->target);
     const bool is_stream_stalled =
         now >= this->last_progress_at + kStreamStallTimeout &&
         this->entry.target_tracker.IsStalled(this->target, now);
-    is_attempt_lost = is_group_broken || is_stream_stalled;
-  } else {
-    const Duration limit = std::chrono::duration_cast<Duration>(
-        kAttemptTimeShare * (this->deadline - this->received_at));
-    is_attempt_lost = now >= this->attempt_started_at + limit;
+    return is_group_broken || is_stream_stalled;
   }
-  if (!is_attempt_lost || !this->TryTakeRetry(true)) {
-    return;
+  const Duration limit = std::chrono::duration_cast<Duration>(
+      kAttemptTimeShare * (this->deadline - this->received_at));
+  return now >= this->attempt_started_at + limit;
+}
+
+bool RequestFlow::TryLeaveTarget(TimePoint now) {
+  if (!this->TryTakeRetry(true)) {
+    return false;
   }
   LogEvent(
       Level::kInfo, this->caller_attempt_id, "target_given_up",
@@ -184,8 +191,22 @@
   this->possible_executions += 1;
   this->entry.ReportCutOff({this->Fingerprint(), this->target});
   this->CancelAttempt(HealthSignal::kBad);
-  this->queue_deadline = std::min(this->deadline, now + kMaxQueueTime);
-  this->Dispatch();
+  return true;
+}
+
+void RequestFlow::LeaveQueue() {
+  if (!this->is_queued) {
+    return;
+  }
+  this->entry.wait_queue.Remove(this->flow_id);
+  this->is_queued = false;
+}
+
+void RequestFlow::OnQueueExpired() {
+  this->is_queued = false;
+  if (this->connection == nullptr) {
+    this->GiveUp();
+  }
 }
 
 }  // namespace gooseberryturn::direct
--- a/tests/platform_stop_test.cc
+++ b/tests/platform_stop_test.cc
@@ -86,3 +86,16 @@
   BOOST_TEST(early.is_complete);
   BOOST_TEST(fleet.entry->WaitExit() == 0);
 }
+
+// LOST: a stream was cut because its target was silent, long before its
+// deadline, although the target went on later.
+BOOST_AUTO_TEST_CASE(a_silent_target_is_kept_while_no_other_has_room) {
+  ServingFleet fleet(82);
+  for (const std::unique_ptr<FakeTarget>& engine : fleet.engines) {
+    engine->pause_ms = 4000;
+  }
+  const Answer answer = fleet.StartStream("silent").get();
+  BOOST_TEST(answer.status == 200);
+  BOOST_TEST(answer.is_complete);
+  BOOST_TEST(answer.Contains("id: 6\n"));
+}
