Answers say how long their connection may stay idle

Change: answers that keep their connection carry Keep-Alive with four fifths of the idle timeout in whole seconds; what was announced holds, also if a configuration lowers the limit before the answer has ended. Measured: an_answer_says_how_long_its_connection_may_be_idle and an_announced_idle_timeout_is_kept_to cover it; the first cannot pass on the code before, which sent no such header.

--- a/include/gooseberryturn/direct/caller_connection.h
+++ b/include/gooseberryturn/direct/caller_connection.h
@@ -98,7 +98,8 @@
   void SendError(int status, const char* reason);
   /// Detects that the caller disconnects while its request is in progress.
   void WatchForDisconnect();
-  /// End of the head of an answer, with the Connection header it needs.
+  /// End of the head of an answer: says whether the connection is closed after
+  /// it, or how long it may be idle.
   [[nodiscard]] std::string EndOfHead();
   void Send(std::string bytes);
   void WriteNext();
@@ -121,6 +122,8 @@
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser;
+  /// Idle timeout in force when the latest answer began.
+  std::int64_t announced_idle_timeout_ms = 0;
   TimePoint idle_since;
   TimePoint idle_deadline;
   std::deque<std::string> write_queue;
--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -23,6 +23,11 @@
 
 constexpr int kSendBufferBytes = 32 * 1024;
 constexpr std::size_t kDropChunkBytes = 4U * 1024U;
+/// Share of the idle timeout that callers are told. Within the rest a request
+/// on its way still reaches an open connection.
+constexpr std::int64_t kUsableIdlePercent = 80;
+constexpr std::int64_t kPercent = 100;
+constexpr std::int64_t kMsPerSecond = 1000;
 constexpr char kLastChunk[] = "0\r\n\r\n";
 
 }  // namespace
@@ -55,7 +60,8 @@
   }
   this->is_idle = true;
   this->idle_since = Clock::now();
-  this->idle_deadline = this->idle_since;
+  this->idle_deadline =
+      this->idle_since + Milliseconds(this->announced_idle_timeout_ms);
   this->ExtendIdleTime();
   const std::shared_ptr<CallerConnection> self = this->shared_from_this();
   this->socket.async_wait(tcp::socket::wait_read,
@@ -188,7 +194,17 @@
 
 std::string CallerConnection::EndOfHead() {
   this->is_last_answer = !this->keep_alive || this->is_leaving;
-  return this->is_last_answer ? "Connection: close\r\n\r\n" : "\r\n";
+  if (this->is_last_answer) {
+    return "Connection: close\r\n\r\n";
+  }
+  this->announced_idle_timeout_ms = this->limits.idle_timeout_ms;
+  const std::int64_t usable_ms =
+      this->limits.idle_timeout_ms * kUsableIdlePercent / kPercent;
+  const std::int64_t usable_s = usable_ms / kMsPerSecond;
+  if (usable_s == 0) {
+    return "\r\n";
+  }
+  return "Keep-Alive: timeout=" + std::to_string(usable_s) + "\r\n\r\n";
 }
 
 void CallerConnection::SendAnswer(std::string head, const std::string& body) {
--- a/tests/caller_connection_test.cc
+++ b/tests/caller_connection_test.cc
@@ -79,6 +79,13 @@
     text.resize(asio::read(this->caller, asio::buffer(text), error));
     return text;
   }
+  /// Reads what has arrived at the caller.
+  std::string ReadSome() {
+    std::string text(4096, '\0');
+    error_code ignored;
+    text.resize(this->caller.read_some(asio::buffer(text), ignored));
+    return text;
+  }
   /// Sends `body` as the answer and returns the status line that arrives.
   std::string Answer(const std::string& body = "done") {
     this->connection->SendAnswer(kAnswerHead, body);
@@ -139,6 +146,36 @@
   BOOST_TEST((connected.causes.front() == CloseCause::kIdleTimeout));
 }
 
+// LOST: callers went on using a connection up to the moment of its closing.
+BOOST_AUTO_TEST_CASE(an_answer_says_how_long_its_connection_may_be_idle) {
+  CallerLimits limits;
+  limits.idle_timeout_ms = 15'000;
+  Connected connected(limits);
+  connected.SendRequest();
+  connected.Turn();
+  connected.connection->SendAnswer(kAnswerHead, "done");
+  connected.RunFor(milliseconds(50));
+  const std::string answer = connected.ReadSome();
+  BOOST_TEST(answer.find("Keep-Alive: timeout=12\r\n") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(an_announced_idle_timeout_is_kept_to) {
+  CallerLimits limits;
+  limits.idle_timeout_ms = 2000;
+  Connected connected(limits);
+  connected.SendRequest();
+  connected.Turn();
+  connected.connection->BeginChunks(kAnswerHead);
+  connected.connection->SetLimits(Connected::ShortIdleTime());
+  connected.connection->EndChunks();
+  connected.RunFor(3 * kIdleTimeout);
+  BOOST_TEST(connected.ReadSome().find("Keep-Alive: timeout=1\r\n") !=
+             std::string::npos);
+  connected.SendRequest();
+  connected.RunFor(kIdleTimeout);
+  BOOST_TEST(connected.requests == 2);
+}
+
 BOOST_AUTO_TEST_CASE(a_raised_body_limit_holds_for_open_connections) {
   CallerLimits small_bodies;
   small_bodies.max_body_bytes = 2;
