A call that arrives as the idle time ends is answered

Callers of a control host saw: a call over a kept connection got no answer, although it was read and carried out.

Cause: ServerSession used a steady_timer for the idle time. cancel() does not take back a completion that is queued already. Where the loop found the call and the end of the idle time in one turn, the call was handed over and the old completion then closed the session.

Change: the session uses link::DeadlineTimer, whose replaced or cancelled deadlines never act. The limits of the server are now a parameter, so that a test can set them; the values are the same.

--- a/include/gooseberryturn/direct/async_http.h
+++ b/include/gooseberryturn/direct/async_http.h
@@ -29,6 +29,13 @@
   std::string body;
 };
 
+/// \brief Limits of an AsyncHttpServer.
+struct HttpServerLimits {
+  std::size_t max_body_bytes = 8U * 1024U * 1024U;
+  /// Longest time until the next request was read.
+  Duration idle_timeout = std::chrono::seconds(30);
+};
+
 /// \brief HTTP/1.1 server that runs on the thread of its io_context.
 ///
 /// \details Unlike with observe::HttpServer, the handler may reply later and
@@ -38,21 +45,20 @@
   using Reply = std::function<void(HttpResponse)>;
   using Handler = std::function<void(HttpRequest, Reply)>;
 
-  AsyncHttpServer(boost::asio::io_context& context, Handler handler);
+  AsyncHttpServer(boost::asio::io_context& context, Handler handler,
+                  const HttpServerLimits& limits = {});
 
   /// \brief Starts to listen on `endpoint`.
   [[nodiscard]] Result<void> Start(const Endpoint& endpoint);
   /// \brief Stops accepting connections; open ones stay.
   void Stop();
 
-  static constexpr std::size_t kMaxBodyBytes = 8U * 1024U * 1024U;
-  static constexpr Duration kIdleTimeout = std::chrono::seconds(30);
-
  private:
   void Accept();
 
   boost::asio::io_context& context;
   std::shared_ptr<Handler> handler;
+  HttpServerLimits limits;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
 };
 
--- a/src/direct/async_http.cc
+++ b/src/direct/async_http.cc
@@ -9,6 +9,7 @@
 #include <optional>
 #include <utility>
 
+#include "gooseberryturn/link/deadline_timer.h"
 #include "gooseberryturn/link/listener.h"
 
 namespace gooseberryturn::direct {
@@ -24,25 +25,22 @@
 class ServerSession : public std::enable_shared_from_this<ServerSession> {
  public:
   ServerSession(tcp::socket socket,
-                std::shared_ptr<AsyncHttpServer::Handler> handler)
+                std::shared_ptr<AsyncHttpServer::Handler> handler,
+                const HttpServerLimits& limits)
       : socket(std::move(socket)),
         timer(this->socket.get_executor()),
-        handler(std::move(handler)) {}
+        handler(std::move(handler)),
+        limits(limits) {}
 
   void Read() {
     this->parser.emplace();
-    this->parser->body_limit(AsyncHttpServer::kMaxBodyBytes);
+    this->parser->body_limit(this->limits.max_body_bytes);
     const std::shared_ptr<ServerSession> self = this->shared_from_this();
-    this->timer.expires_after(AsyncHttpServer::kIdleTimeout);
-    this->timer.async_wait([weak = this->weak_from_this()](error_code error) {
-      const std::shared_ptr<ServerSession> held = weak.lock();
-      if (!error && held != nullptr) {
-        held->Close();
-      }
-    });
+    this->timer.Set(Clock::now() + this->limits.idle_timeout,
+                    [this] { this->Close(); });
     http::async_read(this->socket, this->buffer, *this->parser,
                      [self](error_code error, std::size_t /*size*/) {
-                       self->timer.cancel();
+                       self->timer.Cancel();
                        self->OnRead(error);
                      });
   }
@@ -98,8 +96,9 @@
   }
 
   tcp::socket socket;
-  asio::steady_timer timer;
+  link::DeadlineTimer timer;
   std::shared_ptr<AsyncHttpServer::Handler> handler;
+  HttpServerLimits limits;
   boost::beast::flat_buffer buffer;
   std::optional<http::request_parser<http::string_body>> parser;
   http::response<http::string_body> response;
@@ -216,9 +215,11 @@
 
 }  // namespace
 
-AsyncHttpServer::AsyncHttpServer(asio::io_context& context, Handler handler)
+AsyncHttpServer::AsyncHttpServer(asio::io_context& context, Handler handler,
+                                 const HttpServerLimits& limits)
     : context(context),
-      handler(std::make_shared<Handler>(std::move(handler))) {}
+      handler(std::make_shared<Handler>(std::move(handler))),
+      limits(limits) {}
 
 Result<void> AsyncHttpServer::Start(const Endpoint& endpoint) {
   Result<tcp::acceptor> opened = link::Listen(this->context, endpoint);
@@ -245,7 +246,9 @@
     if (!error) {
       error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
-      std::make_shared<ServerSession>(std::move(socket), this->handler)->Read();
+      std::make_shared<ServerSession>(std::move(socket), this->handler,
+                                      this->limits)
+          ->Read();
     }
     this->Accept();
   });
