The last answer of a connection survives what the caller still sends

Callers of a control host saw: a configuration that was too large was answered with a broken connection in the middle of its body instead of 413; a last answer (Connection: close) broke off when bytes after its call had not been read, a part of it lost.

Cause: the session closed its socket right after the answer. A socket that is closed with unread bytes resets the connection: the kernel drops what of the answer it has not sent yet, and the caller's next write fails.

Change: after its last answer a session closes the sending side only, then reads and drops what comes until the caller closes, for at most one second and 16 MiB. Writing an answer has a time limit as well; a caller that never read its answer held its session for good. The session is a module of its own, with one state instead of conditions spread over its callbacks.

Result: tests/async_http_test.cc.

--- a/include/gooseberryturn/direct/async_http.h
+++ b/include/gooseberryturn/direct/async_http.h
@@ -34,6 +34,12 @@
   std::size_t max_body_bytes = 8U * 1024U * 1024U;
   /// Longest time until the next request was read.
   Duration idle_timeout = std::chrono::seconds(30);
+  /// Longest time until an answer was written.
+  Duration write_timeout = std::chrono::seconds(30);
+  /// After its last answer a connection is read, and what comes is dropped,
+  /// until the caller closes it or one of these is reached.
+  Duration linger_timeout = std::chrono::seconds(1);
+  std::size_t max_linger_bytes = 16U * 1024U * 1024U;
 };
 
 /// \brief HTTP/1.1 server that runs on the thread of its io_context.
--- a/src/direct/async_http.cc
+++ b/src/direct/async_http.cc
@@ -2,14 +2,12 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
-#include <optional>
 #include <utility>
 
-#include "gooseberryturn/link/deadline_timer.h"
+#include "gooseberryturn/direct/http_server_session.h"
 #include "gooseberryturn/link/listener.h"
 
 namespace gooseberryturn::direct {
@@ -21,89 +19,6 @@
 
 namespace {
 
-/// A connection to an AsyncHttpServer.
-class ServerSession : public std::enable_shared_from_this<ServerSession> {
- public:
-  ServerSession(tcp::socket socket,
-                std::shared_ptr<AsyncHttpServer::Handler> handler,
-                const HttpServerLimits& limits)
-      : socket(std::move(socket)),
-        timer(this->socket.get_executor()),
-        handler(std::move(handler)),
-        limits(limits) {}
-
-  void Read() {
-    this->parser.emplace();
-    this->parser->body_limit(this->limits.max_body_bytes);
-    const std::shared_ptr<ServerSession> self = this->shared_from_this();
-    this->timer.Set(Clock::now() + this->limits.idle_timeout,
-                    [this] { this->Close(); });
-    http::async_read(this->socket, this->buffer, *this->parser,
-                     [self](error_code error, std::size_t /*size*/) {
-                       self->timer.Cancel();
-                       self->OnRead(error);
-                     });
-  }
-
- private:
-  void OnRead(const error_code& error) {
-    if (error == http::error::body_limit) {
-      this->Respond({413, "application/json", "{}"}, false);
-      return;
-    }
-    if (error) {
-      this->Close();
-      return;
-    }
-    const http::request<http::string_body>& message = this->parser->get();
-    HttpRequest call;
-    call.method = std::string(message.method_string());
-    call.path = std::string(message.target());
-    call.body = message.body();
-    const bool keep_alive = message.keep_alive();
-    const std::shared_ptr<ServerSession> self = this->shared_from_this();
-    (*this->handler)(std::move(call), [self, keep_alive](HttpResponse reply) {
-      self->Respond(std::move(reply), keep_alive);
-    });
-  }
-
-  void Respond(HttpResponse reply, bool keep_alive) {
-    if (!this->socket.is_open()) {
-      return;
-    }
-    this->response = {};
-    this->response.result(static_cast<unsigned>(reply.status));
-    this->response.version(11);
-    this->response.set(http::field::content_type, reply.content_type);
-    this->response.keep_alive(keep_alive);
-    this->response.body() = std::move(reply.body);
-    this->response.prepare_payload();
-    const std::shared_ptr<ServerSession> self = this->shared_from_this();
-    http::async_write(this->socket, this->response,
-                      [self, keep_alive](error_code error, std::size_t) {
-                        if (error || !keep_alive) {
-                          self->Close();
-                        } else {
-                          self->Read();
-                        }
-                      });
-  }
-
-  void Close() {
-    error_code ignored;
-    this->socket.shutdown(tcp::socket::shutdown_both, ignored);
-    this->socket.close(ignored);
-  }
-
-  tcp::socket socket;
-  link::DeadlineTimer timer;
-  std::shared_ptr<AsyncHttpServer::Handler> handler;
-  HttpServerLimits limits;
-  boost::beast::flat_buffer buffer;
-  std::optional<http::request_parser<http::string_body>> parser;
-  http::response<http::string_body> response;
-};
-
 Error MakeError(const Endpoint& peer, Outcome outcome,
                 const std::string& message) {
   return {Reason::kTargetFailed, Step::kConnect, outcome, ToString(peer),
@@ -246,9 +161,9 @@
     if (!error) {
       error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
-      std::make_shared<ServerSession>(std::move(socket), this->handler,
-                                      this->limits)
-          ->Read();
+      std::make_shared<HttpServerSession>(std::move(socket), this->handler,
+                                          this->limits)
+          ->Start();
     }
     this->Accept();
   });
--- /dev/null
+++ b/src/direct/http_server_session.cc
@@ -0,0 +1,144 @@
+#include "gooseberryturn/direct/http_server_session.h"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <string>
+#include <utility>
+
+namespace gooseberryturn::direct {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr int kTooLarge = 413;
+constexpr std::size_t kDropBytes = 16U * 1024U;
+
+}  // namespace
+
+HttpServerSession::HttpServerSession(
+    tcp::socket socket, std::shared_ptr<AsyncHttpServer::Handler> handler,
+    const HttpServerLimits& limits)
+    : socket(std::move(socket)),
+      timer(this->socket.get_executor()),
+      handler(std::move(handler)),
+      limits(limits) {}
+
+void HttpServerSession::Read() {
+  this->state = State::kReading;
+  this->parser.emplace();
+  this->parser->body_limit(this->limits.max_body_bytes);
+  this->timer.Set(Clock::now() + this->limits.idle_timeout,
+                  [this] { this->Close(); });
+  const std::shared_ptr<HttpServerSession> self = this->shared_from_this();
+  http::async_read(
+      this->socket, this->buffer, *this->parser,
+      [self](error_code error, std::size_t /*size*/) { self->OnRead(error); });
+}
+
+void HttpServerSession::OnRead(const error_code& error) {
+  if (this->state != State::kReading) {
+    return;
+  }
+  this->timer.Cancel();
+  this->state = State::kAnswering;
+  if (error == http::error::body_limit) {
+    this->Respond({kTooLarge, "application/json", "{}"}, false);
+    return;
+  }
+  if (error) {
+    this->Close();
+    return;
+  }
+  const http::request<http::string_body>& message = this->parser->get();
+  HttpRequest call;
+  call.method = std::string(message.method_string());
+  call.path = std::string(message.target());
+  call.body = message.body();
+  const bool keep_alive = message.keep_alive();
+  const std::shared_ptr<HttpServerSession> self = this->shared_from_this();
+  (*this->handler)(std::move(call), [self, keep_alive](HttpResponse reply) {
+    self->Respond(std::move(reply), keep_alive);
+  });
+}
+
+void HttpServerSession::Respond(HttpResponse reply, bool keep_alive) {
+  if (this->state != State::kAnswering) {
+    return;
+  }
+  this->state = State::kWriting;
+  this->response = {};
+  this->response.result(static_cast<unsigned>(reply.status));
+  this->response.version(11);
+  this->response.set(http::field::content_type, reply.content_type);
+  this->response.keep_alive(keep_alive);
+  this->response.body() = std::move(reply.body);
+  this->response.prepare_payload();
+  this->timer.Set(Clock::now() + this->limits.write_timeout,
+                  [this] { this->Close(); });
+  const std::shared_ptr<HttpServerSession> self = this->shared_from_this();
+  http::async_write(this->socket, this->response,
+                    [self, keep_alive](error_code error, std::size_t) {
+                      self->OnWritten(error, keep_alive);
+                    });
+}
+
+void HttpServerSession::OnWritten(const error_code& error, bool keep_alive) {
+  if (this->state != State::kWriting) {
+    return;
+  }
+  this->timer.Cancel();
+  if (error) {
+    this->Close();
+  } else if (keep_alive) {
+    this->Read();
+  } else {
+    this->Linger();
+  }
+}
+
+void HttpServerSession::Linger() {
+  this->state = State::kLingering;
+  error_code ignored;
+  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  this->timer.Set(Clock::now() + this->limits.linger_timeout,
+                  [this] { this->Close(); });
+  this->dropped.resize(kDropBytes);
+  this->Drop();
+}
+
+void HttpServerSession::Drop() {
+  const std::shared_ptr<HttpServerSession> self = this->shared_from_this();
+  this->socket.async_read_some(
+      boost::asio::buffer(this->dropped),
+      [self](error_code error, std::size_t size) {
+        if (self->state != State::kLingering) {
+          return;
+        }
+        self->dropped_bytes += size;
+        if (error || self->dropped_bytes > self->limits.max_linger_bytes) {
+          self->Close();
+        } else {
+          self->Drop();
+        }
+      });
+}
+
+void HttpServerSession::Close() {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  this->state = State::kClosed;
+  const std::shared_ptr<HttpServerSession> self = this->shared_from_this();
+  this->timer.Cancel();
+  error_code ignored;
+  this->socket.shutdown(tcp::socket::shutdown_both, ignored);
+  this->socket.close(ignored);
+  if (this->on_closed) {
+    this->on_closed(self);
+  }
+}
+
+}  // namespace gooseberryturn::direct
--- a/tests/async_http_test.cc
+++ b/tests/async_http_test.cc
@@ -26,7 +26,12 @@
 
 constexpr char kRequest[] =
     "PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+constexpr char kLongCallHead[] =
+    "PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n";
+constexpr char kLastCall[] =
+    "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 constexpr milliseconds kIdleTimeout(100);
+constexpr int kSmallReceiveBuffer = 4096;
 constexpr std::uint16_t kPort = 7399;
 
 [[nodiscard]] HttpServerLimits ShortLimits() {
@@ -57,8 +62,12 @@
     BOOST_REQUIRE(this->server.Start({OwnAddress(), kPort}).has_value());
   }
 
-  [[nodiscard]] tcp::socket Connect() {
-    tcp::socket caller(this->callers);
+  /// A `receive_buffer` of 0 bytes keeps the default of the system.
+  [[nodiscard]] tcp::socket Connect(int receive_buffer = 0) {
+    tcp::socket caller(this->callers, tcp::v4());
+    if (receive_buffer > 0) {
+      caller.set_option(asio::socket_base::receive_buffer_size(receive_buffer));
+    }
     caller.connect({asio::ip::make_address(OwnAddress()), kPort});
     this->Turn();
     return caller;
@@ -111,3 +120,77 @@
   const std::string answer = Serving::ReadToEnd(caller, error);
   BOOST_TEST(HasStatus(answer, 200));
 }
+
+BOOST_AUTO_TEST_CASE(a_caller_refused_in_the_middle_of_a_body_can_send_it) {
+  Serving serving;
+  tcp::socket caller = serving.Connect();
+  Serving::Write(caller, kLongCallHead);
+  serving.RunFor(milliseconds(20));
+  // The rest of the body crosses the answer. Many callers give up at the first
+  // error of a write and never read the answer.
+  for (int part = 0; part < 10; ++part) {
+    error_code error;
+    asio::write(caller, asio::buffer(std::string(20'000, 'x')), error);
+    BOOST_TEST(!error.failed());
+    serving.RunFor(milliseconds(20));
+  }
+  error_code error;
+  const std::string answer = Serving::ReadToEnd(caller, error);
+  BOOST_TEST(HasStatus(answer, 413));
+  BOOST_TEST(error == asio::error::eof);
+  BOOST_TEST(serving.replies.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_last_answer_before_an_unread_call_is_not_destroyed) {
+  constexpr std::size_t kAnswerBytes = 300'000;
+  Serving serving;
+  tcp::socket caller = serving.Connect(kSmallReceiveBuffer);
+  Serving::Write(caller, kLastCall);
+  serving.RunFor(milliseconds(20));
+  BOOST_REQUIRE(serving.replies.size() == 1);
+  Serving::Write(caller, kRequest);
+  // Most of the answer is still in the kernel of the server when it closes.
+  serving.replies.front()(
+      {200, "application/json", std::string(kAnswerBytes, 'x')});
+  serving.RunFor(milliseconds(100));
+  error_code error;
+  const std::string answer = Serving::ReadToEnd(caller, error);
+  BOOST_TEST(HasStatus(answer, 200));
+  BOOST_TEST(answer.size() > kAnswerBytes);
+  BOOST_TEST(error == asio::error::eof);
+  BOOST_TEST(serving.replies.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_never_stops_sending_is_cut_off) {
+  HttpServerLimits limits = ShortLimits();
+  limits.max_linger_bytes = 1000;
+  limits.linger_timeout = std::chrono::minutes(1);
+  Serving serving(limits);
+  tcp::socket caller = serving.Connect();
+  Serving::Write(caller, kLongCallHead);
+  serving.RunFor(milliseconds(20));
+  for (int round = 0; round < 20; ++round) {
+    Serving::Write(caller, std::string(1000, 'x'));
+    serving.RunFor(milliseconds(5));
+  }
+  error_code error;
+  asio::write(caller, asio::buffer(std::string("x")), error);
+  BOOST_TEST(error.failed());
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_stays_after_the_last_answer_is_cut_off) {
+  HttpServerLimits limits = ShortLimits();
+  limits.linger_timeout = milliseconds(50);
+  Serving serving(limits);
+  tcp::socket caller = serving.Connect();
+  Serving::Write(caller, kLastCall);
+  serving.RunFor(milliseconds(20));
+  BOOST_REQUIRE(serving.replies.size() == 1);
+  serving.replies.front()({200, "application/json", "{}"});
+  serving.RunFor(milliseconds(200));
+  error_code error;
+  asio::write(caller, asio::buffer(std::string("x")), error);
+  std::this_thread::sleep_for(milliseconds(50));
+  asio::write(caller, asio::buffer(std::string("x")), error);
+  BOOST_TEST(error.failed());
+}
