A call that waits for a commit is answered in a bounded time

Operators and leaving targets saw: a call got no answer at all, for as long as the leader was cut off from its majority. Beyond its lease such a leader refuses calls, but what it had accepted before waited with no limit.

Change: the leader keeps the calls that it has accepted in PendingCalls. One that has waited for 700 ms gets 503 and a log line. That is below the 850 ms after which a host that forwarded the call gives up. The answer promises nothing: the change may still be applied.

Result: tests/platform_control_test.cc stops the followers with SIGSTOP and calls the leader.

--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -18,6 +18,7 @@
 #include "gooseberryturn/direct/dialect.h"
 #include "gooseberryturn/direct/fleet_state.h"
 #include "gooseberryturn/direct/group_planner.h"
+#include "gooseberryturn/direct/pending_calls.h"
 #include "gooseberryturn/direct/quorum_planner.h"
 #include "gooseberryturn/direct/registry.h"
 #include "gooseberryturn/direct/view.h"
@@ -64,6 +65,10 @@
   /// Followers get an update at least this often, even without changes.
   static constexpr Duration kMaxUpdateInterval = std::chrono::milliseconds(250);
   static constexpr Duration kCallTimeout = std::chrono::milliseconds(850);
+  /// Time for which the leader waits for the commit of a change. Shorter than
+  /// kCallTimeout, so that its answer still reaches a host that forwarded the
+  /// call.
+  static constexpr Duration kCommitTimeout = std::chrono::milliseconds(700);
   static constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(220);
   static constexpr Duration kJoinRequestInterval =
@@ -103,6 +108,9 @@
   // Calls of operators and targets.
   void OnCall(HttpRequest call, AsyncHttpServer::Reply reply);
   void HandleAsLeader(const HttpRequest& call, AsyncHttpServer::Reply reply);
+  /// Answers the calls that have waited for kCommitTimeout. Whether such a
+  /// change will be applied is not known; its caller sends it again.
+  void ExpireCalls(TimePoint now);
   void HandleAnnouncement(const std::string& id, const HttpRequest& call,
                           const AsyncHttpServer::Reply& reply);
   /// Answers with `body` once the log holds that the target is leaving, so that
@@ -200,6 +208,7 @@
   std::uint64_t published_plan_revision = 0;  ///< Of the planner.
   std::optional<Configuration> configuration;
   ConfigurationHistory configuration_history;
+  PendingCalls pending_calls;        ///< Handled as the leader.
   std::uint64_t parsed_version = 0;  ///< Of `configuration`.
   bool is_elected = false;           ///< Leader of the log.
   /// Elected, and has since taken over the recorded state of the fleet; see
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -244,6 +244,7 @@
 
 void ControlHost::Tick() {
   const TimePoint now = Clock::now();
+  this->ExpireCalls(now);
   const bool is_leader =
       this->driver->node().role() == consensus::NodeRole::kLeader;
   if (!is_leader && this->is_elected) {
--- a/src/direct/control_host_calls.cc
+++ b/src/direct/control_host_calls.cc
@@ -76,8 +76,20 @@
       });
 }
 
+void ControlHost::ExpireCalls(TimePoint now) {
+  const std::size_t expired = this->pending_calls.Expire(
+      now, this->ErrorResponse(kUnavailable,
+                               "the outcome is not known; send it again"));
+  if (expired > 0) {
+    LogEvent(Level::kWarn, "", "call_without_outcome",
+             {{"calls", std::to_string(expired)}});
+  }
+}
+
 void ControlHost::HandleAsLeader(const HttpRequest& call,
-                                 AsyncHttpServer::Reply reply) {
+                                 AsyncHttpServer::Reply caller_reply) {
+  AsyncHttpServer::Reply reply = this->pending_calls.Add(
+      std::move(caller_reply), Clock::now() + kCommitTimeout);
   const ControlCall decoded = this->dialect.read_control_call(call);
   switch (decoded.kind) {
     case ControlCallKind::kAnnounce:
