A leaving target is acknowledged only once the log holds it

A target that leaves saw its call acknowledged although the change was not committed: a change of the leader then lost it, and requests went on to the target after its acknowledgement.

Cause: a repeated call has a sequence number that is known already. It was taken for stale and acknowledged at once, while the first call still waited for its commit.

Change: a repeated call of the known run waits for the commit as the first one does. Only calls of an earlier run are still acknowledged at once.

--- a/src/direct/control_host_calls.cc
+++ b/src/direct/control_host_calls.cc
@@ -156,7 +156,12 @@
   }
   const std::string body =
       this->dialect.write_announcement_reply(*this->settings.control_endpoint);
-  if (announcement->is_leaving && result != AnnouncementResult::kStale) {
+  // A repeated call is stale, but the first one may still wait for its commit.
+  const TargetRecord* record = this->registry.Find(target);
+  const bool is_of_known_run =
+      record != nullptr &&
+      record->view.start_time_ms == announcement->start_time_ms;
+  if (announcement->is_leaving && is_of_known_run) {
     this->AcknowledgeLeaving(target, body, reply);
   } else {
     reply({kOk, "application/json", body});
--- a/tests/platform_control_test.cc
+++ b/tests/platform_control_test.cc
@@ -188,3 +188,25 @@
     return AnnouncementJson("draining", attempt);
   });
 }
+
+BOOST_AUTO_TEST_CASE(a_leaving_target_is_acknowledged_only_after_the_commit) {
+  const ControlHosts hosts(144);
+  const auto announce = [&hosts](int host, const std::string& state,
+                                 int sequence) {
+    return ControlHosts::PutLater(hosts.EndpointOf(host), "/api/instances/i-1",
+                                  AnnouncementJson(state, sequence));
+  };
+  BOOST_REQUIRE(Eventually(
+      [&announce] { return announce(1, "ready", 1).get().status == 200; }));
+  const int leader = hosts.Leader();
+  hosts.SignalOthers(leader, SIGSTOP);
+  // The target, or a host between, sends the same call once more.
+  std::future<Answer> first = announce(leader, "draining", 2);
+  std::this_thread::sleep_for(milliseconds(50));
+  std::future<Answer> second = announce(leader, "draining", 2);
+  const int first_status = first.get().status;
+  const int second_status = second.get().status;
+  hosts.SignalOthers(leader, SIGCONT);
+  BOOST_TEST(first_status == 503);
+  BOOST_TEST(second_status == 503);
+}
