A control host that stops answers the calls in progress first

Operators and targets saw: a call in progress at SIGTERM got no answer, a change that had been accepted into the log among them. Kept connections stayed open until the process ended, and took calls until then that nobody answered.

Cause: Leave stopped the storage thread at once. What had been accepted could no longer be written or committed, and nothing waited for calls.

Change: Leave lets the host go on, as the leader too, until each call has its answer: 200, or 503 once kCommitTimeout has passed without the outcome. AsyncHttpServer::Stop accepts the connections that the kernel has already completed, ends keep-alive, closes connections on which no call arrives for 200 ms, and reports when all are closed, after two seconds at the latest. A control host without a disk leaves in the same way. The consensus has no way to hand leadership over; the others elect as after a lost leader.

Result: tests/platform_control_test.cc with the real programs. The cases of stopping in tests/async_http_test.cc use the new call and were not run on the code before.

--- a/include/gooseberryturn/direct/async_http.h
+++ b/include/gooseberryturn/direct/async_http.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "gooseberryturn/core/error.h"
 #include "gooseberryturn/core/time.h"
 #include "gooseberryturn/direct/dialect.h"
+#include "gooseberryturn/link/deadline_timer.h"
 
 namespace gooseberryturn::direct {
 
@@ -29,6 +31,8 @@
   std::string body;
 };
 
+class HttpServerSession;
+
 /// \brief Limits of an AsyncHttpServer.
 struct HttpServerLimits {
   std::size_t max_body_bytes = 8U * 1024U * 1024U;
@@ -40,6 +44,8 @@
   /// until the caller closes it or one of these is reached.
   Duration linger_timeout = std::chrono::seconds(1);
   std::size_t max_linger_bytes = 16U * 1024U * 1024U;
+  /// A stopping server waits this long for calls that are on their way.
+  Duration leave_timeout = std::chrono::milliseconds(200);
 };
 
 /// \brief HTTP/1.1 server that runs on the thread of its io_context.
@@ -56,15 +62,30 @@
 
   /// \brief Starts to listen on `endpoint`.
   [[nodiscard]] Result<void> Start(const Endpoint& endpoint);
-  /// \brief Stops accepting connections; open ones stay.
-  void Stop();
+  /// \brief Stops accepting connections and ends the open ones: those with a
+  /// call after its answer, the others when no call arrives soon.
+  /// \param on_stopped Called once, when no connection is open or at
+  /// `deadline`.
+  void Stop(TimePoint deadline, std::function<void()> on_stopped);
 
  private:
+  using Session = std::shared_ptr<HttpServerSession>;
+
   void Accept();
+  /// Accepts the connections that wait in the queue of the kernel: closing the
+  /// acceptor would reset them.
+  void AcceptBacklog();
+  void AddSession(boost::asio::ip::tcp::socket socket);
+  void OnSessionClosed(const Session& session);
+  void FinishStop();
 
   boost::asio::io_context& context;
   std::shared_ptr<Handler> handler;
   HttpServerLimits limits;
+  std::set<Session> sessions;
+  link::DeadlineTimer stop_timer;
+  bool is_stopping = false;
+  std::function<void()> on_stopped;  ///< Empty once it was called.
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
 };
 
--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -38,9 +38,12 @@
   /// the log or its snapshot cannot be read, or when it cannot listen on an
   /// endpoint.
   [[nodiscard]] Result<void> Start();
-  /// \brief Stops serving and calls `on_left`. Acknowledged changes are already
-  /// replicated, so nothing has to be handed over.
-  void Leave(const std::function<void()>& on_left);
+  /// \brief Answers the calls in progress, stops and then calls `on_left`.
+  ///
+  /// \details Until then the host goes on as it was, as the leader too, so that
+  /// changes that it has accepted are still committed. Acknowledged changes are
+  /// already replicated, so nothing has to be handed over.
+  void Leave(std::function<void()> on_done);
   /// \brief Applies the settings that may change at runtime: the control hosts.
   void Reload(const HostSettings& changed) {
     this->settings.control_hosts = changed.control_hosts;
@@ -69,6 +72,8 @@
   /// kCallTimeout, so that its answer still reaches a host that forwarded the
   /// call.
   static constexpr Duration kCommitTimeout = std::chrono::milliseconds(700);
+  /// Longest time that a planned stop waits for connections of callers.
+  static constexpr Duration kLeaveTimeout = std::chrono::milliseconds(2000);
   static constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(220);
   static constexpr Duration kJoinRequestInterval =
@@ -104,6 +109,8 @@
   /// Answer to a forwarded call when this host is not the leader.
   [[nodiscard]] ForwardedAnswer NotLeaderAnswer() const;
   void Tick();
+  /// Stops, as part of Leave, once no call waits for its answer.
+  void FinishLeaveIfReady();
 
   // Calls of operators and targets.
   void OnCall(HttpRequest call, AsyncHttpServer::Reply reply);
@@ -209,6 +216,8 @@
   std::optional<Configuration> configuration;
   ConfigurationHistory configuration_history;
   PendingCalls pending_calls;        ///< Handled as the leader.
+  std::function<void()> on_left;     ///< Empty unless leaving.
+  bool has_stopped_serving = false;  ///< `server` has stopped.
   std::uint64_t parsed_version = 0;  ///< Of `configuration`.
   bool is_elected = false;           ///< Leader of the log.
   /// Elected, and has since taken over the recorded state of the fleet; see
--- a/include/gooseberryturn/direct/control_relay.h
+++ b/include/gooseberryturn/direct/control_relay.h
@@ -25,6 +25,7 @@
                Dialect dialect, observe::Metrics& metrics);
 
   [[nodiscard]] Result<void> Start();
+  /// \brief Answers the calls in progress and then calls `on_left`.
   void Leave(const std::function<void()>& on_left);
   /// \brief Adds control hosts that are not known yet.
   void Reload(const HostSettings& changed);
@@ -33,6 +34,8 @@
   static constexpr Duration kCallTimeout = std::chrono::milliseconds(850);
   static constexpr Duration kAttemptTimeout = std::chrono::milliseconds(350);
   static constexpr int kMaxAttempts = 4;
+  /// Longest time that a planned stop waits for calls in progress.
+  static constexpr Duration kLeaveTimeout = std::chrono::milliseconds(2000);
 
  private:
   void OnCall(const HttpRequest& call, AsyncHttpServer::Reply reply);
--- a/include/gooseberryturn/direct/http_server_session.h
+++ b/include/gooseberryturn/direct/http_server_session.h
@@ -36,6 +36,9 @@
   std::function<void(const std::shared_ptr<HttpServerSession>&)> on_closed;
 
   void Start() { this->Read(); }
+  /// \brief Ends the connection after the answer to its current call. Without
+  /// one, it ends when no call arrives within HttpServerLimits::leave_timeout.
+  void Leave();
 
  private:
   enum class State : std::uint8_t {
@@ -47,6 +50,8 @@
   };
 
   void Read();
+  /// Closes the connection unless a part of a call was read.
+  void CloseIfUnused();
   void OnRead(const boost::system::error_code& error);
   void Respond(HttpResponse reply, bool keep_alive);
   void OnWritten(const boost::system::error_code& error, bool keep_alive);
@@ -59,6 +64,7 @@
   std::shared_ptr<AsyncHttpServer::Handler> handler;
   HttpServerLimits limits;
   State state = State::kReading;
+  bool is_leaving = false;
   boost::beast::flat_buffer buffer;
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
--- a/src/direct/async_http.cc
+++ b/src/direct/async_http.cc
@@ -134,7 +134,8 @@
                                  const HttpServerLimits& limits)
     : context(context),
       handler(std::make_shared<Handler>(std::move(handler))),
-      limits(limits) {}
+      limits(limits),
+      stop_timer(context.get_executor()) {}
 
 Result<void> AsyncHttpServer::Start(const Endpoint& endpoint) {
   Result<tcp::acceptor> opened = link::Listen(this->context, endpoint);
@@ -146,26 +147,73 @@
   return {};
 }
 
-void AsyncHttpServer::Stop() {
+void AsyncHttpServer::Stop(TimePoint deadline, std::function<void()> on_done) {
+  this->on_stopped = std::move(on_done);
+  this->is_stopping = true;
   if (this->acceptor != nullptr) {
+    this->AcceptBacklog();
     error_code ignored;
     this->acceptor->close(ignored);
   }
+  this->stop_timer.Set(deadline, [this] { this->FinishStop(); });
+  const std::set<Session> open = this->sessions;
+  for (const Session& session : open) {
+    session->Leave();
+  }
+  if (this->sessions.empty()) {
+    this->FinishStop();
+  }
+}
+
+void AsyncHttpServer::FinishStop() {
+  this->stop_timer.Cancel();
+  if (this->on_stopped) {
+    std::exchange(this->on_stopped, nullptr)();
+  }
+}
+
+void AsyncHttpServer::OnSessionClosed(const Session& session) {
+  this->sessions.erase(session);
+  if (this->sessions.empty() && this->on_stopped) {
+    this->FinishStop();
+  }
+}
+
+void AsyncHttpServer::AddSession(tcp::socket socket) {
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  const Session session = std::make_shared<HttpServerSession>(
+      std::move(socket), this->handler, this->limits);
+  session->on_closed = [this](const Session& closed) {
+    this->OnSessionClosed(closed);
+  };
+  this->sessions.insert(session);
+  session->Start();
+  if (this->is_stopping) {
+    session->Leave();
+  }
+}
+
+void AsyncHttpServer::AcceptBacklog() {
+  error_code error;
+  this->acceptor->non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(this->context);
+    this->acceptor->accept(socket, error);
+    if (!error) {
+      this->AddSession(std::move(socket));
+    }
+  }
 }
 
 void AsyncHttpServer::Accept() {
   this->acceptor->async_accept([this](error_code error, tcp::socket socket) {
-    if (!this->acceptor->is_open()) {
-      return;
-    }
     if (!error) {
-      error_code ignored;
-      socket.set_option(tcp::no_delay(true), ignored);
-      std::make_shared<HttpServerSession>(std::move(socket), this->handler,
-                                          this->limits)
-          ->Start();
+      this->AddSession(std::move(socket));
+    }
+    if (this->acceptor->is_open()) {
+      this->Accept();
     }
-    this->Accept();
   });
 }
 
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -136,12 +136,25 @@
   return this->server.Start(*this->settings.control_endpoint);
 }
 
-void ControlHost::Leave(const std::function<void()>& on_left) {
+void ControlHost::Leave(std::function<void()> on_done) {
+  LogEvent(Level::kInfo, "", "leaving");
+  this->on_left = std::move(on_done);
+  this->server.Stop(Clock::now() + kLeaveTimeout, [this] {
+    this->has_stopped_serving = true;
+    this->FinishLeaveIfReady();
+  });
+}
+
+void ControlHost::FinishLeaveIfReady() {
+  // Calls that other hosts forwarded have no connection of `server`.
+  if (!this->has_stopped_serving || !this->pending_calls.is_empty() ||
+      !this->on_left) {
+    return;
+  }
   this->timer.cancel();
-  this->server.Stop();
   this->listener.GoAway();
   this->driver->Stop();
-  on_left();
+  std::exchange(this->on_left, nullptr)();
 }
 
 Endpoint ControlHost::RemoteLeader() const {
@@ -175,7 +188,8 @@
                         std::string_view payload) {
         const std::optional<ForwardedCall> call =
             protocol::Decode<ForwardedCall>(payload);
-        if (!call.has_value() || !this->IsLeading()) {
+        if (!call.has_value() || !this->IsLeading() ||
+            this->has_stopped_serving) {
           link::Reply(*stream, this->NotLeaderAnswer());
           return;
         }
@@ -275,6 +289,7 @@
   this->timer.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
       this->Tick();
+      this->FinishLeaveIfReady();
     }
   });
 }
--- a/src/direct/control_relay.cc
+++ b/src/direct/control_relay.cc
@@ -36,8 +36,7 @@
 }
 
 void ControlRelay::Leave(const std::function<void()>& on_left) {
-  this->server.Stop();
-  on_left();
+  this->server.Stop(Clock::now() + kLeaveTimeout, on_left);
 }
 
 void ControlRelay::Reload(const HostSettings& changed) {
--- a/src/direct/http_server_session.cc
+++ b/src/direct/http_server_session.cc
@@ -38,6 +38,23 @@
       [self](error_code error, std::size_t /*size*/) { self->OnRead(error); });
 }
 
+void HttpServerSession::Leave() {
+  this->is_leaving = true;
+  if (this->state == State::kReading) {
+    this->timer.Set(Clock::now() + this->limits.leave_timeout,
+                    [this] { this->CloseIfUnused(); });
+  }
+}
+
+void HttpServerSession::CloseIfUnused() {
+  if (this->parser->got_some() || this->buffer.size() > 0) {
+    this->timer.Set(Clock::now() + this->limits.idle_timeout,
+                    [this] { this->Close(); });
+  } else {
+    this->Close();
+  }
+}
+
 void HttpServerSession::OnRead(const error_code& error) {
   if (this->state != State::kReading) {
     return;
@@ -69,6 +86,7 @@
     return;
   }
   this->state = State::kWriting;
+  keep_alive = keep_alive && !this->is_leaving;
   this->response = {};
   this->response.result(static_cast<unsigned>(reply.status));
   this->response.version(11);
@@ -94,6 +112,9 @@
     this->Close();
   } else if (keep_alive) {
     this->Read();
+    if (this->is_leaving) {
+      this->Leave();
+    }
   } else {
     this->Linger();
   }
--- a/tests/async_http_test.cc
+++ b/tests/async_http_test.cc
@@ -31,6 +31,7 @@
 constexpr char kLastCall[] =
     "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 constexpr milliseconds kIdleTimeout(100);
+constexpr milliseconds kLeaveTimeout(30);
 constexpr int kSmallReceiveBuffer = 4096;
 constexpr std::uint16_t kPort = 7399;
 
@@ -38,6 +39,7 @@
   HttpServerLimits limits;
   limits.max_body_bytes = 1024;
   limits.idle_timeout = kIdleTimeout;
+  limits.leave_timeout = kLeaveTimeout;
   return limits;
 }
 
@@ -85,6 +87,9 @@
     this->context.restart();
     this->context.run_for(time);
   }
+  void Stop(milliseconds time = std::chrono::minutes(1)) {
+    this->server.Stop(Clock::now() + time, [this] { this->is_stopped = true; });
+  }
   /// Reads until the connection ends. An answer that has arrived can be lost
   /// to a reset, so the caller reads only after the loop has run.
   [[nodiscard]] static std::string ReadToEnd(tcp::socket& caller,
@@ -98,8 +103,22 @@
   asio::io_context callers;
   AsyncHttpServer server;
   std::vector<AsyncHttpServer::Reply> replies;
+  bool is_stopped = false;
+};
+
+/// What a caller has received so far.
+struct Received {
+  std::string text;
+  error_code error;  ///< would_block while the connection is open.
 };
 
+[[nodiscard]] Received ReadReady(tcp::socket& caller) {
+  Received received;
+  caller.non_blocking(true);
+  asio::read(caller, asio::dynamic_buffer(received.text), received.error);
+  return received;
+}
+
 [[nodiscard]] bool HasStatus(const std::string& text, int status) {
   return text.rfind("HTTP/1.1 " + std::to_string(status), 0) == 0;
 }
@@ -194,3 +213,85 @@
   asio::write(caller, asio::buffer(std::string("x")), error);
   BOOST_TEST(error.failed());
 }
+
+// ----------------------------------------------------------------- stopping
+
+BOOST_AUTO_TEST_CASE(a_stopping_server_closes_connections_without_a_call) {
+  Serving serving;
+  tcp::socket caller = serving.Connect();
+  serving.Stop();
+  BOOST_TEST(!serving.is_stopped);
+  serving.RunFor(kLeaveTimeout * 3);
+  BOOST_TEST(serving.is_stopped);
+  BOOST_TEST((ReadReady(caller).error == asio::error::eof));
+}
+
+BOOST_AUTO_TEST_CASE(a_stopping_server_answers_a_call_on_its_way) {
+  Serving serving;
+  tcp::socket caller = serving.Connect();
+  serving.Stop();
+  Serving::Write(caller, kRequest);
+  serving.RunFor(milliseconds(20));
+  BOOST_REQUIRE(serving.replies.size() == 1);
+  serving.replies.front()({200, "application/json", "{}"});
+  serving.RunFor(milliseconds(20));
+  const Received received = ReadReady(caller);
+  BOOST_TEST(HasStatus(received.text, 200));
+  BOOST_TEST(received.text.find("Connection: close") != std::string::npos);
+  BOOST_TEST((received.error == asio::error::eof));
+  caller.close();
+  serving.RunFor(milliseconds(20));
+  BOOST_TEST(serving.is_stopped);
+}
+
+BOOST_AUTO_TEST_CASE(a_stopping_server_waits_for_the_answer_of_a_call) {
+  Serving serving;
+  tcp::socket caller = serving.Connect();
+  Serving::Write(caller, kRequest);
+  serving.RunFor(milliseconds(20));
+  BOOST_REQUIRE(serving.replies.size() == 1);
+  serving.Stop();
+  serving.RunFor(kLeaveTimeout * 3);
+  BOOST_TEST(!serving.is_stopped);
+  serving.replies.front()({200, "application/json", "{}"});
+  serving.RunFor(milliseconds(20));
+  const Received received = ReadReady(caller);
+  BOOST_TEST(HasStatus(received.text, 200));
+  BOOST_TEST((received.error == asio::error::eof));
+}
+
+BOOST_AUTO_TEST_CASE(a_stopping_server_reads_the_rest_of_a_call) {
+  Serving serving;
+  tcp::socket caller = serving.Connect();
+  const std::string request = kRequest;
+  Serving::Write(caller, request.substr(0, 30));
+  serving.RunFor(milliseconds(20));
+  serving.Stop();
+  serving.RunFor(kLeaveTimeout * 2);
+  Serving::Write(caller, request.substr(30));
+  serving.RunFor(milliseconds(20));
+  BOOST_TEST(serving.replies.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_stopping_server_waits_until_its_deadline) {
+  Serving serving;
+  tcp::socket caller = serving.Connect();
+  Serving::Write(caller, kRequest);
+  serving.RunFor(milliseconds(20));
+  serving.Stop(milliseconds(100));
+  serving.RunFor(milliseconds(150));
+  BOOST_TEST(serving.is_stopped);
+}
+
+BOOST_AUTO_TEST_CASE(a_stopping_server_answers_connections_not_accepted_yet) {
+  Serving serving;
+  tcp::socket caller(serving.callers);
+  caller.connect({asio::ip::make_address(OwnAddress()), kPort});
+  Serving::Write(caller, kRequest);
+  serving.Stop();
+  serving.RunFor(milliseconds(20));
+  BOOST_REQUIRE(serving.replies.size() == 1);
+  serving.replies.front()({200, "application/json", "{}"});
+  serving.RunFor(milliseconds(20));
+  BOOST_TEST(HasStatus(ReadReady(caller).text, 200));
+}
--- a/tests/platform_control_test.cc
+++ b/tests/platform_control_test.cc
@@ -210,3 +210,52 @@
   BOOST_TEST(first_status == 503);
   BOOST_TEST(second_status == 503);
 }
+
+BOOST_AUTO_TEST_CASE(a_change_in_progress_is_answered_by_a_leader_that_stops) {
+  const ControlHosts hosts(142);
+  const int leader = hosts.Leader();
+  const int other = leader % kHosts + 1;
+  // The others commit only after the leader was told to stop.
+  hosts.SignalOthers(leader, SIGSTOP);
+  std::future<Answer> called = ControlHosts::PutLater(
+      hosts.EndpointOf(leader), "/api/config", ConfigurationJson(2));
+  std::this_thread::sleep_for(milliseconds(100));
+  hosts.Host(leader).Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(400));
+  hosts.SignalOthers(leader, SIGCONT);
+  const Answer answer = called.get();
+  BOOST_TEST(hosts.Host(leader).WaitExit() == 0);
+  BOOST_TEST(answer.is_complete);
+  // 503 where another host has taken over before the commit.
+  BOOST_TEST((answer.status == 200 || answer.status == 503));
+  if (answer.status == 200) {
+    BOOST_TEST(Eventually([&hosts, other] {
+      return Get(hosts.EndpointOf(other), "/api/config").status == 200;
+    }));
+    BOOST_TEST(Get(hosts.EndpointOf(other), "/api/config").body ==
+               ConfigurationJson(2));
+  }
+  // Sent again, it is acknowledged, whether it was applied or not.
+  int status = 0;
+  BOOST_TEST(Eventually([&hosts, &status, other] {
+    status =
+        ControlHosts::Put(hosts.EndpointOf(other), ConfigurationJson(2)).status;
+    return status != 0 && status != 503;
+  }));
+  BOOST_TEST(status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_stop_without_majority_answers_and_ends_in_time) {
+  const ControlHosts hosts(143);
+  const int leader = hosts.Leader();
+  hosts.SignalOthers(leader, SIGSTOP);
+  std::future<Answer> called = ControlHosts::PutLater(
+      hosts.EndpointOf(leader), "/api/config", ConfigurationJson(2));
+  std::this_thread::sleep_for(milliseconds(100));
+  hosts.Host(leader).Signal(SIGTERM);
+  BOOST_TEST(
+      Eventually([&hosts, leader] { return hosts.Host(leader).HasExited(); },
+                 kAnswerLimit));
+  BOOST_TEST(called.get().status == 503);
+  hosts.SignalOthers(leader, SIGCONT);
+}
