A superseded read limit of a caller's session no longer acts

What callers could see, at an entry with agents: a connection closed with the next request in the kernel, without an answer; and a caller who left during a request was not noticed, so that an idempotent request went on at its target. A caller who sent slowly could stay for ever. Cause: the read timer is a steady_timer and acts with cancel(). A completion that was queued before the request was read cancelled whatever the socket did afterwards, the watch for the caller's leaving among it; at the end of the idle time nobody looked whether a request had arrived; and between two reads of one request there was nothing to cancel, after which the request had no limit. Change: link::DeadlineTimer; the end of the idle time leaves a connection alone whose next request is in the kernel; the end of the read time cancels until the read has ended. The idle time is one of CallerLimits, so that a test can set it.

--- a/include/gooseberryturn/entry/caller_session.h
+++ b/include/gooseberryturn/entry/caller_session.h
@@ -2,11 +2,11 @@
 #define GOOSEBERRYTURN_ENTRY_CALLER_SESSION_H_
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -17,6 +17,7 @@
 
 #include "gooseberryturn/core/error.h"
 #include "gooseberryturn/core/time.h"
+#include "gooseberryturn/link/deadline_timer.h"
 #include "gooseberryturn/observe/metrics.h"
 
 namespace gooseberryturn::entry {
@@ -37,6 +38,8 @@
   std::size_t max_header_bytes = 0;
   std::size_t max_body_bytes = 0;
   Duration header_timeout = Duration::zero();
+  /// How long a connection may be idle between two requests.
+  Duration idle_timeout = std::chrono::seconds(75);
   Duration write_timeout = Duration::zero();
 };
 
@@ -83,9 +86,6 @@
   /// sent.
   void AbortStream(const Error& error);
 
-  /// \brief How long a connection may be idle between two requests.
-  static constexpr Duration kIdleTimeout = std::chrono::seconds(75);
-
   [[nodiscard]] bool has_started_stream() const noexcept {
     return this->is_stream_started;
   }
@@ -101,6 +101,9 @@
   void ReadHeader();
   void WaitForNextRequest();
   void StartReadTimer(Duration timeout);
+  /// Cancels the read of a request until the read has ended.
+  void OnReadTimeout();
+  void OnIdleTimeout();
   void ReadBody();
   void OnRequestRead();
   void OnReadError(const boost::system::error_code& error);
@@ -115,7 +118,7 @@
   void CloseSocket();
 
   boost::beast::tcp_stream stream;
-  boost::asio::steady_timer read_timer;
+  link::DeadlineTimer read_timer;
   CallerLimits limits;
   observe::Metrics& metrics;
   boost::beast::flat_buffer buffer;
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <chrono>
 #include <cstdio>
 #include <sstream>
 #include <utility>
@@ -20,6 +21,7 @@
 
 namespace {
 
+constexpr Duration kCancelInterval = std::chrono::milliseconds(20);
 constexpr int kSendBufferBytes = 16 * 1024;
 constexpr char kEventStream[] = "text/event-stream";
 constexpr char kTeamHeader[] = "Gooseberryturn-Team";
@@ -101,12 +103,13 @@
     return;
   }
   // Until the next request begins, the idle timeout applies.
-  this->StartReadTimer(kIdleTimeout);
+  this->read_timer.Set(Clock::now() + this->limits.idle_timeout,
+                       [this] { this->OnIdleTimeout(); });
   const std::shared_ptr<CallerSession> self = this->shared_from_this();
   this->stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
                                    [self](const error_code& error) {
                                      if (error) {
-                                       self->read_timer.cancel();
+                                       self->read_timer.Cancel();
                                        self->CloseSocket();
                                      } else {
                                        self->ReadHeader();
@@ -116,16 +119,25 @@
 
 void CallerSession::StartReadTimer(Duration timeout) {
   this->is_read_timed_out = false;
-  this->read_timer.expires_after(timeout);
-  const std::weak_ptr<CallerSession> weak = this->weak_from_this();
-  this->read_timer.async_wait([weak](const error_code& error) {
-    const std::shared_ptr<CallerSession> self = weak.lock();
-    if (!error && self != nullptr) {
-      self->is_read_timed_out = true;
-      error_code ignored;
-      self->stream.socket().cancel(ignored);
-    }
-  });
+  this->read_timer.Set(Clock::now() + timeout,
+                       [this] { this->OnReadTimeout(); });
+}
+
+void CallerSession::OnReadTimeout() {
+  this->is_read_timed_out = true;
+  error_code ignored;
+  this->stream.socket().cancel(ignored);
+  // Between two reads of one request there was nothing to cancel.
+  this->read_timer.Set(Clock::now() + kCancelInterval,
+                       [this] { this->OnReadTimeout(); });
+}
+
+void CallerSession::OnIdleTimeout() {
+  error_code ignored;
+  // A request that has arrived already is answered.
+  if (this->stream.socket().available(ignored) == 0) {
+    this->stream.socket().cancel(ignored);
+  }
 }
 
 void CallerSession::ReadBody() {
@@ -152,7 +164,7 @@
           http::make_error_code(http::error::bad_method).category() &&
       error != http::error::end_of_stream &&
       error != http::error::partial_message;
-  this->read_timer.cancel();
+  this->read_timer.Cancel();
   this->keep_alive = false;
   if (is_too_large) {
     this->Refuse({Reason::kTooLarge, Step::kAccept, Outcome::kNotRun, "caller",
@@ -169,7 +181,7 @@
 }
 
 void CallerSession::OnRequestRead() {
-  this->read_timer.cancel();
+  this->read_timer.Cancel();
   this->in_request = true;
   const http::request<http::string_body>& message = this->parser->get();
   CallerRequest request;
