A refused caller of a session can send its body to the end

What callers could see, at an entry with agents: a refusal in the middle of a body (413, 408) came with a reset connection; the next write of the body failed, and the refusal, still on its way, could be lost. Cause: the session closed its socket right after the answer with bytes unread. Change: after its last answer a session ends its sending side only and reads and drops what still comes, for a second and 1 MiB at most; then it closes. Evidence: a_caller_that_sends_its_whole_body_gets_the_refusal failed on the code before (65,536 of 786,432 bytes taken, then an error) and passes now, three runs of three. On the loopback interface the refusal itself could be read before too.

--- a/include/gooseberryturn/entry/caller_session.h
+++ b/include/gooseberryturn/entry/caller_session.h
@@ -116,6 +116,12 @@
   void EndRequest();
   void OnDisconnect();
   void CloseSocket();
+  /// Closes the connection once the caller has read the answer: while it still
+  /// sends, its bytes are read and dropped, in a limited time and number.
+  /// Closing with unread bytes resets the connection, which can destroy the
+  /// answer.
+  void CloseAfterAnswer();
+  void DropInput();
 
   boost::beast::tcp_stream stream;
   link::DeadlineTimer read_timer;
@@ -127,6 +133,8 @@
   std::string stream_content_type;
   std::string pending;
   std::string writing;
+  std::string dropped_input;
+  std::size_t dropped_bytes = 0;
   std::size_t pending_body_bytes = 0;  ///< Answer bytes in `pending`.
   std::size_t writing_body_bytes = 0;  ///< Answer bytes in `writing`.
   bool is_read_timed_out = false;
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -22,6 +22,9 @@
 namespace {
 
 constexpr Duration kCancelInterval = std::chrono::milliseconds(20);
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+constexpr std::size_t kDropBytes = 16U * 1024U;
+constexpr std::size_t kMaxDroppedBytes = 1024U * 1024U;
 constexpr int kSendBufferBytes = 16 * 1024;
 constexpr char kEventStream[] = "text/event-stream";
 constexpr char kTeamHeader[] = "Gooseberryturn-Team";
@@ -227,7 +230,7 @@
   }
   if (this->pending.empty()) {
     if (this->closes_after_write) {
-      this->CloseSocket();
+      this->CloseAfterAnswer();
     } else if (this->request_ends_after_write) {
       this->EndRequest();
     }
@@ -332,7 +335,7 @@
   if (stays_open) {
     this->WaitForNextRequest();
   } else {
-    this->CloseSocket();
+    this->CloseAfterAnswer();
   }
 }
 
@@ -357,4 +360,37 @@
   this->stream.socket().close(ignored);
 }
 
+void CallerSession::CloseAfterAnswer() {
+  if (this->is_closed) {
+    return;
+  }
+  this->is_closed = true;
+  this->on_written = nullptr;
+  this->on_disconnect = nullptr;
+  error_code ignored;
+  this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  this->read_timer.Set(Clock::now() + kLingerTime, [this] {
+    error_code ignored;
+    this->stream.socket().close(ignored);
+  });
+  this->dropped_input.resize(kDropBytes);
+  this->DropInput();
+}
+
+void CallerSession::DropInput() {
+  const std::shared_ptr<CallerSession> self = this->shared_from_this();
+  this->stream.socket().async_read_some(
+      asio::buffer(this->dropped_input),
+      [self](const error_code& error, std::size_t size) {
+        self->dropped_bytes += size;
+        if (!error && self->dropped_bytes <= kMaxDroppedBytes) {
+          self->DropInput();
+          return;
+        }
+        self->read_timer.Cancel();
+        error_code ignored;
+        self->stream.socket().close(ignored);
+      });
+}
+
 }  // namespace gooseberryturn::entry
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -25,13 +25,14 @@
 constexpr milliseconds kHeaderTimeout(100);
 constexpr milliseconds kIdleTimeout(300);
 constexpr milliseconds kMargin(50);
+constexpr std::size_t kMaxBodyBytes = 512U * 1024U;
 constexpr std::size_t kLargeBytes = 8U * 1024U * 1024U;
 constexpr char kOk[] = "HTTP/1.1 200 OK\r\n";
 
 CallerLimits TestLimits() {
   CallerLimits limits;
   limits.max_header_bytes = 4096;
-  limits.max_body_bytes = 2U * 1024U * 1024U;
+  limits.max_body_bytes = kMaxBodyBytes;
   limits.header_timeout = kHeaderTimeout;
   limits.idle_timeout = kIdleTimeout;
   limits.write_timeout = std::chrono::seconds(5);
@@ -195,7 +196,7 @@
 // The end of the read time falls between two reads of one request.
 BOOST_AUTO_TEST_CASE(a_slow_request_is_refused_though_bytes_arrive_at_its_end) {
   Connected connected;
-  connected.Write(MakeHead(1024U * 1024U) + "b");
+  connected.Write(MakeHead(kMaxBodyBytes) + "b");
   connected.Turn();
   connected.Write(std::string(256U * 1024U, 'b'));
   std::this_thread::sleep_for(kHeaderTimeout + kMargin);
@@ -206,3 +207,56 @@
   BOOST_TEST(connected.requests == 0);
   BOOST_TEST(text.substr(0, 12) == "HTTP/1.1 408");
 }
+
+// Closing a socket with unread bytes resets the connection: the caller's next
+// write fails, and an answer on its way can be lost.
+BOOST_AUTO_TEST_CASE(a_caller_that_sends_its_whole_body_gets_the_refusal) {
+  constexpr std::size_t kPartBytes = 64U * 1024U;
+  constexpr std::size_t kBodyBytes = kMaxBodyBytes + 4 * kPartBytes;
+  Connected connected;
+  connected.Write(MakeHead(kBodyBytes));
+  connected.Turn();
+  error_code error;
+  std::size_t sent = 0;
+  while (!error && sent < kBodyBytes) {
+    sent += asio::write(connected.caller,
+                        asio::buffer(std::string(kPartBytes, 'b')), error);
+    connected.Turn();
+  }
+  BOOST_TEST(!error);
+  BOOST_TEST(sent == kBodyBytes);
+  const std::string text =
+      connected.Read(kLargeBytes, std::chrono::seconds(1), error);
+  BOOST_TEST(connected.requests == 0);
+  BOOST_TEST(text.substr(0, 12) == "HTTP/1.1 413");
+  BOOST_TEST(error == asio::error::eof);
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_caller_that_sends_without_end_is_closed) {
+  constexpr std::size_t kTooManyBytes = 32U * 1024U * 1024U;
+  Connected connected;
+  connected.Write(MakeHead(2 * kTooManyBytes));
+  connected.Turn();
+  const std::string part(64U * 1024U, 'b');
+  error_code error;
+  std::size_t sent = 0;
+  while (!error && sent < kTooManyBytes) {
+    sent += asio::write(connected.caller, asio::buffer(part), error);
+    connected.Turn();
+  }
+  BOOST_TEST(sent < kTooManyBytes);
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_caller_that_stays_is_closed) {
+  Connected connected;
+  connected.Write(MakeHead(kLargeBytes) + std::string(1024, 'b'));
+  error_code error;
+  connected.Read(kLargeBytes, std::chrono::seconds(1), error);
+  const TimePoint give_up_at = Clock::now() + std::chrono::seconds(10);
+  while (connected.metrics.Get(observe::Metric::kConnections) > 0 &&
+         Clock::now() < give_up_at) {
+    connected.Write("b");
+    connected.RunFor(milliseconds(50));
+  }
+  BOOST_TEST(connected.metrics.Get(observe::Metric::kConnections) == 0);
+}
