A deadline that ends with the answer no longer answers a second time

What callers could see, at an entry with agents, for a request that must not be repeated: a refusal for its deadline, outcome unknown, although its outcome was just being recorded; and then the answer too. On a connection that stays open the second one is taken for the answer to the caller's next request. Cause: recording the outcome cancels the deadline's steady_timer, which does not take back a completion that is queued: it refused and ended the request, and the reply of control then sent the answer. Change: link::DeadlineTimer, which never acts once cancelled. Evidence: an_outcome_that_arrives_with_the_deadline_is_answered_once failed on the code before (two status lines, 504 the first) and passes now.

--- a/include/gooseberryturn/entry/request_flow.h
+++ b/include/gooseberryturn/entry/request_flow.h
@@ -14,6 +14,7 @@
 #include "gooseberryturn/control/view_client.h"
 #include "gooseberryturn/entry/caller_session.h"
 #include "gooseberryturn/link/channel.h"
+#include "gooseberryturn/link/deadline_timer.h"
 #include "gooseberryturn/observe/metrics.h"
 #include "gooseberryturn/protocol/message.h"
 #include "gooseberryturn/routing/group_chooser.h"
@@ -144,7 +145,7 @@
   config::Service service;
   config::Route route;
   boost::asio::steady_timer timer;
-  boost::asio::steady_timer deadline_timer;
+  link::DeadlineTimer deadline_timer;
   std::string fingerprint;  ///< Digest of team, path and body.
   routing::RetryState retry_state;
   std::set<std::string> excluded_groups;
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -38,7 +38,7 @@
       service(std::move(service)),
       route(std::move(route)),
       timer(context.io),
-      deadline_timer(context.io) {}
+      deadline_timer(context.io.get_executor()) {}
 
 void RequestFlow::Start() {
   const TimePoint now = Clock::now();
@@ -48,13 +48,8 @@
   this->retry_state.deadline = now + Milliseconds(this->route.deadline_ms);
   const std::shared_ptr<RequestFlow> self = this->shared_from_this();
   this->caller->on_disconnect = [self] { self->OnCallerDisconnect(); };
-  this->deadline_timer.expires_after(Milliseconds(this->route.deadline_ms));
-  this->deadline_timer.async_wait(
-      [self](const boost::system::error_code& error) {
-        if (!error && !self->is_finished) {
-          self->OnDeadline();
-        }
-      });
+  this->deadline_timer.Set(this->retry_state.deadline,
+                           [self] { self->OnDeadline(); });
   this->fingerprint = Digest(this->request.team + '\0' + this->request.path +
                              '\0' + this->request.body);
   if (!this->route.idempotent && this->request.key.empty()) {
@@ -490,7 +485,7 @@
   this->is_finished = true;
   this->CloseAttempt();
   this->timer.cancel();
-  this->deadline_timer.cancel();
+  this->deadline_timer.Cancel();
   if (this->on_finished) {
     const std::function<void()> callback = std::move(this->on_finished);
     this->on_finished = nullptr;
--- a/src/entry/request_flow_claims.cc
+++ b/src/entry/request_flow_claims.cc
@@ -203,7 +203,7 @@
                                 std::function<void()> next) {
   const std::shared_ptr<RequestFlow> self = this->shared_from_this();
   // The outcome is known: the deadline must not turn it into an unknown one.
-  this->deadline_timer.cancel();
+  this->deadline_timer.Cancel();
   this->context.view_client.CallLeader(
       protocol::kSettlePath, protocol::Encode(settle),
       Clock::now() + control::ViewClient::kCallTimeout,
--- /dev/null
+++ b/tests/request_flow_test.cc
@@ -0,0 +1,288 @@
+#define BOOST_TEST_MODULE request_flow
+#include "gooseberryturn/entry/request_flow.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "gooseberryturn/core/stream_digest.h"
+#include "gooseberryturn/link/listener.h"
+#include "gooseberryturn/protocol/codec.h"
+#include "gooseberryturn/protocol/frame.h"
+
+/// A request that must not be repeated, with a control host and an agent over
+/// real sockets. The event loop of the entry runs only when a test says so,
+/// which decides what the loop finds ready in one turn.
+using namespace gooseberryturn;         // NOLINT
+using namespace gooseberryturn::entry;  // NOLINT
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using protocol::FrameType;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kDeadline(400);
+constexpr milliseconds kMargin(50);
+constexpr milliseconds kTestTimeout(10'000);
+constexpr char kRequest[] =
+    "POST /order HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 4\r\n\r\n"
+    "body";
+constexpr char kStatusLine[] = "HTTP/1.1 ";
+
+Endpoint FreeEndpoint() {
+  asio::io_context context;
+  const tcp::acceptor acceptor(
+      context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  return {"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+config::Service OrderService() {
+  config::Service service;
+  service.name = "orders";
+  service.kind = config::ServiceKind::kPlain;
+  service.limits.in_flight = 8;
+  service.limits.cold_in_flight = 8;
+  service.routes = {{"/order", false, kDeadline.count()}};
+  return service;
+}
+
+/// Control host and agent. Claims are granted once `holds_claims` is false.
+class Peers {
+ public:
+  explicit Peers(const Endpoint& endpoint)
+      : endpoint(endpoint), listener(this->context) {
+    const auto serve = [this](const char* path, auto method) {
+      this->listener.ServeMessage(
+          path, [this, method](const std::shared_ptr<link::Stream>& stream,
+                               std::string_view /*payload*/) {
+            (this->*method)(stream);
+          });
+    };
+    serve(protocol::kRenewPath, &Peers::OnRenew);
+    serve(protocol::kClaimPath, &Peers::OnClaim);
+    serve(protocol::kSettlePath, &Peers::OnSettle);
+    serve(protocol::kAttemptPath, &Peers::OnAttemptQuery);
+    this->listener.Serve(
+        protocol::kRunPath,
+        [this](const std::shared_ptr<link::Stream>& stream) {
+          this->run = stream;
+          stream->on_frame = [this](FrameType type, std::string_view) {
+            const bool is_hand_over = type == FrameType::kMessage;
+            this->hand_overs += is_hand_over ? 1 : 0;
+          };
+        });
+    BOOST_REQUIRE(this->listener.Start(endpoint).has_value());
+  }
+
+  void Turn() {
+    this->context.restart();
+    this->context.run_for(milliseconds(5));
+  }
+  void GrantClaim() {
+    protocol::ClaimReply reply;
+    reply.verdict = protocol::ClaimVerdict::kGranted;
+    link::Reply(*this->claim, reply);
+    this->Turn();
+  }
+  void SendAnswer() {
+    this->run->Send(protocol::EncodeFrame(
+        FrameType::kMessage,
+        protocol::Encode(protocol::AnswerHead{200, "text/plain"})));
+    protocol::AnswerEnd end;
+    end.digest = StreamDigest().Hex();
+    this->run->Send(
+        protocol::EncodeFrame(FrameType::kEnd, protocol::Encode(end)));
+    this->run->Finish();
+    this->Turn();
+  }
+
+  Endpoint endpoint;
+  asio::io_context context;
+  link::Listener listener;
+  std::shared_ptr<link::Stream> claim;
+  std::shared_ptr<link::Stream> run;
+  int hand_overs = 0;
+  int settled = 0;
+
+ private:
+  void OnRenew(const std::shared_ptr<link::Stream>& stream) {
+    if (this->has_sent_view) {
+      this->held_renewal = stream;
+      return;
+    }
+    this->has_sent_view = true;
+    protocol::RenewReply reply;
+    reply.granted = true;
+    reply.lease_ms = 60'000;
+    reply.entries = 1;
+    reply.delta.to = 1;
+    reply.delta.services = {OrderService()};
+    reply.delta.data_centres = {{"a", "region", false}};
+    protocol::Group group;
+    group.name = "orders-1";
+    group.service = "orders";
+    group.data_centre = "a";
+    group.fence = 1;
+    group.members = {{"host-1", 1, this->endpoint}};
+    reply.delta.groups = {group};
+    link::Reply(*stream, reply);
+  }
+  void OnClaim(const std::shared_ptr<link::Stream>& stream) {
+    this->claim = stream;
+  }
+  void OnSettle(const std::shared_ptr<link::Stream>& stream) {
+    this->settled += 1;
+    link::Reply(*stream, protocol::SettleReply{true, true});
+  }
+  void OnAttemptQuery(const std::shared_ptr<link::Stream>& stream) {
+    link::Reply(*stream, protocol::AttemptReply{});
+  }
+
+  bool has_sent_view = false;
+  std::shared_ptr<link::Stream> held_renewal;
+};
+
+/// An entry with one caller, whose request starts a flow.
+class Entry {
+ public:
+  Entry()
+      : peers(FreeEndpoint()),
+        channels(context),
+        view_client(context, this->channels, {this->peers.endpoint},
+                    protocol::Renew{}, Duration(0), metrics),
+        chooser("a", routing::Policy::kTwoChoice, 1),
+        acceptor(context,
+                 tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+        caller(context) {
+    this->view_client.Start();
+    this->TurnUntil([this] { return this->view_client.view().index == 1; });
+    // Later opens of a stream to the agent find a connection.
+    bool is_connected = false;
+    this->channels.Get(this->peers.endpoint)
+        ->Call(protocol::kAttemptPath,
+               protocol::Encode(protocol::AttemptQuery{}),
+               Clock::now() + kTestTimeout,
+               [&is_connected](const Result<std::string>& /*result*/) {
+                 is_connected = true;
+               });
+    this->TurnUntil([&is_connected] { return is_connected; });
+    this->caller.connect(this->acceptor.local_endpoint());
+    CallerLimits limits;
+    limits.max_header_bytes = 4096;
+    limits.max_body_bytes = 4096;
+    limits.header_timeout = kTestTimeout;
+    limits.write_timeout = kTestTimeout;
+    const std::shared_ptr<CallerSession> session =
+        std::make_shared<CallerSession>(this->acceptor.accept(), limits,
+                                        this->metrics);
+    session->on_request = [this](const std::shared_ptr<CallerSession>& from,
+                                 const CallerRequest& request) {
+      const config::Service service = OrderService();
+      const std::shared_ptr<RequestFlow> flow = std::make_shared<RequestFlow>(
+          FlowContext{this->context, this->channels, this->view_client,
+                      this->chooser, this->retry_budgets, this->metrics},
+          from, request, service, service.routes.front());
+      flow->on_finished = [this] { this->finished += 1; };
+      this->started_at = Clock::now();
+      flow->Start();
+    };
+    session->Start();
+  }
+
+  /// Runs the loop until nothing is ready.
+  void Turn() {
+    this->context.restart();
+    this->context.poll();
+  }
+  template <typename Condition>
+  void TurnUntil(Condition condition) {
+    const TimePoint give_up_at = Clock::now() + kTestTimeout;
+    while (!condition() && Clock::now() < give_up_at) {
+      this->Turn();
+      this->peers.Turn();
+    }
+    BOOST_REQUIRE(condition());
+  }
+  /// Sends the request and runs both loops until its claim has arrived.
+  void SendRequest() {
+    error_code ignored;
+    asio::write(this->caller, asio::buffer(kRequest, sizeof(kRequest) - 1),
+                ignored);
+    this->TurnUntil([this] { return this->peers.claim != nullptr; });
+  }
+  void SleepPastDeadline() {
+    std::this_thread::sleep_until(this->started_at + kDeadline + kMargin);
+  }
+  /// Runs both loops for a while and returns what the caller has received.
+  std::string ReadAll() {
+    for (int turn = 0; turn < 40; ++turn) {
+      this->Turn();
+      this->peers.Turn();
+    }
+    error_code error;
+    std::string text(16U * 1024U, '\0');
+    this->caller.non_blocking(true);
+    text.resize(this->caller.read_some(asio::buffer(text), error));
+    return text;
+  }
+
+  asio::io_context context;
+  Peers peers;
+  observe::Metrics metrics;
+  link::ChannelPool channels;
+  control::ViewClient view_client;
+  routing::GroupChooser chooser;
+  std::map<std::string, routing::RetryBudget> retry_budgets;
+  tcp::acceptor acceptor;
+  tcp::socket caller;
+  TimePoint started_at;
+  int finished = 0;
+};
+
+int CountAnswers(const std::string& text) {
+  int count = 0;
+  for (std::size_t at = text.find(kStatusLine); at != std::string::npos;
+       at = text.find(kStatusLine, at + 1)) {
+    count += 1;
+  }
+  return count;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(an_outcome_that_arrives_in_time_is_answered) {
+  Entry entry;
+  entry.SendRequest();
+  entry.peers.GrantClaim();
+  entry.TurnUntil([&entry] { return entry.peers.hand_overs == 1; });
+  entry.peers.SendAnswer();
+  const std::string text = entry.ReadAll();
+  BOOST_TEST(text.substr(0, 12) == "HTTP/1.1 200");
+  BOOST_TEST(CountAnswers(text) == 1);
+  BOOST_TEST(entry.peers.settled == 1);
+  BOOST_TEST(entry.finished == 1);
+}
+
+BOOST_AUTO_TEST_CASE(
+    an_outcome_that_arrives_with_the_deadline_is_answered_once) {
+  Entry entry;
+  entry.SendRequest();
+  entry.peers.GrantClaim();
+  entry.TurnUntil([&entry] { return entry.peers.hand_overs == 1; });
+  entry.peers.SendAnswer();
+  entry.SleepPastDeadline();
+  // The loop finds the end of the answer and the deadline together.
+  const std::string text = entry.ReadAll();
+  BOOST_TEST(text.substr(0, 12) == "HTTP/1.1 200");
+  BOOST_TEST(CountAnswers(text) == 1);
+  BOOST_TEST(entry.peers.settled == 1);
+  BOOST_TEST(entry.finished == 1);
+}
