An entry hands no request over after its deadline

What callers could see, at an entry with agents whose process had been held up: a request that must not be repeated was handed to the agent after its deadline, and refused with its outcome unknown although nothing had run. Cause: the grant of the claim, or the connection to the agent, came in the turn of the event loop in which the deadline ended, and was served first; nothing looked at the deadline at the hand-over. Agents refuse such a request, so none is known to have run this way. Change: the deadline is checked at the hand-over itself. Evidence: a_request_is_not_handed_over_after_its_deadline failed on the code before (one hand-over; outcome not "not_run") and passes now, five runs of five.

--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -184,6 +184,11 @@
 }
 
 void RequestFlow::SendHandOver(const std::shared_ptr<link::Stream>& opened) {
+  if (Clock::now() >= this->retry_state.deadline) {
+    opened->Cancel();
+    this->OnDeadline();
+    return;
+  }
   this->stream = opened;
   const std::shared_ptr<RequestFlow> self = this->shared_from_this();
   const std::uint64_t sent_attempt_id = this->attempt_id;
--- a/tests/request_flow_test.cc
+++ b/tests/request_flow_test.cc
@@ -286,3 +286,16 @@
   BOOST_TEST(entry.peers.settled == 1);
   BOOST_TEST(entry.finished == 1);
 }
+
+BOOST_AUTO_TEST_CASE(a_request_is_not_handed_over_after_its_deadline) {
+  Entry entry;
+  entry.SendRequest();
+  entry.peers.GrantClaim();
+  entry.SleepPastDeadline();
+  // The loop finds the grant and the deadline together.
+  const std::string text = entry.ReadAll();
+  BOOST_TEST(entry.peers.hand_overs == 0);
+  BOOST_TEST(CountAnswers(text) == 1);
+  BOOST_TEST(text.find("\"not_run\"") != std::string::npos);
+  BOOST_TEST(entry.finished == 1);
+}
