An agent sends a target no request after its deadline

What callers could see, at an agent whose process had been held up: a request that must not be repeated ran at its target although its deadline had passed, and was answered as one whose outcome is unknown. Cause: the connection to the target was made in the turn of the event loop in which the deadline ended, and was served first; the deadline was checked when the request was admitted, but not when it was sent. Change: Exchange checks the deadline when it sends; the outcome is then not run. Evidence: a_request_is_not_sent_after_its_deadline failed on the code before (the target had the request; outcome unknown) and passes now, five runs of five.

--- a/include/gooseberryturn/target/exchange.h
+++ b/include/gooseberryturn/target/exchange.h
@@ -73,6 +73,8 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+  void FinishAtDeadline();
+  /// Sends the request, unless its deadline has passed.
   void Write();
   void ReadHead();
   void ReadBody();
--- a/src/target/exchange.cc
+++ b/src/target/exchange.cc
@@ -49,8 +49,7 @@
   this->timer.expires_after(this->deadline - Clock::now());
   this->timer.async_wait([self](const error_code& error) {
     if (!error) {
-      self->Finish(tl::make_unexpected(self->MakeError(
-          Reason::kDeadline, "the target did not finish before the deadline")));
+      self->FinishAtDeadline();
     }
   });
   const asio::ip::tcp::endpoint endpoint(
@@ -68,7 +67,16 @@
   });
 }
 
+void Exchange::FinishAtDeadline() {
+  this->Finish(tl::make_unexpected(this->MakeError(
+      Reason::kDeadline, "the target did not finish before the deadline")));
+}
+
 void Exchange::Write() {
+  if (Clock::now() >= this->deadline) {
+    this->FinishAtDeadline();
+    return;
+  }
   error_code ignored;
   this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   this->http_request.method_string(this->request.method);
