A direct entry sends a target no request after its deadline

What callers could see, at a direct entry whose process had been held up: a request that must not be repeated was sent to its target although its deadline had passed, and was answered with 504, which leaves open whether it ran. Cause: the connection to the target, or a place at it, came in the turn of the event loop in which the deadline ended, and was served before the tick that ends late requests; nothing looked at the deadline when sending. Change: an exchange has a time by which it is sent, checked when it is; after it the exchange ends as not sent, which counts for nothing against the target. Evidence: a_request_is_not_sent_after_its_deadline and a_late_request_is_not_sent_on_an_idle_connection_either failed on the code before (the target had the request) and pass now, five runs of five.

--- a/include/gooseberryturn/direct/target_connection.h
+++ b/include/gooseberryturn/direct/target_connection.h
@@ -39,12 +39,14 @@
 using ResponseHead =
     boost::beast::http::header<false, boost::beast::http::fields>;
 
-/// \brief Callbacks of one exchange.
+/// \brief Callbacks of one exchange, and its time limit.
 struct ExchangeHooks {
   std::function<void(const ResponseHead&)> on_head;
   std::function<void(std::string_view)> on_body;
   /// Called exactly once, after all others.
   std::function<void(ExchangeEnd, const std::string& why)> on_end;
+  /// From then on the request is no longer sent.
+  TimePoint send_by = TimePoint::max();
 };
 
 /// \brief An HTTP/1.1 connection to a target; carries one request at a time.
@@ -76,6 +78,8 @@
 
  private:
   void Connect();
+  /// Sends the request and reads its answer, unless it is too late for that.
+  void SendRequest();
   void Write();
   void ReadHead();
   void OnHead();
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -331,6 +331,7 @@
       self->OnEnd(end, cause);
     }
   };
+  hooks.send_by = this->deadline;
   this->connection->Exchange(this->SerializeRequest(target_id),
                              this->entry.dialect.headers.attempt,
                              this->caller_attempt_id, std::move(hooks));
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -105,8 +105,10 @@
   const bool is_rejected =
       end == ExchangeEnd::kComplete &&
       !this->answer_head[this->entry.dialect.headers.not_executed].empty();
+  const bool is_too_late =
+      end == ExchangeEnd::kNotSent && now >= this->deadline;
   HealthSignal signal = HealthSignal::kBad;
-  if (end == ExchangeEnd::kCancelled || is_rejected) {
+  if (end == ExchangeEnd::kCancelled || is_rejected || is_too_late) {
     signal = HealthSignal::kNone;
   } else if (end == ExchangeEnd::kComplete) {
     signal = HealthSignal::kGood;
--- a/src/direct/target_connection.cc
+++ b/src/direct/target_connection.cc
@@ -69,8 +69,7 @@
   if (this->connected) {
     error_code ignored;
     this->socket.cancel(ignored);
-    this->Write();
-    this->ReadHead();
+    this->SendRequest();
   } else {
     this->Connect();
   }
@@ -105,11 +104,25 @@
         self->connected = true;
         error_code ignored;
         self->socket.set_option(tcp::no_delay(true), ignored);
-        self->Write();
-        self->ReadHead();
+        self->SendRequest();
       });
 }
 
+void TargetConnection::SendRequest() {
+  if (Clock::now() < this->hooks.send_by) {
+    this->Write();
+    this->ReadHead();
+    return;
+  }
+  // Posted, because the hooks are not called before Exchange has returned.
+  asio::post(this->socket.get_executor(),
+             [self = this->shared_from_this(), number = this->exchange_number] {
+               if (number == self->exchange_number) {
+                 self->End(ExchangeEnd::kNotSent, "too late to send");
+               }
+             });
+}
+
 void TargetConnection::Write() {
   this->is_write_begun = true;
   const std::shared_ptr<TargetConnection> self = this->shared_from_this();
--- a/tests/target_connection_test.cc
+++ b/tests/target_connection_test.cc
@@ -7,9 +7,11 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 
 /// A connection to a target that sends what belongs to no request.
 using namespace gooseberryturn;          // NOLINT
@@ -117,6 +119,33 @@
   return outcome;
 }
 
+/// A target whose connections are accepted and served only when a test says so.
+class HeldTarget {
+ public:
+  explicit HeldTarget(asio::io_context& context)
+      : acceptor(context,
+                 tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {}
+
+  [[nodiscard]] Endpoint endpoint() const {
+    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+  }
+  void Accept() { this->accepted = this->acceptor.accept(); }
+  /// Bytes that have arrived until now.
+  std::string Received() {
+    error_code error;
+    std::string text(4096, '\0');
+    this->accepted->non_blocking(true);
+    text.resize(this->accepted->read_some(asio::buffer(text), error));
+    return text;
+  }
+  void Send(const std::string& bytes) {
+    asio::write(*this->accepted, asio::buffer(bytes));
+  }
+
+  tcp::acceptor acceptor;
+  std::optional<tcp::socket> accepted;
+};
+
 std::string MakeAnswer(const std::string& id, const std::string& body) {
   return "HTTP/1.1 200 OK\r\n" + std::string(kIdHeader) + ": " + id +
          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
@@ -207,3 +236,64 @@
   BOOST_REQUIRE(outcome.end.has_value());
   BOOST_TEST((*outcome.end == ExchangeEnd::kInvalid));
 }
+
+BOOST_AUTO_TEST_CASE(a_request_is_not_sent_after_its_deadline) {
+  constexpr std::chrono::milliseconds kDeadline(100);
+  asio::io_context context;
+  HeldTarget target(context);
+  const std::shared_ptr<TargetConnection> connection =
+      std::make_shared<TargetConnection>(context, target.endpoint());
+  std::optional<ExchangeEnd> end;
+  ExchangeHooks hooks;
+  hooks.on_end = [&end](ExchangeEnd ended, const std::string& /*why*/) {
+    end = ended;
+  };
+  hooks.send_by = Clock::now() + kDeadline;
+  connection->Exchange("GET / HTTP/1.1\r\n\r\n", kIdHeader, "a",
+                       std::move(hooks));
+  std::this_thread::sleep_for(kDeadline * 2);
+  // The loop finds the connection after the deadline.
+  context.run_for(kDeadline);
+  target.Accept();
+  BOOST_TEST(target.Received().empty());
+  BOOST_REQUIRE(end.has_value());
+  BOOST_TEST((*end == ExchangeEnd::kNotSent));
+}
+
+BOOST_AUTO_TEST_CASE(a_late_request_is_not_sent_on_an_idle_connection_either) {
+  asio::io_context context;
+  HeldTarget target(context);
+  const std::shared_ptr<TargetConnection> connection =
+      std::make_shared<TargetConnection>(context, target.endpoint());
+  std::optional<ExchangeEnd> end;
+  const auto make_hooks = [&end] {
+    ExchangeHooks hooks;
+    hooks.on_head = [](const ResponseHead& /*head*/) {};
+    hooks.on_body = [](std::string_view /*bytes*/) {};
+    hooks.on_end = [&end](ExchangeEnd ended, const std::string& /*why*/) {
+      end = ended;
+    };
+    return hooks;
+  };
+  connection->Exchange("GET / HTTP/1.1\r\n\r\n", kIdHeader, "a", make_hooks());
+  context.run_for(std::chrono::milliseconds(50));
+  target.Accept();
+  BOOST_TEST(!target.Received().empty());
+  target.Send(MakeAnswer("a", "first"));
+  context.restart();
+  context.run_for(std::chrono::milliseconds(50));
+  BOOST_REQUIRE(end.has_value());
+  BOOST_REQUIRE(connection->is_reusable());
+  end.reset();
+  ExchangeHooks late = make_hooks();
+  late.send_by = Clock::now();
+  connection->Exchange("GET / HTTP/1.1\r\n\r\n", kIdHeader, "b",
+                       std::move(late));
+  // Hooks are never called before Exchange has returned.
+  BOOST_TEST(!end.has_value());
+  context.restart();
+  context.run_for(std::chrono::milliseconds(50));
+  BOOST_TEST(target.Received().empty());
+  BOOST_REQUIRE(end.has_value());
+  BOOST_TEST((*end == ExchangeEnd::kNotSent));
+}
