A direct entry uses no connection that its target has closed already

What callers could see: a request that must not be repeated was refused with 502, outcome unknown, because it was sent on an idle connection whose end the target had sent before. Cause: a connection counted as open until the event loop told its watch; the end of the connection, in the kernel already, was looked at by nobody at the hand-over. The longer a turn of the loop, or a pause of the process, the more often. Change: the pool asks the kernel when it hands out an idle connection. Evidence: a_connection_that_the_target_has_closed_is_not_used failed on the code before (the closed connection was handed out, its exchange ended without an answer) and passes now, five runs of five.

--- a/include/gooseberryturn/direct/target_connection.h
+++ b/include/gooseberryturn/direct/target_connection.h
@@ -65,6 +65,11 @@
   /// \brief Watches an idle connection and closes it when the target does.
   void WatchIdle();
 
+  /// \brief True for an idle connection that the target has neither closed nor
+  /// sent anything on, as the kernel knows it now: the event loop may not have
+  /// come to tell WatchIdle yet.
+  [[nodiscard]] bool IsSilent();
+
   /// \brief True if another request may be sent on this connection.
   [[nodiscard]] bool is_reusable() const noexcept { return this->reusable; }
   [[nodiscard]] bool is_connected() const noexcept { return this->connected; }
--- a/src/direct/target_connection.cc
+++ b/src/direct/target_connection.cc
@@ -1,9 +1,12 @@
 #include "gooseberryturn/direct/target_connection.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <cerrno>
 #include <charconv>
 #include <utility>
 
@@ -309,6 +312,16 @@
       });
 }
 
+bool TargetConnection::IsSilent() {
+  if (!this->connected) {
+    return false;
+  }
+  char byte = 0;
+  const ssize_t size =
+      recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size < 0 && errno == EAGAIN;
+}
+
 void TargetConnection::Close() {
   this->connected = false;
   this->reusable = false;
@@ -324,7 +337,7 @@
   while (!idle.empty()) {
     const std::shared_ptr<TargetConnection> connection = idle.back();
     idle.pop_back();
-    if (connection->is_connected() && now < connection->idle_until()) {
+    if (now < connection->idle_until() && connection->IsSilent()) {
       return connection;
     }
   }
--- a/tests/target_connection_test.cc
+++ b/tests/target_connection_test.cc
@@ -297,3 +297,49 @@
   BOOST_REQUIRE(end.has_value());
   BOOST_TEST((*end == ExchangeEnd::kNotSent));
 }
+
+BOOST_AUTO_TEST_CASE(a_connection_that_the_target_has_closed_is_not_used) {
+  asio::io_context context;
+  HeldTarget target(context);
+  TargetConnectionPool pool(context);
+  const std::shared_ptr<TargetConnection> connection =
+      pool.Acquire("a", target.endpoint());
+  std::optional<ExchangeEnd> end;
+  const auto make_hooks = [&end] {
+    ExchangeHooks hooks;
+    hooks.on_head = [](const ResponseHead& /*head*/) {};
+    hooks.on_body = [](std::string_view /*bytes*/) {};
+    hooks.on_end = [&end](ExchangeEnd ended, const std::string& /*why*/) {
+      end = ended;
+    };
+    return hooks;
+  };
+  connection->Exchange("GET / HTTP/1.1\r\n\r\n", kIdHeader, "a", make_hooks());
+  context.run_for(std::chrono::milliseconds(50));
+  target.Accept();
+  target.Send(MakeAnswer("a", "first"));
+  BOOST_TEST(!target.Received().empty());
+  context.restart();
+  context.run_for(std::chrono::milliseconds(50));
+  BOOST_REQUIRE(end.has_value());
+  pool.Release("a", connection, 1);
+  context.restart();
+  context.poll();
+  // The loop has not run since the target closed the connection.
+  target.accepted->close();
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  end.reset();
+  const std::shared_ptr<TargetConnection> next =
+      pool.Acquire("a", target.endpoint());
+  BOOST_TEST(next != connection);
+  next->Exchange("GET / HTTP/1.1\r\n\r\n", kIdHeader, "b", make_hooks());
+  context.restart();
+  context.run_for(std::chrono::milliseconds(50));
+  BOOST_REQUIRE(!end.has_value());
+  target.Accept();
+  target.Send(MakeAnswer("b", "second"));
+  context.restart();
+  context.run_for(std::chrono::milliseconds(50));
+  BOOST_REQUIRE(end.has_value());
+  BOOST_TEST((*end == ExchangeEnd::kComplete));
+}
