An agent asks for its leases again when it sends to the target

What callers could see, at an agent whose process had been held up: a request ran at the target of a group that had been assigned anew meanwhile, or without a view lease, and ended with its outcome unknown when the agent aborted it. Cause: leases, fence and group were checked when the request was admitted; the request was sent when the connection to the target was made, however much later. Change: Exchange asks once more when it is about to send; an objection ends the request as not run, so that the entry may try elsewhere.

--- a/include/gooseberryturn/target/exchange.h
+++ b/include/gooseberryturn/target/exchange.h
@@ -52,6 +52,9 @@
   Exchange(boost::asio::io_context& context, Endpoint target, Request request,
            TimePoint deadline);
 
+  /// \brief Asked when the connection to the target is made and the request is
+  /// about to be sent; its error ends the exchange. Optional.
+  std::function<Result<void>()> may_send;
   /// \brief Called once, before the body.
   std::function<void(const ResponseHead&)> on_head;
   /// \brief Called with each part of the body; the view is valid only during
@@ -74,7 +77,7 @@
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
   void FinishAtDeadline();
-  /// Sends the request, unless its deadline has passed.
+  /// Sends the request, unless its deadline has passed or `may_send` objects.
   void Write();
   void ReadHead();
   void ReadBody();
--- a/src/agent/request_executor.cc
+++ b/src/agent/request_executor.cc
@@ -199,6 +199,11 @@
   request.body = std::move(execution->body);
   execution->exchange = std::make_shared<target::Exchange>(
       this->context, this->target, std::move(request), execution->deadline);
+  // Leases may have ended since the request was admitted.
+  execution->exchange->may_send = [this, execution] {
+    return admission::CheckAgentState(execution->hand_over,
+                                      this->agent_state());
+  };
   execution->exchange->on_head = [this,
                                   execution](const target::ResponseHead& head) {
     this->OnHead(execution, head);
--- a/src/target/exchange.cc
+++ b/src/target/exchange.cc
@@ -77,6 +77,12 @@
     this->FinishAtDeadline();
     return;
   }
+  const Result<void> allowed =
+      this->may_send ? this->may_send() : Result<void>();
+  if (!allowed.has_value()) {
+    this->Cancel(allowed.error());
+    return;
+  }
   error_code ignored;
   this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   this->http_request.method_string(this->request.method);
@@ -179,6 +185,7 @@
   this->socket.close(ignored);
   this->timer.cancel();
   const std::function<void(Result<void>)> callback = std::move(this->on_done);
+  this->may_send = nullptr;
   this->on_head = nullptr;
   this->on_body = nullptr;
   this->on_done = nullptr;
--- /dev/null
+++ b/tests/request_executor_test.cc
@@ -0,0 +1,173 @@
+#define BOOST_TEST_MODULE request_executor
+#include "gooseberryturn/agent/request_executor.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "gooseberryturn/link/channel.h"
+#include "gooseberryturn/link/listener.h"
+#include "gooseberryturn/protocol/codec.h"
+#include "gooseberryturn/protocol/frame.h"
+
+/// An executor between an entry and a target, over real sockets. The event loop
+/// of the executor runs only when a test says so.
+using namespace gooseberryturn;         // NOLINT
+using namespace gooseberryturn::agent;  // NOLINT
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using protocol::FrameType;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kTestTimeout(10'000);
+
+Endpoint FreeEndpoint() {
+  asio::io_context context;
+  const tcp::acceptor acceptor(
+      context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  return {"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+config::Service OrderService() {
+  config::Service service;
+  service.name = "orders";
+  service.kind = config::ServiceKind::kPlain;
+  service.limits.in_flight = 8;
+  service.limits.cold_in_flight = 8;
+  return service;
+}
+
+class Executor {
+ public:
+  Executor()
+      : acceptor(context,
+                 tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+        link(FreeEndpoint()),
+        monitor(context, this->target(), false),
+        executor(context, this->target(), this->monitor, this->metrics),
+        listener(context),
+        channels(entry_context) {
+    this->state.incarnation = 1;
+    this->state.group = "orders-1";
+    this->state.fence = 1;
+    this->state.has_view = true;
+    this->state.group_whole = true;
+    this->state.target_ready = true;
+    this->executor.agent_state = [this] { return this->state; };
+    this->executor.Configure(OrderService());
+    this->executor.Start(this->listener);
+    BOOST_REQUIRE(this->listener.Start(this->link).has_value());
+  }
+
+  [[nodiscard]] Endpoint target() const {
+    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+  }
+  /// Hands a request over and runs the loop until it is admitted.
+  void HandOver() {
+    protocol::HandOver hand_over;
+    hand_over.attempt = 1;
+    hand_over.service = "orders";
+    hand_over.path = "/order";
+    hand_over.idempotent = false;
+    hand_over.group = "orders-1";
+    hand_over.fence = 1;
+    hand_over.incarnation = 1;
+    hand_over.remaining_ms = kTestTimeout.count();
+    this->channels.Get(this->link)
+        ->Open(protocol::kRunPath,
+               [this, hand_over](Result<std::shared_ptr<link::Stream>> opened) {
+                 BOOST_REQUIRE(opened.has_value());
+                 const std::shared_ptr<link::Stream> stream = *opened;
+                 stream->on_frame = [this](FrameType type,
+                                           std::string_view payload) {
+                   if (type == FrameType::kEnd) {
+                     this->end = protocol::Decode<protocol::AnswerEnd>(payload);
+                   }
+                 };
+                 stream->Send(protocol::EncodeFrame(
+                     FrameType::kMessage, protocol::Encode(hand_over)));
+                 stream->Finish();
+               });
+    const TimePoint give_up_at = Clock::now() + kTestTimeout;
+    while (this->metrics.Get(observe::Metric::kRequests) == 0 &&
+           Clock::now() < give_up_at) {
+      this->TurnEntry();
+      this->context.restart();
+      this->context.poll_one();
+    }
+    BOOST_REQUIRE(this->metrics.Get(observe::Metric::kRequests) == 1);
+  }
+  void TurnEntry() {
+    this->entry_context.restart();
+    this->entry_context.run_for(milliseconds(1));
+  }
+  void Run() {
+    for (int turn = 0; turn < 50; ++turn) {
+      this->context.restart();
+      this->context.poll();
+      this->TurnEntry();
+    }
+  }
+  /// What the target has received until now.
+  std::string Received() {
+    this->accepted = this->acceptor.accept();
+    this->accepted->non_blocking(true);
+    error_code error;
+    std::string text(4096, '\0');
+    text.resize(this->accepted->read_some(asio::buffer(text), error));
+    return text;
+  }
+
+  asio::io_context context;
+  asio::io_context entry_context;
+  observe::Metrics metrics;
+  tcp::acceptor acceptor;
+  std::optional<tcp::socket> accepted;
+  Endpoint link;
+  admission::AgentState state;
+  target::Monitor monitor;
+  RequestExecutor executor;
+  link::Listener listener;
+  link::ChannelPool channels;
+  std::optional<protocol::AnswerEnd> end;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(an_admitted_request_is_sent) {
+  Executor executor;
+  executor.HandOver();
+  executor.Run();
+  BOOST_TEST(executor.Received().substr(0, 11) == "POST /order");
+}
+
+// The process may be held up between the two.
+BOOST_AUTO_TEST_CASE(
+    a_lease_that_ends_after_admission_keeps_it_from_the_target) {
+  Executor executor;
+  executor.HandOver();
+  executor.state.has_view = false;
+  executor.Run();
+  BOOST_TEST(executor.Received().empty());
+  BOOST_REQUIRE(executor.end.has_value());
+  BOOST_TEST((executor.end->error.reason == Reason::kNoView));
+  BOOST_TEST((executor.end->error.outcome == Outcome::kNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(a_group_assigned_anew_keeps_a_request_from_the_target) {
+  Executor executor;
+  executor.HandOver();
+  executor.state.fence = 2;
+  executor.Run();
+  BOOST_TEST(executor.Received().empty());
+  BOOST_REQUIRE(executor.end.has_value());
+  BOOST_TEST((executor.end->error.reason == Reason::kStaleFence));
+  BOOST_TEST((executor.end->error.outcome == Outcome::kNotRun));
+}
