A damaged length in the log is no longer taken for a torn write

Operators could lose an acknowledged configuration: when the length of a record was damaged on disk so that it reached beyond the end of the log, the host started without an error, cut the log off there and dropped this record and all later ones. A voter that has forgotten acknowledged entries can elect a leader without them.

Cause: the length lies outside the checksum of its record, and a record that ends beyond the file counts as the rest of a torn write.

Change: before such a record is dropped, its payload is parsed; it marks its own end. If it is whole and matches the checksum, the length is damaged and Load fails as it does for any other damage. The format stays as it is, so logs of earlier builds are read as before. Where the length and the payload of one record are both damaged, it still passes for a torn write; storage.h says so.

--- a/include/gooseberryturn/consensus/storage.h
+++ b/include/gooseberryturn/consensus/storage.h
@@ -27,9 +27,9 @@
 /// new id.
 ///
 /// A record counts as incomplete when its length reaches beyond the end of the
-/// file, or when the rest of the file is zero bytes. A damaged length may
-/// therefore pass for an incomplete record, and Load then drops all entries
-/// from there on.
+/// file and no whole payload that matches its checksum follows, or when the
+/// rest of the file is zero bytes. Where the length and the payload of one
+/// record are both damaged, it may pass for an incomplete record.
 ///
 /// Failed writes and damaged files are kTargetFailed, with the data folder as
 /// Error::peer. A file that cannot be opened for reading counts as missing.
--- a/src/consensus/storage.cc
+++ b/src/consensus/storage.cc
@@ -10,6 +10,7 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
+#include <msgpack.hpp>
 #include <optional>
 #include <sstream>
 #include <utility>
@@ -71,6 +72,24 @@
   return record;
 }
 
+/// True when a record whose length reaches beyond the end of the file is whole
+/// all the same: its payload, which marks its own end, matches the checksum.
+/// The length, which the checksum does not cover, is then damaged. Of a torn
+/// write the payload breaks off.
+bool HasDamagedLength(std::string_view bytes) {
+  if (bytes.size() < kRecordHeaderBytes) {
+    return false;
+  }
+  std::uint64_t checksum = 0;
+  std::memcpy(&checksum, bytes.data() + sizeof(std::uint32_t),
+              sizeof(checksum));
+  const std::string_view rest = bytes.substr(kRecordHeaderBytes);
+  std::size_t size = 0;
+  msgpack::null_visitor visitor;
+  return msgpack::parse(rest.data(), rest.size(), size, visitor) &&
+         XXH3_64bits(rest.data(), size) == checksum;
+}
+
 bool WriteAll(int fd, std::string_view bytes, std::uint64_t offset) {
   std::size_t written = 0;
   while (written < bytes.size()) {
@@ -276,8 +295,9 @@
   this->positions.clear();
   std::uint64_t offset = 0;
   while (offset < bytes.size()) {
-    const Record record = DecodeRecord(std::string_view(bytes).substr(offset));
-    if (record.state == RecordState::kIncomplete) {
+    const std::string_view rest = std::string_view(bytes).substr(offset);
+    const Record record = DecodeRecord(rest);
+    if (record.state == RecordState::kIncomplete && !HasDamagedLength(rest)) {
       this->has_incomplete_record = true;
       break;
     }
--- a/tests/storage_test.cc
+++ b/tests/storage_test.cc
@@ -110,6 +110,45 @@
   }
 }
 
+BOOST_FIXTURE_TEST_CASE(damaged_length_is_never_taken_for_a_torn_tail,
+                        TemporaryFolder) {
+  // The length is the first field of a record, outside its checksum. One that
+  // reaches beyond the end of the file looked like a record of a torn write,
+  // and all entries from there on were dropped.
+  constexpr std::uintmax_t kLengthBytes = 4;
+  std::vector<std::uintmax_t> records = {0};
+  {
+    Storage storage = Open();
+    for (Index index = 1; index <= 3; ++index) {
+      Save(storage, index, index);
+      records.push_back(std::filesystem::file_size(LogPath()));
+    }
+  }
+  records.pop_back();
+  for (const std::uintmax_t record : records) {
+    for (std::uintmax_t byte = 0; byte < kLengthBytes; ++byte) {
+      const std::streamoff offset = static_cast<std::streamoff>(record + byte);
+      std::fstream file(LogPath(),
+                        std::ios::in | std::ios::out | std::ios::binary);
+      file.seekg(offset);
+      const char before = static_cast<char>(file.get());
+      file.seekp(offset);
+      file.put(static_cast<char>(before ^ 0x7f));
+      file.flush();
+      Storage storage = Open();
+      const Result<PersistentState> stored = storage.Load();
+      BOOST_TEST_CONTEXT("record at " << record << ", byte " << byte) {
+        BOOST_REQUIRE(!stored.has_value());
+        BOOST_TEST(stored.error().message.find("damaged") != std::string::npos);
+      }
+      file.seekp(offset);
+      file.put(before);
+    }
+  }
+  Storage storage = Open();
+  BOOST_TEST(storage.Load()->entries.size() == 3U);
+}
+
 BOOST_FIXTURE_TEST_CASE(damaged_hard_state_and_foreign_id_are_errors,
                         TemporaryFolder) {
   {
