--- a/tests/async_http_test.cc
+++ b/tests/async_http_test.cc
@@ -33,6 +33,8 @@
 constexpr milliseconds kIdleTimeout(100);
 constexpr milliseconds kLeaveTimeout(30);
 constexpr int kSmallReceiveBuffer = 4096;
+/// More than the buffer of a caller takes.
+constexpr std::size_t kAnswerBytes = 300'000;
 constexpr std::uint16_t kPort = 7399;
 
 [[nodiscard]] HttpServerLimits ShortLimits() {
@@ -161,7 +163,6 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_last_answer_before_an_unread_call_is_not_destroyed) {
-  constexpr std::size_t kAnswerBytes = 300'000;
   Serving serving;
   tcp::socket caller = serving.Connect(kSmallReceiveBuffer);
   Serving::Write(caller, kLastCall);
--- a/tests/storage_test.cc
+++ b/tests/storage_test.cc
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Size of the length with which a record begins.
+constexpr std::uintmax_t kLengthBytes = 4;
+
 struct TemporaryFolder {
   TemporaryFolder() {
     char name[] = "/tmp/gooseberryturn-storage-XXXXXX";
@@ -115,7 +118,6 @@
   // The length is the first field of a record, outside its checksum. One that
   // reaches beyond the end of the file looked like a record of a torn write,
   // and all entries from there on were dropped.
-  constexpr std::uintmax_t kLengthBytes = 4;
   std::vector<std::uintmax_t> records = {0};
   {
     Storage storage = Open();
