A planned stop ends without the destructors of libraries

After SIGTERM every host of a fleet without agents, entries and control hosts alike, logged `stopped` and was then still there at the end of the grace time, when it was killed. A host was away for seconds longer than needed, and what only the kernel still holds at a kill would be lost (no such loss was shown).

Cause: marks written after each step show that the host, its sockets, the context and the log's thread ended at once, and that the destructor of log4cplus::Initializer did not return. Without that object the process stops in the same way, as the library starts a pool of threads when it is loaded and waits without a limit for them at exit. A second fault: JsonLines joined its thread at exit, which for an output that nobody reads never ends.

Change: EndProcess is the explicit last step of all server programs. StopLog writes the pending lines, waits for a blocked output no longer than until a deadline, and std::quick_exit ends the process without destructors of static objects. Sockets are closed before, with the host. StartJsonLog no longer initialises log4cplus, which it does not use.

Why it works: nothing after `stopped` waits without a limit any more.

--- a/include/gooseberryturn/app/program.h
+++ b/include/gooseberryturn/app/program.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/program_options/options_description.hpp>
+#include <chrono>
 #include <functional>
 #include <iostream>
 #include <optional>
@@ -11,6 +12,7 @@
 
 #include "gooseberryturn/config/reader.h"
 #include "gooseberryturn/config/settings.h"
+#include "gooseberryturn/core/time.h"
 #include "gooseberryturn/observe/log.h"
 
 namespace gooseberryturn::app {
@@ -54,6 +56,18 @@
 void OnStopSignal(boost::asio::io_context& context,
                   std::function<void()> on_stop);
 
+/// \brief Ends the process as the last step of a planned stop.
+///
+/// \details Writes what is left of the log, for no longer than kLogFlushTime,
+/// and ends without the destructors of static objects: those of the libraries
+/// wait for their own threads without a limit. Everything that must be closed
+/// in order is closed before.
+[[noreturn]] void EndProcess(int exit_code);
+
+/// \brief Time for which EndProcess waits for an output that is blocked. A host
+/// leaves more than this at the end of its grace period.
+inline constexpr Duration kLogFlushTime = std::chrono::milliseconds(300);
+
 /// \brief Entry point shared by the server programs.
 ///
 /// \details Reads and checks the settings, starts the log and calls `run`. With
--- a/include/gooseberryturn/observe/log.h
+++ b/include/gooseberryturn/observe/log.h
@@ -8,6 +8,7 @@
 
 #include "gooseberryturn/core/error.h"
 #include "gooseberryturn/core/name_table.h"
+#include "gooseberryturn/core/time.h"
 
 namespace gooseberryturn::observe {
 
@@ -39,6 +40,15 @@
 /// that log.
 void StartJsonLog(const std::string& program, const std::string& host);
 
+/// \brief Writes the lines that are still pending and stops logging, as the
+/// last step before the process ends.
+///
+/// \details Waits for a blocked output of JSON lines no longer than until
+/// `deadline`. JSON lines that are logged later are dropped, and without this
+/// call those that are pending at the end of the process may be lost.
+/// \returns Whether all lines were written.
+bool StopLog(TimePoint deadline);
+
 /// \brief Writes one log line: time, level, program, host, request id, event
 /// and fields.
 ///
--- a/programs/agent/main.cc
+++ b/programs/agent/main.cc
@@ -12,7 +12,7 @@
   using namespace gooseberryturn;  // NOLINT(google-build-using-namespace)
   const app::CommandLine command_line = app::ParseCommandLine(
       argc, argv, kProgram, "agent that runs beside one target", false);
-  return app::RunProgram<config::AgentSettings>(
+  app::EndProcess(app::RunProgram<config::AgentSettings>(
       command_line, kProgram, config::ParseAgentSettings,
-      app::RunServer<agent::Agent, config::AgentSettings>);
+      app::RunServer<agent::Agent, config::AgentSettings>));
 }
--- a/programs/control/main.cc
+++ b/programs/control/main.cc
@@ -110,9 +110,9 @@
 int main(int argc, char** argv) {
   const app::CommandLine command_line = app::ParseCommandLine(
       argc, argv, kProgram, "control host of a gooseberryturn fleet", true);
-  return app::RunProgram<config::ControlSettings>(
+  app::EndProcess(app::RunProgram<config::ControlSettings>(
       command_line, kProgram, config::ParseControlSettings,
       [&command_line](const config::ControlSettings& settings) {
         return Run(settings, command_line.bootstrap);
-      });
+      }));
 }
--- a/programs/direct_control/main.cc
+++ b/programs/direct_control/main.cc
@@ -15,6 +15,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  return platform::Main(argc, argv, "gooseberryturn-direct-control",
-                        "control host of a fleet without agents", Run);
+  app::EndProcess(platform::Main(argc, argv, "gooseberryturn-direct-control",
+                                 "control host of a fleet without agents",
+                                 Run));
 }
--- a/programs/direct_entry/main.cc
+++ b/programs/direct_entry/main.cc
@@ -3,7 +3,7 @@
 
 int main(int argc, char** argv) {
   using namespace gooseberryturn;  // NOLINT(google-build-using-namespace)
-  return platform::Main(argc, argv, "gooseberryturn-direct-entry",
-                        "entry that reaches targets without agents",
-                        platform::RunHost<direct::EntryHost>);
+  app::EndProcess(platform::Main(argc, argv, "gooseberryturn-direct-entry",
+                                 "entry that reaches targets without agents",
+                                 platform::RunHost<direct::EntryHost>));
 }
--- a/programs/entry/main.cc
+++ b/programs/entry/main.cc
@@ -12,7 +12,7 @@
   using namespace gooseberryturn;  // NOLINT(google-build-using-namespace)
   const app::CommandLine command_line = app::ParseCommandLine(
       argc, argv, kProgram, "entry that accepts requests from callers", false);
-  return app::RunProgram<config::EntrySettings>(
+  app::EndProcess(app::RunProgram<config::EntrySettings>(
       command_line, kProgram, config::ParseEntrySettings,
-      app::RunServer<entry::Entry, config::EntrySettings>);
+      app::RunServer<entry::Entry, config::EntrySettings>));
 }
--- a/src/app/program.cc
+++ b/src/app/program.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <exception>
 #include <memory>
 #include <utility>
@@ -92,4 +93,13 @@
       });
 }
 
+void EndProcess(int exit_code) {
+  observe::StopLog(Clock::now() + kLogFlushTime);
+  std::cout.flush();
+  // At exit, log4cplus waits without a limit until the threads of its pool,
+  // which every program starts that is linked against it, have ended one after
+  // the other. A host whose threads run one at a time may not see that happen.
+  std::quick_exit(exit_code);
+}
+
 }  // namespace gooseberryturn::app
--- a/src/observe/json_lines.cc
+++ b/src/observe/json_lines.cc
@@ -39,17 +39,30 @@
 }  // namespace
 
 JsonLines::JsonLines(const std::string& program, const std::string& host)
-    : program(program),
-      host(host),
-      writer_thread([this] { this->WriteBatches(); }) {}
+    : program(program), host(host) {}
 
-JsonLines::~JsonLines() {
-  {
-    const std::lock_guard<std::mutex> guard(this->mutex);
-    this->is_closed = true;
-  }
+void JsonLines::Start() {
+  this->writer_thread =
+      std::thread([self = this->shared_from_this()] { self->WriteBatches(); });
+}
+
+bool JsonLines::Stop(TimePoint deadline) {
+  std::unique_lock<std::mutex> guard(this->mutex);
+  this->is_closed = true;
   this->pending_added.notify_all();
-  this->writer_thread.join();
+  const bool is_written = this->finished.wait_for(
+      guard, deadline - Clock::now(), [this] { return this->is_finished; });
+  guard.unlock();
+  if (!this->writer_thread.joinable()) {
+    return is_written;
+  }
+  if (is_written) {
+    this->writer_thread.join();
+  } else {
+    // Nobody reads the output. The thread ends with the process.
+    this->writer_thread.detach();
+  }
+  return is_written;
 }
 
 void JsonLines::Write(std::string_view level, std::string_view request_id,
@@ -75,7 +88,8 @@
   }
   line.EndObject();
   const std::lock_guard<std::mutex> guard(this->mutex);
-  if (this->pending.size() + buffer.GetSize() >= kMaxPendingBytes) {
+  if (this->is_closed ||
+      this->pending.size() + buffer.GetSize() >= kMaxPendingBytes) {
     this->dropped_lines += 1;
     return;
   }
@@ -107,6 +121,8 @@
     WriteAll(batch);
     guard.lock();
   }
+  this->is_finished = true;
+  this->finished.notify_all();
 }
 
 }  // namespace gooseberryturn::observe
--- a/src/observe/log.cc
+++ b/src/observe/log.cc
@@ -48,16 +48,21 @@
 }
 
 /// Writer of JSON lines; null until StartJsonLog is called.
-std::unique_ptr<JsonLines>& JsonOutput() {
-  static std::unique_ptr<JsonLines> output;
+std::shared_ptr<JsonLines>& JsonOutput() {
+  static std::shared_ptr<JsonLines> output;
   return output;
 }
 
 }  // namespace
 
 void StartJsonLog(const std::string& program, const std::string& host) {
-  static const log4cplus::Initializer initializer;
-  JsonOutput() = std::make_unique<JsonLines>(program, host);
+  JsonOutput() = std::make_shared<JsonLines>(program, host);
+  JsonOutput()->Start();
+}
+
+bool StopLog(TimePoint deadline) {
+  // Lines of text are written at once.
+  return JsonOutput() == nullptr || JsonOutput()->Stop(deadline);
 }
 
 bool StartLog(const std::string& program, const std::string& host,
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -1,5 +1,9 @@
 #define BOOST_TEST_MODULE platform_path
+#include <sys/stat.h>
+
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
+#include <chrono>
 #include <future>
 #include <memory>
 #include <string>
@@ -13,6 +17,45 @@
 using namespace gooseberryturn;         // NOLINT
 using namespace gooseberryturn::fleet;  // NOLINT
 
+namespace {
+
+/// The grace period in the settings that PlatformFleet writes.
+constexpr std::chrono::seconds kGracePeriod(6);
+
+/// A named pipe that is full and that nobody reads.
+class FullPipe {
+ public:
+  explicit FullPipe(const std::string& name) : name(name) {
+    BOOST_REQUIRE(mkfifo(name.c_str(), 0600) == 0);
+    this->descriptor = open(name.c_str(), O_RDWR | O_NONBLOCK | O_CLOEXEC);
+    const std::string page(4096, ' ');
+    while (write(this->descriptor, page.data(), page.size()) > 0) {
+    }
+    BOOST_REQUIRE(errno == EAGAIN);
+  }
+  ~FullPipe() { close(this->descriptor); }
+  FullPipe(const FullPipe&) = delete;
+  FullPipe& operator=(const FullPipe&) = delete;
+
+  std::string name;
+
+ private:
+  int descriptor = -1;
+};
+
+[[nodiscard]] int ReadinessOf(const PlatformFleet& fleet) {
+  return Get(fleet.ReadinessEndpoint(), "/api/readyz").status;
+}
+
+/// True if the log's last line is the event `stopped`.
+[[nodiscard]] bool EndsWithStopped(const std::string& log) {
+  const std::string last = "\"event\":\"stopped\"}\n";
+  return log.size() >= last.size() &&
+         log.compare(log.size() - last.size(), last.size(), last) == 0;
+}
+
+}  // namespace
+
 BOOST_AUTO_TEST_CASE(configurations_are_stored_validated_and_read_back) {
   PlatformFleet fleet(60);
   BOOST_TEST(Eventually([&fleet] {
@@ -286,3 +329,89 @@
   fleet.controls[0]->Signal(SIGTERM);
   BOOST_TEST(fleet.controls[0]->WaitExit() == 0);
 }
+
+BOOST_AUTO_TEST_CASE(a_stopped_entry_ends_after_its_last_answer) {
+  PlatformFleet fleet(70);
+  fleet.PutConfiguration(1);
+  const FakeTarget target("i-1", fleet.EndpointAt(20, 9000),
+                          fleet.ControlEndpoint(2), "plain");
+  BOOST_REQUIRE(Eventually(
+      [&fleet] { return fleet.SendRequest("/safe/1", "warm").status == 200; }));
+  BOOST_REQUIRE(Eventually([&fleet] { return ReadinessOf(fleet) == 200; }));
+  asio::io_context context;
+  const asio::ip::tcp::endpoint entry(
+      asio::ip::make_address(fleet.CallerEndpoint().address),
+      fleet.CallerEndpoint().port);
+  asio::ip::tcp::socket caller(context);
+  caller.connect(entry);
+  asio::write(caller,
+              asio::buffer(std::string("POST /safe/1 HTTP/1.1\r\n"
+                                       "Host: shop.example\r\n"
+                                       "X-Gooseberryturn-Attempt-Id: held\r\n"
+                                       "X-Gooseberryturn-Deadline-Ms: 5000\r\n"
+                                       "Authorization: Bearer key-1\r\n"
+                                       "Content-Length: 4\r\n\r\nbo")));
+  const std::chrono::steady_clock::time_point stopped_at =
+      std::chrono::steady_clock::now();
+  fleet.entry->Signal(SIGTERM);
+  BOOST_REQUIRE(Eventually([&fleet] {
+    return fleet.entry->Log().find("\"leaving\"") != std::string::npos;
+  }));
+  // Until it accepts no more callers, and after that, it says it is not ready.
+  error_code refused;
+  while (!refused) {
+    BOOST_TEST(ReadinessOf(fleet) == 503);
+    asio::ip::tcp::socket probe(context);
+    (void)probe.connect(entry, refused);
+  }
+  BOOST_TEST(ReadinessOf(fleet) == 503);
+  asio::write(caller, asio::buffer(std::string("dy")));
+  std::string answer;
+  error_code end;
+  asio::read(caller, asio::dynamic_buffer(answer), end);
+  BOOST_TEST((end == asio::error::eof));
+  BOOST_TEST(answer.find("HTTP/1.1 200") == 0U);
+  BOOST_TEST(answer.find("answer of i-1") != std::string::npos);
+  // From here on it may be gone, but is never ready again.
+  int readiness = 503;
+  while (readiness != 0) {
+    readiness = ReadinessOf(fleet);
+    BOOST_TEST((readiness == 503 || readiness == 0));
+  }
+  const std::chrono::milliseconds left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          stopped_at + kGracePeriod - std::chrono::steady_clock::now());
+  BOOST_TEST(fleet.entry->WaitExitFor(left) == 0);
+  BOOST_TEST(EndsWithStopped(fleet.entry->Log()));
+  fleet.controls[0]->Signal(SIGTERM);
+  BOOST_TEST(fleet.controls[0]->WaitExitFor(kGracePeriod) == 0);
+  BOOST_TEST(EndsWithStopped(fleet.controls[0]->Log()));
+}
+
+BOOST_AUTO_TEST_CASE(
+    hosts_end_in_the_grace_period_though_nobody_reads_the_log) {
+  PlatformFleet fleet(71);
+  fleet.PutConfiguration(1);
+  const FullPipe entry_log(fleet.folder + "/entry.pipe");
+  const FullPipe control_log(fleet.folder + "/control.pipe");
+  fleet.entry.reset();
+  fleet.entry = std::make_unique<Process>(
+      std::vector<std::string>{
+          std::string(BINARY_ROOT) + "/gooseberryturn-direct-entry",
+          "--settings", fleet.folder + "/e.conf"},
+      entry_log.name);
+  fleet.controls[2].reset();
+  fleet.controls[2] = std::make_unique<Process>(
+      std::vector<std::string>{
+          std::string(BINARY_ROOT) + "/gooseberryturn-direct-control",
+          "--settings", fleet.folder + "/c3.conf"},
+      control_log.name);
+  BOOST_REQUIRE(Eventually([&fleet] {
+    return ReadinessOf(fleet) == 200 &&
+           Get(fleet.ControlEndpoint(3), "/metrics").status == 200;
+  }));
+  fleet.entry->Signal(SIGTERM);
+  BOOST_TEST(fleet.entry->WaitExitFor(kGracePeriod) == 0);
+  fleet.controls[2]->Signal(SIGTERM);
+  BOOST_TEST(fleet.controls[2]->WaitExitFor(kGracePeriod) == 0);
+}
--- a/tests/process.h
+++ b/tests/process.h
@@ -80,6 +80,19 @@
     this->pid = -1;
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
   }
+  /// Waits until the process has exited, for no longer than `limit`.
+  /// \returns Its exit code, 128 + signal, or -1 if it still runs.
+  int WaitExitFor(std::chrono::milliseconds limit) {
+    siginfo_t info = {};
+    const bool has_exited = Eventually(
+        [this, &info] {
+          return waitid(P_PID, static_cast<id_t>(this->pid), &info,
+                        WEXITED | WNOHANG | WNOWAIT) == 0 &&
+                 info.si_pid == this->pid;
+        },
+        limit);
+    return has_exited ? this->WaitExit() : -1;
+  }
   /// True when the process is no longer running.
   bool HasExited() {
     int status = 0;
