Soak of the fleet beside planned work, with an account of every request

PlatformFleet takes several entries and a fake target several control hosts; Process::Signal does nothing once the process has exited.

--- a/tests/platform_fake_target.h
+++ b/tests/platform_fake_target.h
@@ -9,13 +9,16 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <cstdlib>
 #include <functional>
 #include <list>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <vector>
 
 #include "gooseberryturn/core/endpoint.h"
 #include "http_call.h"
@@ -34,11 +37,17 @@
 /// orders, answers plain requests and streams numbered events.
 class FakeTarget {
  public:
-  FakeTarget(std::string id, Endpoint address, Endpoint control,
+  FakeTarget(std::string id, Endpoint address, const Endpoint& control,
+             std::string service)
+      : FakeTarget(std::move(id), std::move(address), std::vector{control},
+                   std::move(service)) {}
+  /// \param controls Control hosts to announce itself to: the next one is tried
+  /// when one does not acknowledge.
+  FakeTarget(std::string id, Endpoint address, std::vector<Endpoint> controls,
              std::string service)
       : id(std::move(id)),
         address(std::move(address)),
-        control(std::move(control)),
+        controls(std::move(controls)),
         service(std::move(service)),
         acceptor(this->context, {asio::ip::make_address(this->address.address),
                                  this->address.port}) {
@@ -86,6 +95,9 @@
   std::atomic<int> event_interval_ms = 10;
   std::atomic<int> pause_ms = 0;  ///< Silence after the first event.
   static constexpr int kEventCount = 6;
+  /// A body that starts so is followed by the amount of work: the time in ms
+  /// that a plain answer takes, or the number of events of a stream.
+  static constexpr std::string_view kWorkPrefix = "work ";
 
  private:
   using Request = http::request<http::string_body>;
@@ -161,14 +173,24 @@
     if (this->behaviour == Behaviour::kCloseUnanswered) {
       return false;
     }
+    const int work = WorkOf(request.body());
     if (request.find("X-Gooseberryturn-Model") == request.end()) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(work));
       this->Reply(socket, request, 200, "answer of " + this->id);
       return true;
     }
-    return this->StreamEvents(socket, request);
+    return this->StreamEvents(socket, request, work > 0 ? work : kEventCount);
+  }
+
+  /// \returns 0 when the body states none.
+  [[nodiscard]] static int WorkOf(const std::string& body) {
+    return body.compare(0, kWorkPrefix.size(), kWorkPrefix) == 0
+               ? std::atoi(body.c_str() + kWorkPrefix.size())
+               : 0;
   }
 
-  bool StreamEvents(asio::ip::tcp::socket& socket, const Request& request) {
+  bool StreamEvents(asio::ip::tcp::socket& socket, const Request& request,
+                    int event_count) {
     std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
     head += "X-Gooseberryturn-Attempt-Id: " +
             std::string(request["X-Gooseberryturn-Attempt-Id"]) + "\r\n";
@@ -180,7 +202,7 @@
     int number = last_event_id.empty() ? 0 : std::stoi(last_event_id);
     const int end = this->behaviour == Behaviour::kCutStream
                         ? number + this->cut_after
-                        : kEventCount;
+                        : event_count;
     while (!error && number < end) {
       number += 1;
       const std::string event = "id: " + std::to_string(number) +
@@ -250,16 +272,22 @@
 
   void SendAnnouncements() {
     while (!this->is_stopped) {
-      (void)Call(this->control, "PUT", "/api/instances/" + this->id, {},
-                 this->StatusJson())
-          .ReadAll();
+      const int status =
+          Call(this->controls[this->control_index], "PUT",
+               "/api/instances/" + this->id, {}, this->StatusJson())
+              .ReadAll()
+              .status;
+      if (status / 100 != 2) {
+        this->control_index = (this->control_index + 1) % this->controls.size();
+      }
       std::this_thread::sleep_for(std::chrono::milliseconds(150));
     }
   }
 
   std::string id;
   Endpoint address;
-  Endpoint control;
+  std::vector<Endpoint> controls;
+  std::size_t control_index = 0;
   std::string service;
   asio::io_context context;
   asio::ip::tcp::acceptor acceptor;
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -20,20 +20,22 @@
 
 inline constexpr char kKey[] = "Bearer key-1";
 
-/// Three control hosts and one entry on addresses 127.NET.0.*.
+/// Three control hosts and one or more entries on addresses 127.NET.0.*.
 class PlatformFleet {
  public:
-  explicit PlatformFleet(int net) : net(net) {
+  explicit PlatformFleet(int net, int entry_count = 1) : net(net) {
     char name[] = "/tmp/gooseberryturn-XXXXXX";
     this->folder = mkdtemp(name);
     for (int number = 1; number <= 3; ++number) {
       this->StartControl(number);
     }
-    this->StartEntry();
+    for (int entry = 0; entry < entry_count; ++entry) {
+      this->StartEntry(entry);
+    }
   }
   ~PlatformFleet() {
     this->controls.clear();
-    this->entry.reset();
+    this->entries.clear();
     std::error_code ignored;
     std::filesystem::remove_all(this->folder, ignored);
   }
@@ -47,11 +49,11 @@
   [[nodiscard]] Endpoint ControlEndpoint(int number) const {
     return this->EndpointAt(number, 7001);
   }
-  [[nodiscard]] Endpoint CallerEndpoint() const {
-    return this->EndpointAt(9, 8080);
+  [[nodiscard]] Endpoint CallerEndpoint(int entry = 0) const {
+    return this->EndpointAt(kFirstEntryNumber + entry, 8080);
   }
-  [[nodiscard]] Endpoint ReadinessEndpoint() const {
-    return this->EndpointAt(9, 8081);
+  [[nodiscard]] Endpoint ReadinessEndpoint(int entry = 0) const {
+    return this->EndpointAt(kFirstEntryNumber + entry, 8081);
   }
 
   void PutConfiguration(int version, int timeout_ms = 2000) {
@@ -120,7 +122,7 @@
   }
 
   std::vector<std::unique_ptr<Process>> controls;
-  std::unique_ptr<Process> entry;
+  std::vector<std::unique_ptr<Process>> entries;
   std::string folder;
 
  private:
@@ -140,19 +142,23 @@
         << "bounds.retry_budget_ratio=0.2\nbounds.retry_budget_burst=160\n"
         << lines;
   }
-  void StartEntry() {
-    const std::string name = this->folder + "/e";
+  void StartEntry(int entry) {
+    const int number = kFirstEntryNumber + entry;
+    const std::string name = this->folder + "/e" + std::to_string(number);
     this->WriteSettings(
-        name + ".conf", 9,
-        "listen.front=" + ToString(this->CallerEndpoint()) +
-            "\nlisten.ready=" + ToString(this->ReadinessEndpoint()) + "\n");
-    this->entry = std::make_unique<Process>(
+        name + ".conf", number,
+        "listen.front=" + ToString(this->CallerEndpoint(entry)) +
+            "\nlisten.ready=" + ToString(this->ReadinessEndpoint(entry)) +
+            "\n");
+    this->entries.push_back(std::make_unique<Process>(
         std::vector<std::string>{
             std::string(BINARY_ROOT) + "/gooseberryturn-direct-entry",
             "--settings", name + ".conf"},
-        name + ".log");
+        name + ".log"));
   }
 
+  static constexpr int kFirstEntryNumber = 9;
+
   int net;
 };
 
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -220,11 +220,11 @@
   for (const std::unique_ptr<Process>& control : fleet.controls) {
     control->Kill();
   }
-  fleet.entry->Kill();
+  fleet.entries.front()->Kill();
   for (const std::unique_ptr<Process>& control : fleet.controls) {
     control->Start();
   }
-  fleet.entry->Start();
+  fleet.entries.front()->Start();
   BOOST_TEST(Eventually([&fleet] {
     return Get(fleet.ControlEndpoint(2), "/api/config").body ==
            fleet.ConfigurationJson(8, 2000);
@@ -311,21 +311,22 @@
   BOOST_TEST(Eventually([&fleet] {
     return Get(fleet.ReadinessEndpoint(), "/api/readyz").status == 200;
   }));
-  fleet.entry->Signal(SIGHUP);
+  fleet.entries.front()->Signal(SIGHUP);
   fleet.controls[0]->Signal(SIGHUP);
   BOOST_TEST(Eventually([&fleet] {
-    return fleet.entry->Log().find("settings_reloaded") != std::string::npos &&
+    return fleet.entries.front()->Log().find("settings_reloaded") !=
+               std::string::npos &&
            fleet.controls[0]->Log().find("settings_reloaded") !=
                std::string::npos;
   }));
   BOOST_TEST(
       Get(fleet.ReadinessEndpoint(), "/metrics").body.find("requests_total") !=
       std::string::npos);
-  fleet.entry->Signal(SIGTERM);
+  fleet.entries.front()->Signal(SIGTERM);
   BOOST_TEST(Eventually([&fleet] {
     return Get(fleet.ReadinessEndpoint(), "/api/readyz").status == 503;
   }));
-  BOOST_TEST(fleet.entry->WaitExit() == 0);
+  BOOST_TEST(fleet.entries.front()->WaitExit() == 0);
   fleet.controls[0]->Signal(SIGTERM);
   BOOST_TEST(fleet.controls[0]->WaitExit() == 0);
 }
--- /dev/null
+++ b/tests/platform_soak_test.cc
@@ -0,0 +1,351 @@
+#define BOOST_TEST_MODULE platform_soak
+#include <algorithm>
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <cstdint>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "platform_fake_target.h"
+#include "platform_fleet.h"
+#include "process.h"
+#include "soak_accounts.h"
+#include "soak_caller.h"
+#include "soak_fleet.h"
+
+/// Callers with kept connections send whole requests through the real programs
+/// while configurations change and processes are told to reload and to stop.
+/// Every request is accounted for at its caller and at the targets. None of the
+/// disturbances breaks a target, so every request that reached one is owed its
+/// complete answer or a refusal (issue 26).
+///
+/// The seed and the size come from the environment: GOOSEBERRYTURN_SOAK_SEED,
+/// _SECONDS, _CALLERS, _ENTRIES, _NET (addresses 127.NET.0.*) and _KEEP, a
+/// folder for the logs of failed runs.
+using namespace gooseberryturn;               // NOLINT
+using namespace gooseberryturn::fleet;        // NOLINT
+using namespace gooseberryturn::fleet::soak;  // NOLINT
+
+namespace {
+
+/// A fleet with targets, callers and disturbances.
+class Soak {
+ public:
+  explicit Soak(const Plan& plan)
+      : plan(plan),
+        fleet(plan.net, plan.entries),
+        op(this->fleet, plan.RandomOf(1), this->idle_limits, this->failures),
+        scene{plan, this->fleet, this->entries, this->idle_limits,
+              this->failures} {}
+
+  void Run() {
+    this->Prepare();
+    for (int number = 0; number < this->plan.callers; ++number) {
+      this->callers.push_back(std::make_unique<Caller>(this->scene, number));
+    }
+    std::vector<std::thread> threads;
+    for (const std::unique_ptr<Caller>& caller : this->callers) {
+      threads.emplace_back([&caller] { caller->Run(); });
+    }
+    std::vector<std::thread> disturbances = this->StartDisturbances();
+    std::this_thread::sleep_for(this->plan.time);
+    this->scene.is_over = true;
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+    while (this->active_disturbances > 0) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    this->CheckConfiguration();
+    this->CheckMetrics();
+    this->StopEntries();
+    this->is_checked = true;
+    for (std::thread& thread : disturbances) {
+      thread.join();
+    }
+    this->CheckRequests();
+    this->Report();
+  }
+
+ private:
+  void Prepare() {
+    const std::vector<Endpoint> control_endpoints = {
+        this->fleet.ControlEndpoint(1), this->fleet.ControlEndpoint(2),
+        this->fleet.ControlEndpoint(3)};
+    this->op.Send();
+    for (int number = 1; number <= 3; ++number) {
+      this->controls.push_back(std::make_unique<Host>(
+          *this->fleet.controls[static_cast<std::size_t>(number - 1)],
+          "control " + std::to_string(number),
+          this->fleet.ControlEndpoint(number), "/api/config"));
+      BOOST_REQUIRE(this->controls.back()->AwaitReady());
+    }
+    for (int entry = 0; entry < this->plan.entries; ++entry) {
+      this->entries.push_back(std::make_unique<Host>(
+          *this->fleet.entries[static_cast<std::size_t>(entry)],
+          "entry " + std::to_string(entry),
+          this->fleet.ReadinessEndpoint(entry), "/api/readyz"));
+      BOOST_REQUIRE(this->entries.back()->AwaitReady());
+    }
+    for (int number = 0; number < 5; ++number) {
+      const bool is_engine = number >= 3;
+      this->targets.push_back(std::make_unique<FakeTarget>(
+          (is_engine ? "e-" : "i-") + std::to_string(number),
+          this->fleet.EndpointAt(20 + number, 9000), control_endpoints,
+          is_engine ? "engines" : "plain"));
+    }
+    BOOST_REQUIRE(Eventually([this] {
+      return this->targets[3]->IsOpen() || this->targets[4]->IsOpen();
+    }));
+  }
+
+  std::vector<std::thread> StartDisturbances() {
+    std::vector<std::thread> threads;
+    this->active_disturbances = 5;
+    threads.emplace_back([this] {
+      this->Repeat(2, 20, 1800, [this](Random& /*random*/) {
+        this->op.Vary();
+        this->op.Send();
+      });
+    });
+    threads.emplace_back([this] {
+      this->Repeat(3, 100, 2000, [this](Random& random) {
+        DrawHost(random,
+                 DrawChance(random, 70) ? this->entries : this->controls)
+            .Reload();
+      });
+    });
+    threads.emplace_back([this] {
+      this->Repeat(4, 500, 4000, [this](Random& random) {
+        DrawHost(random, this->entries).Restart(random, this->failures);
+      });
+    });
+    threads.emplace_back([this] {
+      this->Repeat(5, 1500, 8000, [this](Random& random) {
+        DrawHost(random, this->controls).Restart(random, this->failures);
+      });
+    });
+    threads.emplace_back([this] {
+      this->Repeat(6, 10, 100, [this](Random& random) {
+        DrawHost(random, this->entries)
+            .Freeze(milliseconds(Draw(random, 2, 40)));
+      });
+    });
+    return threads;
+  }
+
+  /// Calls `act` again and again until the soak is over, after pauses. Returns
+  /// when the checks are done: a process ends with the thread that started it.
+  void Repeat(std::uint64_t part, int min_pause_ms, int max_pause_ms,
+              const std::function<void(Random&)>& act) {
+    Random random = this->plan.RandomOf(part);
+    while (true) {
+      const Moment end =
+          Now() + milliseconds(Draw(random, min_pause_ms, max_pause_ms));
+      while (!this->scene.is_over && Now() < end) {
+        std::this_thread::sleep_for(milliseconds(10));
+      }
+      if (this->scene.is_over) {
+        break;
+      }
+      act(random);
+    }
+    this->active_disturbances -= 1;
+    while (!this->is_checked) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+  }
+  static Host& DrawHost(Random& random,
+                        const std::vector<std::unique_ptr<Host>>& hosts) {
+    return *hosts[static_cast<std::size_t>(
+        Draw(random, 0, static_cast<int>(hosts.size()) - 1))];
+  }
+
+  /// What was acknowledged last is read back and in force everywhere.
+  void CheckConfiguration() {
+    this->op.variation.is_final = true;
+    this->CheckStored();
+    this->op.Send();
+    this->CheckStored();
+    for (int entry = 0; entry < this->plan.entries; ++entry) {
+      const bool is_in_force = Eventually([this, entry] {
+        return Call(this->fleet.CallerEndpoint(entry), "POST", "/final/",
+                    {{"Host", "shop.example"},
+                     {"X-Gooseberryturn-Attempt-Id", "final"},
+                     {"Authorization", "Bearer key-final"}},
+                    "")
+                   .ReadAll()
+                   .status == 200;
+      });
+      if (!is_in_force) {
+        this->failures.Add("the last configuration is not in force at entry " +
+                           std::to_string(entry));
+      }
+    }
+  }
+  void CheckStored() {
+    for (int number = 1; number <= 3; ++number) {
+      const bool is_stored = Eventually([this, number] {
+        return Get(this->fleet.ControlEndpoint(number), "/api/config").body ==
+               this->op.acknowledged_text;
+      });
+      if (!is_stored) {
+        this->failures.Add("control " + std::to_string(number) +
+                           " does not return the configuration acknowledged "
+                           "last");
+      }
+    }
+  }
+
+  void CheckMetrics() {
+    const std::string name = "gooseberryturn_requests_after_close_total ";
+    for (int entry = 0; entry < this->plan.entries; ++entry) {
+      const std::string text =
+          Get(this->fleet.ReadinessEndpoint(entry), "/metrics").body;
+      const std::size_t at = text.find("\n" + name);
+      if (at == std::string::npos ||
+          std::atof(text.c_str() + at + 1 + name.size()) != 0) {
+        this->failures.Add("entry " + std::to_string(entry) + ": " + name +
+                           "is not 0");
+      }
+    }
+  }
+
+  void StopEntries() {
+    for (const std::unique_ptr<Host>& entry : this->entries) {
+      entry->Stop(this->failures);
+    }
+  }
+
+  void CheckRequests() {
+    for (const std::unique_ptr<FakeTarget>& target : this->targets) {
+      for (const std::string& id : target->Runs()) {
+        this->accounts.runs[id] += 1;
+      }
+    }
+    for (const std::unique_ptr<Host>& entry : this->entries) {
+      const std::string log = entry->Log();
+      this->accounts.AddLog(log);
+      if (log.find("request_after_close") != std::string::npos) {
+        this->failures.Add(entry->Name() + " logged request_after_close");
+      }
+    }
+    for (const std::unique_ptr<Caller>& caller : this->callers) {
+      for (const Attempt& attempt : caller->attempts) {
+        this->Count(attempt);
+        const std::string fault = FaultOf(attempt, this->accounts);
+        if (!fault.empty()) {
+          this->failures.Add(fault + ": " + Describe(attempt, this->accounts));
+        }
+      }
+      this->counts["found closed"] += caller->found_closed;
+    }
+  }
+  void Count(const Attempt& attempt) {
+    static const std::map<Ending, std::string> names = {
+        {Ending::kCut, "cut"}, {Ending::kSilent, "silent"}};
+    if (attempt.ending == Ending::kComplete) {
+      this->counts["status " + std::to_string(attempt.answer.status)] += 1;
+    } else if (attempt.ending == Ending::kUnanswered) {
+      this->counts[attempt.is_entry_leaving ? "crossed a stop"
+                                            : "crossed an idle close"] += 1;
+    } else {
+      this->counts[names.at(attempt.ending)] += 1;
+    }
+    if (attempt.ending == Ending::kComplete && attempt.answer.status == 200) {
+      this->successes[attempt.kind] += 1;
+    }
+  }
+
+  void Report() {
+    std::ostringstream summary;
+    summary << "seed " << this->plan.seed << ", configurations "
+            << this->op.acknowledged;
+    int entry_stops = -this->plan.entries;  // All are stopped at the end.
+    int control_stops = 0;
+    for (const std::unique_ptr<Host>& entry : this->entries) {
+      entry_stops += entry->stops;
+    }
+    for (const std::unique_ptr<Host>& control : this->controls) {
+      control_stops += control->stops;
+    }
+    summary << ", entries stopped " << entry_stops << ", control hosts stopped "
+            << control_stops;
+    for (const auto& count : this->counts) {
+      summary << ", " << count.first << ": " << count.second;
+    }
+    std::cout << summary.str() << std::endl;
+    // The run has tested something.
+    BOOST_TEST(this->op.acknowledged > 2);
+    BOOST_TEST(entry_stops > 0);
+    BOOST_TEST(control_stops > 0);
+    for (const Kind kind : {Kind::kSafe, Kind::kUnsafe, Kind::kStream}) {
+      BOOST_TEST(this->successes[kind] > 0);
+    }
+    const std::vector<std::string> failed = this->failures.All();
+    for (std::size_t index = 0;
+         index < std::min<std::size_t>(failed.size(), kTooManyFailures);
+         ++index) {
+      BOOST_TEST_ERROR("seed " << this->plan.seed << ": " << failed[index]);
+    }
+    BOOST_TEST(failed.size() == 0U);
+    this->KeepLogs(summary.str(), failed);
+  }
+  void KeepLogs(const std::string& summary,
+                const std::vector<std::string>& failed) const {
+    const char* keep = std::getenv("GOOSEBERRYTURN_SOAK_KEEP");
+    if (keep == nullptr || failed.empty()) {
+      return;
+    }
+    const std::filesystem::path folder =
+        std::filesystem::path(keep) /
+        ("seed-" + std::to_string(this->plan.seed));
+    std::filesystem::create_directories(folder);
+    std::ofstream report(folder / "report.txt");
+    report << summary << "\n";
+    for (const std::string& text : failed) {
+      report << text << "\n";
+    }
+    for (const std::filesystem::directory_entry& file :
+         std::filesystem::directory_iterator(this->fleet.folder)) {
+      if (file.path().extension() == ".log") {
+        std::filesystem::copy_file(
+            file.path(), folder / file.path().filename(),
+            std::filesystem::copy_options::overwrite_existing);
+      }
+    }
+  }
+
+  Plan plan;
+  IdleLimits idle_limits;
+  Failures failures;
+  PlatformFleet fleet;
+  std::vector<std::unique_ptr<Host>> controls;
+  std::vector<std::unique_ptr<Host>> entries;
+  std::vector<std::unique_ptr<FakeTarget>> targets;
+  Operator op;
+  Scene scene;
+  std::vector<std::unique_ptr<Caller>> callers;
+  std::atomic<int> active_disturbances = 0;
+  std::atomic<bool> is_checked = false;
+  Accounts accounts;
+  std::map<std::string, int> counts;
+  std::map<Kind, int> successes;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(no_request_is_lost_beside_planned_work) {
+  Soak soak((Plan()));
+  soak.Run();
+}
--- a/tests/platform_stop_test.cc
+++ b/tests/platform_stop_test.cc
@@ -65,7 +65,7 @@
     engine->event_interval_ms = 700;
   }
   std::future<Answer> stream = fleet.StartStream("early");
-  fleet.entry->Signal(SIGTERM);
+  fleet.entries.front()->Signal(SIGTERM);
   int number = 0;
   Answer late;
   BOOST_REQUIRE(Eventually([&fleet, &number, &late] {
@@ -84,7 +84,7 @@
   const Answer early = stream.get();
   BOOST_TEST(early.status == 200);
   BOOST_TEST(early.is_complete);
-  BOOST_TEST(fleet.entry->WaitExit() == 0);
+  BOOST_TEST(fleet.entries.front()->WaitExit() == 0);
 }
 
 // LOST: a stream was cut because its target was silent, long before its
--- a/tests/process.h
+++ b/tests/process.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <fstream>
 #include <functional>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -65,7 +66,12 @@
       _exit(127);
     }
   }
-  void Signal(int number) const { kill(this->pid, number); }
+  /// Does nothing once the process has exited.
+  void Signal(int number) const {
+    if (this->pid > 0) {
+      kill(this->pid, number);
+    }
+  }
   void Kill() {
     if (this->pid > 0) {
       kill(this->pid, SIGKILL);
@@ -78,7 +84,17 @@
     int status = 0;
     waitpid(this->pid, &status, 0);
     this->pid = -1;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    return ExitCode(status);
+  }
+  /// Returns at once.
+  /// \returns Its exit code, or 128 + signal, when the process has just exited.
+  std::optional<int> PollExit() {
+    int status = 0;
+    if (this->pid <= 0 || waitpid(this->pid, &status, WNOHANG) != this->pid) {
+      return std::nullopt;
+    }
+    this->pid = -1;
+    return ExitCode(status);
   }
   /// Waits until the process has exited, for no longer than `limit`.
   /// \returns Its exit code, 128 + signal, or -1 if it still runs.
@@ -95,10 +111,7 @@
   }
   /// True when the process is no longer running.
   bool HasExited() {
-    int status = 0;
-    if (this->pid > 0 && waitpid(this->pid, &status, WNOHANG) == this->pid) {
-      this->pid = -1;
-    }
+    (void)this->PollExit();
     return this->pid < 0;
   }
   [[nodiscard]] std::string Log() const {
@@ -109,6 +122,10 @@
   }
 
  private:
+  [[nodiscard]] static int ExitCode(int status) {
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  }
+
   std::vector<std::string> arguments;
   std::string log_file;
   pid_t pid = -1;
