--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -354,9 +354,9 @@
                                        "Content-Length: 4\r\n\r\nbo")));
   const std::chrono::steady_clock::time_point stopped_at =
       std::chrono::steady_clock::now();
-  fleet.entry->Signal(SIGTERM);
+  fleet.entries[0]->Signal(SIGTERM);
   BOOST_REQUIRE(Eventually([&fleet] {
-    return fleet.entry->Log().find("\"leaving\"") != std::string::npos;
+    return fleet.entries[0]->Log().find("\"leaving\"") != std::string::npos;
   }));
   // Until it accepts no more callers, and after that, it says it is not ready.
   error_code refused;
@@ -382,8 +382,8 @@
   const std::chrono::milliseconds left =
       std::chrono::duration_cast<std::chrono::milliseconds>(
           stopped_at + kGracePeriod - std::chrono::steady_clock::now());
-  BOOST_TEST(fleet.entry->WaitExitFor(left) == 0);
-  BOOST_TEST(EndsWithStopped(fleet.entry->Log()));
+  BOOST_TEST(fleet.entries[0]->WaitExitFor(left) == 0);
+  BOOST_TEST(EndsWithStopped(fleet.entries[0]->Log()));
   fleet.controls[0]->Signal(SIGTERM);
   BOOST_TEST(fleet.controls[0]->WaitExitFor(kGracePeriod) == 0);
   BOOST_TEST(EndsWithStopped(fleet.controls[0]->Log()));
@@ -395,11 +395,11 @@
   fleet.PutConfiguration(1);
   const FullPipe entry_log(fleet.folder + "/entry.pipe");
   const FullPipe control_log(fleet.folder + "/control.pipe");
-  fleet.entry.reset();
-  fleet.entry = std::make_unique<Process>(
+  fleet.entries[0].reset();
+  fleet.entries[0] = std::make_unique<Process>(
       std::vector<std::string>{
           std::string(BINARY_ROOT) + "/gooseberryturn-direct-entry",
-          "--settings", fleet.folder + "/e.conf"},
+          "--settings", fleet.folder + "/e9.conf"},
       entry_log.name);
   fleet.controls[2].reset();
   fleet.controls[2] = std::make_unique<Process>(
@@ -411,8 +411,8 @@
     return ReadinessOf(fleet) == 200 &&
            Get(fleet.ControlEndpoint(3), "/metrics").status == 200;
   }));
-  fleet.entry->Signal(SIGTERM);
-  BOOST_TEST(fleet.entry->WaitExitFor(kGracePeriod) == 0);
+  fleet.entries[0]->Signal(SIGTERM);
+  BOOST_TEST(fleet.entries[0]->WaitExitFor(kGracePeriod) == 0);
   fleet.controls[2]->Signal(SIGTERM);
   BOOST_TEST(fleet.controls[2]->WaitExitFor(kGracePeriod) == 0);
 }
