A long call that arrives as the idle time ends is answered too

What operators could see: a configuration sent on a connection that had been idle for its limit was closed without an answer; it had not run. Change: a session that has read a part of a call, or whose call is in the kernel, gets the time of one more idle timeout to complete it. Measured: a_long_call_that_arrives_as_the_idle_time_ends failed in the review on the code before (no call handed over) and passes now.

--- a/src/direct/http_server_session.cc
+++ b/src/direct/http_server_session.cc
@@ -31,7 +31,7 @@
   this->parser.emplace();
   this->parser->body_limit(this->limits.max_body_bytes);
   this->timer.Set(Clock::now() + this->limits.idle_timeout,
-                  [this] { this->Close(); });
+                  [this] { this->CloseIfUnused(); });
   const std::shared_ptr<HttpServerSession> self = this->shared_from_this();
   http::async_read(
       this->socket, this->buffer, *this->parser,
@@ -47,7 +47,10 @@
 }
 
 void HttpServerSession::CloseIfUnused() {
-  if (this->parser->got_some() || this->buffer.size() > 0) {
+  error_code ignored;
+  const bool has_input = this->parser->got_some() || this->buffer.size() > 0 ||
+                         this->socket.available(ignored) > 0;
+  if (has_input) {
     this->timer.Set(Clock::now() + this->limits.idle_timeout,
                     [this] { this->Close(); });
   } else {
--- a/tests/async_http_test.cc
+++ b/tests/async_http_test.cc
@@ -296,3 +296,21 @@
   serving.RunFor(milliseconds(20));
   BOOST_TEST(HasStatus(ReadReady(caller).text, 200));
 }
+
+// A configuration is longer than the first read of its call.
+BOOST_AUTO_TEST_CASE(a_long_call_that_arrives_as_the_idle_time_ends) {
+  HttpServerLimits limits = ShortLimits();
+  limits.max_body_bytes = 100'000;
+  Serving serving(limits);
+  tcp::socket caller = serving.Connect();
+  Serving::Write(caller,
+                 "PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 8000\r\n\r\n" +
+                     std::string(8000, 'x'));
+  std::this_thread::sleep_for(kIdleTimeout + milliseconds(50));
+  serving.Turn();
+  BOOST_REQUIRE(serving.replies.size() == 1);
+  serving.replies.front()({200, "application/json", "{}"});
+  serving.RunFor(kIdleTimeout * 2);
+  error_code error;
+  BOOST_TEST(HasStatus(Serving::ReadToEnd(caller, error), 200));
+}
