A request without another target no longer uses up the retry budget

What callers saw: after one failed attempt at a plain service whose targets had all been tried, later requests were refused without a retry. Also a request that waits for another target while its own is silent took a cold target's allowance although no retry was left for it. Change: without a target the request ends at once; the budget is looked at before a target is chosen. Measured: one_failed_attempt_does_not_use_up_the_retry_budget passes; in the review a test of the same case failed on the code before. The second case has no test.

--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -105,6 +105,8 @@
   [[nodiscard]] bool TryLeaveTarget(TimePoint now);
   void LeaveQueue();
   [[nodiscard]] bool MayRetry(bool may_have_executed) const;
+  /// True if TryTakeRetry would take one.
+  [[nodiscard]] bool HasRetry(bool may_have_executed) const;
   /// Takes a retry from the service's budget if another attempt is allowed.
   [[nodiscard]] bool TryTakeRetry(bool may_have_executed);
   [[nodiscard]] std::string SerializeAnswerHead() const;
--- a/include/gooseberryturn/routing/retry_budget.h
+++ b/include/gooseberryturn/routing/retry_budget.h
@@ -22,9 +22,12 @@
     this->available = std::min(
         this->burst, this->available + static_cast<double>(percent) / kPercent);
   }
+  [[nodiscard]] bool HasRetry() const noexcept {
+    return this->available >= 1.0;
+  }
   /// \brief Takes one retry from the budget; false when none is left.
   [[nodiscard]] bool TakeRetry() noexcept {
-    if (this->available < 1.0) {
+    if (!this->HasRetry()) {
       return false;
     }
     this->available -= 1.0;
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -221,6 +221,10 @@
   if (this->is_done) {
     return true;
   }
+  if (this->IsMoving() && !this->HasRetry(true)) {
+    this->LeaveQueue();
+    return true;
+  }
   ChoiceRequest request;
   request.service = this->service;
   request.model = this->model;
@@ -243,7 +247,7 @@
   if (choice.target == nullptr) {
     if (choice.reason == ChoiceFailure::kNoTarget && this->model.empty() &&
         !this->is_head_sent && !this->IsMoving()) {
-      this->OnAttemptFailed("no_target", false);
+      this->GiveUp();
       return true;
     }
     return false;
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -197,6 +197,11 @@
          this->tried_targets.size() < kMaxAttempts;
 }
 
+bool RequestFlow::HasRetry(bool may_have_executed) const {
+  return this->MayRetry(may_have_executed) &&
+         this->entry.RetryBudgetOf(this->service).HasRetry();
+}
+
 bool RequestFlow::TryTakeRetry(bool may_have_executed) {
   const bool is_allowed = this->MayRetry(may_have_executed) &&
                           this->entry.RetryBudgetOf(this->service).TakeRetry();
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -159,7 +159,7 @@
   }
   const bool may_move = this->connection != nullptr && !this->is_queued &&
                         this->route->IsIdempotent();
-  if (may_move && this->IsAttemptLost(now) && this->MayRetry(true)) {
+  if (may_move && this->IsAttemptLost(now) && this->HasRetry(true)) {
     // The attempt goes on until another target takes the request.
     this->queue_deadline = std::min(this->deadline, now + kMaxQueueTime);
     this->Dispatch();
--- a/tests/platform_stop_test.cc
+++ b/tests/platform_stop_test.cc
@@ -99,3 +99,12 @@
   BOOST_TEST(answer.is_complete);
   BOOST_TEST(answer.Contains("id: 6\n"));
 }
+
+BOOST_AUTO_TEST_CASE(one_failed_attempt_does_not_use_up_the_retry_budget) {
+  ServingFleet fleet(83);
+  fleet.plain->behaviour = Behaviour::kCloseUnanswered;
+  // Its one target was tried: there is none left for a retry.
+  BOOST_TEST(fleet.SendRequest("/safe/1", "cut").status == 502);
+  BOOST_TEST(Get(fleet.ReadinessEndpoint(), "/metrics")
+                 .Contains("retries_total{reason=\"target_busy\"} 0"));
+}
