--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -40,8 +40,8 @@
   /// \brief Chooses a target and sends the request to it.
   /// \returns False when the request has to wait.
   [[nodiscard]] bool TryDispatch();
-  /// \brief True while an attempt is in progress whose target is silent; the
-  /// request may then wait in the queue for another target.
+  /// \brief True while an attempt is in progress. A request that is queued or
+  /// dispatched then moves away from a target that is silent or too slow.
   [[nodiscard]] bool IsMoving() const noexcept {
     return this->connection != nullptr;
   }
--- a/src/app/program.cc
+++ b/src/app/program.cc
@@ -98,7 +98,7 @@
   std::cout.flush();
   // At exit, log4cplus waits without a limit until the threads of its pool,
   // which every program starts that is linked against it, have ended one after
-  // the other. A host whose threads run one at a time may not see that happen.
+  // the other.
   std::quick_exit(exit_code);
 }
 
