--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -65,6 +65,7 @@
       std::chrono::milliseconds(100);
   static constexpr Duration kInFlightSendInterval =
       std::chrono::milliseconds(100);
+  static constexpr Duration kCapacityLogInterval = std::chrono::seconds(1);
   /// Followers get an update at least this often, even without changes.
   static constexpr Duration kMaxUpdateInterval = std::chrono::milliseconds(250);
   static constexpr Duration kCallTimeout = std::chrono::milliseconds(850);
@@ -144,6 +145,8 @@
   void UpdateQuorum(TimePoint now);
   /// Runs the planner and carries out its actions.
   void PlanGroups(TimePoint now);
+  /// Logs demand and supply of each model once per kCapacityLogInterval.
+  void LogCapacities(const PlanInput& input, TimePoint now);
   /// Plans after the events that are already queued, unless the last plan is
   /// less than kMinPlanInterval ago.
   void SchedulePlan();
@@ -228,6 +231,7 @@
   bool has_traffic = false;  ///< See PlanInput.
   bool is_plan_scheduled = false;
   TimePoint last_plan_at;
+  TimePoint next_capacity_log_at;
   std::vector<InFlightWork> in_flight_work;  ///< Sum over all entries.
   TimePoint in_flight_summed_at;
   TimePoint settled_at;  ///< Full updates are sent from then on.
--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -42,6 +42,17 @@
   std::vector<ModelDemand> demand;  ///< Empty until measured.
 };
 
+/// \brief What the planner takes for the demand and supply of one model.
+struct ModelCapacity {
+  std::string service;
+  std::string model;
+  std::size_t open_groups = 0;
+  double busy_groups = 0;  ///< Demand, at least its assumed minimum.
+  /// Hosts of groups that serve or are to serve, divided by those that the
+  /// demand keeps busy.
+  double coverage = 0;
+};
+
 /// \brief Forms, opens and dissolves replica groups; runs on the leader.
 ///
 /// \details Hosts and engines are identified by the id of their target: the
@@ -73,6 +84,9 @@
                          TimePoint now);
 
   [[nodiscard]] std::vector<GroupView> Groups() const;
+  /// \brief Demand and supply of each model as of the last plan's counts.
+  [[nodiscard]] std::vector<ModelCapacity> Capacities(
+      const PlanInput& input) const;
   /// \brief Increases with each change of any group.
   [[nodiscard]] std::uint64_t revision() const noexcept {
     return this->change_count;
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -144,6 +144,8 @@
   std::shared_ptr<TargetConnection> connection;
   std::uint32_t load_at_choice = 0;  ///< In flight at the chosen target.
   double expected_first_event_ms = 0;
+  /// The expected time, corrected by the delays that were learnt.
+  double predicted_first_event_ms = 0;
   TimePoint attempt_started_at;
   TimePoint first_attempt_at;
   TimePoint first_event_at;
--- a/src/direct/control_host_leader.cc
+++ b/src/direct/control_host_leader.cc
@@ -173,6 +173,21 @@
   }
 }
 
+void ControlHost::LogCapacities(const PlanInput& input, TimePoint now) {
+  if (now < this->next_capacity_log_at) {
+    return;
+  }
+  this->next_capacity_log_at = now + kCapacityLogInterval;
+  for (const ModelCapacity& capacity : this->planner.Capacities(input)) {
+    LogEvent(Level::kInfo, "", "model_capacity",
+             {{"service", capacity.service},
+              {"model", capacity.model},
+              {"open_groups", std::to_string(capacity.open_groups)},
+              {"busy_groups", std::to_string(capacity.busy_groups)},
+              {"coverage", std::to_string(capacity.coverage)}});
+  }
+}
+
 void ControlHost::PlanGroups(TimePoint now) {
   if (!this->configuration.has_value()) {
     return;
@@ -200,6 +215,7 @@
     this->Probe(target);
   }
   this->PublishGroups();
+  this->LogCapacities(input, now);
 }
 
 }  // namespace gooseberryturn::direct
--- a/src/direct/group_planner_balance.cc
+++ b/src/direct/group_planner_balance.cc
@@ -87,6 +87,35 @@
   return coverage;
 }
 
+std::vector<ModelCapacity> GroupPlanner::Capacities(
+    const PlanInput& input) const {
+  std::vector<ModelCapacity> capacities;
+  for (const Service& service : input.configuration.services) {
+    if (!service.engine.has_value()) {
+      continue;
+    }
+    const std::map<std::string, double> coverage =
+        this->Coverage(service, input);
+    for (const ModelProfile& model : service.engine->models) {
+      ModelCapacity capacity;
+      capacity.service = service.name;
+      capacity.model = model.name;
+      capacity.coverage = coverage.at(model.name);
+      capacity.busy_groups = this->BusyHosts(service, model, input) /
+                             static_cast<double>(model.size);
+      for (const std::pair<const std::string, Group>& entry : this->groups) {
+        const GroupView& view = entry.second.view;
+        const bool is_open = view.service == service.name &&
+                             view.model == model.name &&
+                             view.phase == GroupPhase::kOpen;
+        capacity.open_groups += is_open ? 1 : 0;
+      }
+      capacities.push_back(capacity);
+    }
+  }
+  return capacities;
+}
+
 std::vector<std::string> GroupPlanner::GroupsToClose(
     const Service& service, const ModelProfile& underserved,
     const std::string& domain, const std::vector<std::string>& available_hosts,
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -258,6 +258,8 @@
   }
   this->load_at_choice = choice.load;
   this->expected_first_event_ms = choice.expected_ms;
+  this->predicted_first_event_ms =
+      this->entry.chooser.PredictFirstEventMs(choice.expected_ms);
   this->StartAttempt(choice.target->name);
   return true;
 }
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -111,6 +111,7 @@
       Level::kInfo, this->caller_attempt_id, "request_ended",
       {{"outcome", outcome},
        {"route", this->route == nullptr ? "" : this->route->name},
+       {"model", this->model},
        {"target", this->target},
        {"tries", std::to_string(this->tried_targets.size())},
        {"runs", std::to_string(this->possible_executions)},
@@ -122,6 +123,9 @@
        {"load", std::to_string(this->load_at_choice)},
        {"expected_ms", std::to_string(static_cast<std::int64_t>(
                            this->expected_first_event_ms))},
+       {"predicted_ms", std::to_string(static_cast<std::int64_t>(
+                            this->predicted_first_event_ms))},
+       {"sent_late", this->is_sent_late ? "true" : "false"},
        {"waiting", std::to_string(this->entry.wait_queue.size())},
        {"view_age_ms", std::to_string(this->entry.ViewAgeMs())},
        {"config_version", std::to_string(this->entry.view.version())}});
