Entries learn the delays of each model by themselves

Cause: one regression over all models; nine of ten observations are of the smaller model, whose first events come in 190 ms. Change: a delay model for each service and model.

--- a/include/gooseberryturn/direct/target_chooser.h
+++ b/include/gooseberryturn/direct/target_chooser.h
@@ -3,9 +3,11 @@
 
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gooseberryturn/core/name_table.h"
@@ -84,14 +86,15 @@
 
   /// \brief Records that a first event came `actual_ms` after dispatch, where
   /// Choose had expected `expected_ms`.
-  void RecordFirstEvent(double expected_ms, double actual_ms) noexcept {
-    this->delays.Observe(expected_ms, actual_ms);
+  void RecordFirstEvent(const std::string& service, const std::string& model,
+                        double expected_ms, double actual_ms) {
+    this->delays[{service, model}].Observe(expected_ms, actual_ms);
   }
   /// \brief Corrects `expected_ms`, a time to the first event from the
-  /// published figures, by the delays observed so far.
-  [[nodiscard]] double PredictFirstEventMs(double expected_ms) const noexcept {
-    return this->delays.Predict(expected_ms);
-  }
+  /// published figures, by the delays of the model observed so far.
+  [[nodiscard]] double PredictFirstEventMs(const std::string& service,
+                                           const std::string& model,
+                                           double expected_ms) const;
 
   /// \brief Requests sent to a group head beyond its slots. They fill slots
   /// that became free since the other entries last reported their load.
@@ -109,7 +112,8 @@
   std::string data_centre;
   std::string entry;
   std::mt19937_64 random;
-  DelayModel delays;
+  /// By service and model.
+  std::map<std::pair<std::string, std::string>, DelayModel> delays;
 };
 
 }  // namespace gooseberryturn::direct
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -185,8 +185,10 @@
   }
   const Duration first_event = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(
-          this->entry.chooser.PredictFirstEventMs(FirstEventMs(
-              *this->FindEngine(), *model_profile, this->prompt_tokens))));
+          this->entry.chooser.PredictFirstEventMs(
+              this->service, this->model,
+              FirstEventMs(*this->FindEngine(), *model_profile,
+                           this->prompt_tokens))));
   return std::max(Duration(0), objective - first_event);
 }
 
@@ -258,8 +260,8 @@
   }
   this->load_at_choice = choice.load;
   this->expected_first_event_ms = choice.expected_ms;
-  this->predicted_first_event_ms =
-      this->entry.chooser.PredictFirstEventMs(choice.expected_ms);
+  this->predicted_first_event_ms = this->entry.chooser.PredictFirstEventMs(
+      this->service, this->model, choice.expected_ms);
   this->StartAttempt(choice.target->name);
   return true;
 }
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -79,7 +79,7 @@
     this->is_head_sent = true;
     this->first_event_at = now;
     this->entry.chooser.RecordFirstEvent(
-        this->expected_first_event_ms,
+        this->service, this->model, this->expected_first_event_ms,
         static_cast<double>(WholeMs(now - this->attempt_started_at)));
     this->caller->BeginChunks(this->SerializeAnswerHead());
     this->entry.metrics.Observe(observe::Timing::kFirstByte,
--- a/src/direct/target_chooser.cc
+++ b/src/direct/target_chooser.cc
@@ -96,6 +96,14 @@
   return is_assigned && tracker.TakeColdRequest(target.name, per_s, now);
 }
 
+double TargetChooser::PredictFirstEventMs(const std::string& service,
+                                          const std::string& model,
+                                          double expected_ms) const {
+  const auto known = this->delays.find({service, model});
+  return known == this->delays.end() ? expected_ms
+                                     : known->second.Predict(expected_ms);
+}
+
 Choice TargetChooser::Choose(const ChoiceRequest& request,
                              const FleetView& view, TargetTracker& tracker,
                              double cold_factor, TimePoint now) {
@@ -137,8 +145,10 @@
       const bool has_slot = is_late && !request.is_resumed
                                 ? load < kLateSlotShare * slots
                                 : load < engine.slots + kMaxBeyondSlots;
-      const bool is_on_time = is_late || this->delays.Predict(expected_ms) <=
-                                             *request.time_to_objective_ms;
+      const bool is_on_time =
+          is_late || this->PredictFirstEventMs(request.service, request.model,
+                                               expected_ms) <=
+                         *request.time_to_objective_ms;
       is_unavailable = is_avoided || !has_slot ||
                        prefill_wait_ms > request.max_prefill_wait_ms ||
                        !is_on_time;
--- a/tests/direct_placement_test.cc
+++ b/tests/direct_placement_test.cc
@@ -77,6 +77,21 @@
   BOOST_TEST(delays.Predict(80) < 160);
 }
 
+BOOST_AUTO_TEST_CASE(delays_of_one_model_say_nothing_about_another) {
+  TargetChooser chooser("a", "entry", 7);
+  for (int number = 0; number < 400; ++number) {
+    chooser.RecordFirstEvent("engines", "small", 50 + number % 50, 190);
+  }
+  for (int number = 0; number < 40; ++number) {
+    chooser.RecordFirstEvent("engines", "large", 190 + number % 20, 700);
+  }
+  BOOST_TEST(std::abs(chooser.PredictFirstEventMs("engines", "large", 200) -
+                      700) < 20);
+  BOOST_TEST(
+      std::abs(chooser.PredictFirstEventMs("engines", "small", 75) - 190) < 20);
+  BOOST_TEST(chooser.PredictFirstEventMs("engines", "other", 75) == 75);
+}
+
 BOOST_AUTO_TEST_CASE(requests_that_no_head_can_start_in_time_wait) {
   // 5 prompts wait for prefill at the only head. A request that just arrived
   // can still be on time there; one that has waited cannot, and must not take
