Entries divide the room at group heads instead of filling it together

Cause: load and waiting prompts of other entries are known 100 to 250 ms late. All entries saw the same head as the least delayed one and the same moment at which room was there, and each filled it by itself: up to 21 prompts to one head in 200 ms, then none for a second (variance 11 to 19 at a mean of 2). The head was late with all of them. Class: decisions of many on the same old figure, without allowing for each other. Change: RoomShare gives an entry its part of the room, by what it and the others want to send until the next figures; SpreadWeights picks the head at random so that the work that arrives meanwhile raises the least delayed heads to one level. Late requests go only where hardly any prompt waits (a tenth of the objective instead of a quarter), so that they delay none that can still be on time; resumed streams keep the quarter.

--- a/include/gooseberryturn/direct/target_chooser.h
+++ b/include/gooseberryturn/direct/target_chooser.h
@@ -1,8 +1,8 @@
 #ifndef GOOSEBERRYTURN_DIRECT_TARGET_CHOOSER_H_
 #define GOOSEBERRYTURN_DIRECT_TARGET_CHOOSER_H_
 
+#include <algorithm>
 #include <cstddef>
-#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -13,6 +13,7 @@
 #include "gooseberryturn/core/name_table.h"
 #include "gooseberryturn/direct/delay_model.h"
 #include "gooseberryturn/direct/fleet_view.h"
+#include "gooseberryturn/direct/room_share.h"
 #include "gooseberryturn/direct/target_tracker.h"
 
 namespace gooseberryturn::direct {
@@ -34,6 +35,24 @@
 inline constexpr NameTable<ChoiceFailure, 3> kChoiceFailureNames = {
     {"none", "no_target", "full"}};
 
+/// \brief Key of the wait queue for requests of one model.
+[[nodiscard]] std::string QueueKey(const std::string& service,
+                                   const std::string& model);
+
+/// \brief Pool of RoomShare for requests with one queue key that compete with
+/// each other: those that can still meet their objective, or those that are
+/// late.
+[[nodiscard]] std::string RoomPool(const std::string& queue_key, bool is_late);
+
+/// \brief Share of its objective that a request may wait at a group head for
+/// the prefill of other prompts.
+inline constexpr double kPrefillWaitShare = 0.85;
+/// \brief The same for a resumed stream whose objective is out of reach.
+inline constexpr double kResumedPrefillWaitShare = 0.25;
+/// \brief The same for another late request: it goes only where hardly any
+/// prompt waits, so that it delays none that can still be on time.
+inline constexpr double kLatePrefillWaitShare = 0.1;
+
 /// \brief What a request asks of its target.
 struct ChoiceRequest {
   std::string service;
@@ -46,6 +65,18 @@
   /// when it cannot be met any more.
   std::optional<double> time_to_objective_ms;
   bool is_resumed = false;  ///< Resumes a stream broken off elsewhere.
+  /// Requests of its pool that wait at this entry, with this one.
+  std::size_t waiting = 1;
+
+  [[nodiscard]] bool HasTried(const std::string& target) const {
+    return std::find(this->tried_targets.begin(), this->tried_targets.end(),
+                     target) != this->tried_targets.end();
+  }
+  /// \brief The pool of RoomShare that it belongs to.
+  [[nodiscard]] std::string Pool() const {
+    return RoomPool(QueueKey(this->service, this->model),
+                    !this->time_to_objective_ms.has_value());
+  }
 };
 
 /// \brief The chosen target, or why there is none.
@@ -64,18 +95,22 @@
                                   const ModelProfile& model,
                                   double prompt_tokens);
 
-/// \brief Chooses the target with the earliest expected first event.
+/// \brief Chooses a target by the expected time to the first event.
 ///
 /// \details Limits the load per target so that the work of a lost group does
 /// not overload the remaining ones at once: a group head gets at most `slots`
-/// requests and a short queue; the rest waits at the entry or is rejected.
+/// requests and a short queue; the rest waits at the entry or is rejected. Room
+/// at the heads is divided among the entries (RoomShare), and what they send is
+/// spread over the heads (SpreadWeights). Of plain targets the least loaded one
+/// is chosen.
 class TargetChooser {
  public:
   /// \param entry Name of the entry that chooses.
   TargetChooser(std::string data_centre, std::string entry, std::uint64_t seed)
       : data_centre(std::move(data_centre)),
         entry(std::move(entry)),
-        random(seed) {}
+        random(seed),
+        room_share(seed + 1) {}
 
   /// \brief Chooses a target, and takes from the rate limit of a cold one.
   /// `view` must have a configuration: its routes() must not be null.
@@ -84,11 +119,20 @@
                               const FleetView& view, TargetTracker& tracker,
                               double cold_factor, TimePoint now);
 
+  /// \brief Begins a round of RoomShare, when new figures of the load at the
+  /// heads have arrived that `entries` entries see.
+  void BeginRound(std::size_t entries, const RoomShare::WaitingByPool& waiting,
+                  TimePoint now) {
+    this->room_share.BeginRound(entries, waiting, now);
+  }
+  /// \brief Records the prompt of a request that has arrived.
+  void RecordPrompt(const std::string& service, const std::string& model,
+                    double prompt_tokens);
   /// \brief Records that a first event came `actual_ms` after dispatch, where
   /// Choose had expected `expected_ms`.
   void RecordFirstEvent(const std::string& service, const std::string& model,
                         double expected_ms, double actual_ms) {
-    this->delays[{service, model}].Observe(expected_ms, actual_ms);
+    this->models[{service, model}].delays.Observe(expected_ms, actual_ms);
   }
   /// \brief Corrects `expected_ms`, a time to the first event from the
   /// published figures, by the delays of the model observed so far.
@@ -102,7 +146,43 @@
   /// \brief Most requests in flight at a plain target.
   static constexpr std::uint32_t kMaxPlainRequests = 16;
 
+  /// Weight of the newest prompt in the moving average of its model.
+  static constexpr double kPromptWeight = 0.02;
+
  private:
+  /// A target that can take the request.
+  struct Candidate {
+    const TargetView* target = nullptr;
+    std::uint32_t load = 0;
+    double expected_ms = 0;
+    double typical_ms = 0;  ///< Prefill of the model's usual prompt, at a head.
+    double room = 0;        ///< Requests that a head can take.
+    double score = 0;       ///< The lowest wins.
+  };
+
+  /// What was learnt of one model.
+  struct ModelHistory {
+    DelayModel delays;
+    double mean_prompt_tokens = 0;  ///< 0 before the first prompt.
+  };
+
+  /// The targets that can take the request, best first.
+  [[nodiscard]] std::vector<Candidate> PlainCandidates(
+      const std::vector<const TargetView*>& targets,
+      const TargetTracker& tracker, TimePoint now);
+  [[nodiscard]] std::vector<Candidate> HeadCandidates(
+      const std::vector<const TargetView*>& heads, const ChoiceRequest& request,
+      const EngineProfile& engine, const ModelProfile& model,
+      const TargetTracker& tracker, TimePoint now);
+  /// The head with its room, if it has any for the request.
+  [[nodiscard]] std::optional<Candidate> MeasureHead(
+      const TargetView& head, const ChoiceRequest& request,
+      const EngineProfile& engine, const ModelProfile& model,
+      const TargetTracker& tracker) const;
+  /// Requests of the same pool that all entries want to send now.
+  [[nodiscard]] double Contenders(const ChoiceRequest& request) const;
+  /// Puts the heads into a random order by SpreadWeights.
+  void Spread(std::vector<Candidate>& heads, double contenders);
   /// True if the target is warm, or takes one more cold request from this
   /// entry, at most `per_s` a second.
   [[nodiscard]] bool TakeColdRequest(const TargetView& target,
@@ -112,8 +192,9 @@
   std::string data_centre;
   std::string entry;
   std::mt19937_64 random;
+  RoomShare room_share;
   /// By service and model.
-  std::map<std::pair<std::string, std::string>, DelayModel> delays;
+  std::map<std::pair<std::string, std::string>, ModelHistory> models;
 };
 
 }  // namespace gooseberryturn::direct
--- a/include/gooseberryturn/direct/wait_queue.h
+++ b/include/gooseberryturn/direct/wait_queue.h
@@ -41,6 +41,10 @@
   /// \brief Removes the requests whose queue deadline is over.
   /// \returns Their ids.
   [[nodiscard]] std::vector<std::uint64_t> TakeExpired(TimePoint now);
+  /// \brief Number of requests with `queue_key` that can still meet their
+  /// objective, or that are late.
+  [[nodiscard]] std::size_t Count(const std::string& queue_key, bool is_late,
+                                  TimePoint now) const;
   [[nodiscard]] std::size_t size() const noexcept {
     return this->requests.size();
   }
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -244,6 +244,7 @@
   }
   if (!update.in_flight_work.empty()) {
     this->target_tracker.SetTotals(update.in_flight_work);
+    this->BeginRound(Clock::now());
   }
   for (const std::string& removed : update.removed_targets) {
     this->target_pool.CloseIdle(removed);
@@ -252,6 +253,17 @@
   return true;
 }
 
+void EntryHost::BeginRound(TimePoint now) {
+  RoomShare::WaitingByPool waiting;
+  for (const std::string& key : this->wait_queue.QueueKeys()) {
+    for (const bool is_late : {false, true}) {
+      waiting[RoomPool(key, is_late)] =
+          this->wait_queue.Count(key, is_late, now);
+    }
+  }
+  this->chooser.BeginRound(this->view.entries(), waiting, now);
+}
+
 void EntryHost::SendReport(TimePoint now) {
   EntryReport report;
   for (const std::string& target : this->target_tracker.StalledTargets(now)) {
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -29,11 +29,6 @@
 /// Engine priority of a request that can no longer meet its objective: it must
 /// not displace one that can.
 constexpr char kLatePriority[] = "7";
-/// Share of its objective that a request may wait at a group head for the
-/// prefill of other prompts. Late requests get a smaller share, to leave room
-/// for those that can still be on time.
-constexpr double kPrefillWaitShare = 0.85;
-constexpr double kLatePrefillWaitShare = 0.25;
 constexpr double kPercent = 100;
 
 std::int64_t ReadNumber(std::string_view text, std::int64_t fallback) {
@@ -168,6 +163,8 @@
   const ModelProfile* model_profile = this->FindModel();
   if (model_profile != nullptr) {
     const EngineProfile& engine = *this->FindEngine();
+    this->entry.chooser.RecordPrompt(this->service, this->model,
+                                     this->prompt_tokens);
     const double output_tokens = this->entry.demand.MeanAnswerTokens(
         this->route->name, engine.mean_output_tokens);
     this->entry.demand.RecordRequest(
@@ -193,7 +190,7 @@
 }
 
 std::string RequestFlow::QueueKey() const {
-  return this->service + "/" + this->model;
+  return direct::QueueKey(this->service, this->model);
 }
 
 // ----------------------------------------------------------------- dispatch
@@ -235,13 +232,19 @@
   const double objective_ms = static_cast<double>(this->route->objective_ms);
   const TimePoint now = Clock::now();
   const bool is_late = now >= this->dispatch_by;
-  request.max_prefill_wait_ms =
-      objective_ms * (is_late ? kLatePrefillWaitShare : kPrefillWaitShare);
+  request.is_resumed = this->last_event_id.has_value();
   if (!is_late) {
+    request.max_prefill_wait_ms = objective_ms * kPrefillWaitShare;
     request.time_to_objective_ms =
         objective_ms - static_cast<double>(WholeMs(now - this->received_at));
+  } else {
+    request.max_prefill_wait_ms =
+        objective_ms *
+        (request.is_resumed ? kResumedPrefillWaitShare : kLatePrefillWaitShare);
   }
-  request.is_resumed = this->last_event_id.has_value();
+  const std::size_t waiting =
+      this->entry.wait_queue.Count(this->QueueKey(), is_late, now);
+  request.waiting = waiting + (this->is_queued ? 0 : 1);
   this->is_sent_late = is_late;
   const Choice choice = this->entry.chooser.Choose(
       request, this->entry.view, this->entry.target_tracker,
--- a/src/direct/target_chooser.cc
+++ b/src/direct/target_chooser.cc
@@ -1,8 +1,10 @@
 #include "gooseberryturn/direct/target_chooser.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "gooseberryturn/direct/cold_entries.h"
+#include "gooseberryturn/direct/load_spread.h"
 
 namespace gooseberryturn::direct {
 
@@ -21,17 +23,11 @@
 /// Share of a group head's slots that late requests may fill; the rest is kept
 /// for requests that can still be on time.
 constexpr double kLateSlotShare = 0.85;
+/// Prefill that a head works off until the next figures of its load arrive.
+constexpr double kPrefillPerRoundMs = 100;
 /// Share of a cold target's rate limit that all entries together use.
 constexpr double kColdRateShare = 0.8;
 
-/// A target that can take the request.
-struct Candidate {
-  const TargetView* target = nullptr;
-  std::uint32_t load = 0;
-  double expected_ms = 0;
-  double score = 0;  ///< The lowest wins.
-};
-
 /// Milliseconds of a decode step: one token for each active sequence.
 double DecodeStepMs(const EngineProfile& engine, double load) {
   const double sequences = std::min(load, static_cast<double>(engine.slots));
@@ -96,12 +92,154 @@
   return is_assigned && tracker.TakeColdRequest(target.name, per_s, now);
 }
 
+std::string QueueKey(const std::string& service, const std::string& model) {
+  return service + "/" + model;
+}
+
+std::string RoomPool(const std::string& queue_key, bool is_late) {
+  return queue_key + (is_late ? "/late" : "");
+}
+
+void TargetChooser::RecordPrompt(const std::string& service,
+                                 const std::string& model,
+                                 double prompt_tokens) {
+  double& mean = this->models[{service, model}].mean_prompt_tokens;
+  mean += mean > 0 ? kPromptWeight * (prompt_tokens - mean) : prompt_tokens;
+}
+
 double TargetChooser::PredictFirstEventMs(const std::string& service,
                                           const std::string& model,
                                           double expected_ms) const {
-  const auto known = this->delays.find({service, model});
-  return known == this->delays.end() ? expected_ms
-                                     : known->second.Predict(expected_ms);
+  const auto known = this->models.find({service, model});
+  return known == this->models.end()
+             ? expected_ms
+             : known->second.delays.Predict(expected_ms);
+}
+
+std::vector<TargetChooser::Candidate> TargetChooser::PlainCandidates(
+    const std::vector<const TargetView*>& targets, const TargetTracker& tracker,
+    TimePoint now) {
+  std::uniform_real_distribution<double> noise(0, kTieBreakNoiseMs);
+  std::vector<Candidate> candidates;
+  for (const TargetView* target : targets) {
+    Candidate candidate;
+    candidate.target = target;
+    candidate.load = tracker.Load(target->name);
+    if (candidate.load >= kMaxPlainRequests) {
+      continue;
+    }
+    candidate.expected_ms =
+        kPlainRequestMs * static_cast<double>(candidate.load);
+    candidate.score = candidate.expected_ms + noise(this->random);
+    candidate.score +=
+        target->data_centre == this->data_centre ? 0 : kRemotePenaltyMs;
+    candidate.score +=
+        tracker.IsAvoided(target->name, now) ? kAvoidedPenaltyMs : 0;
+    candidates.push_back(candidate);
+  }
+  std::sort(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& a, const Candidate& b) { return a.score < b.score; });
+  return candidates;
+}
+
+std::optional<TargetChooser::Candidate> TargetChooser::MeasureHead(
+    const TargetView& head, const ChoiceRequest& request,
+    const EngineProfile& engine, const ModelProfile& model,
+    const TargetTracker& tracker) const {
+  Candidate candidate;
+  candidate.target = &head;
+  candidate.load = tracker.Load(head.name);
+  const double load = static_cast<double>(candidate.load);
+  const double prefill_wait_ms =
+      model.time_factor *
+      PrefillMs(engine, load, tracker.PendingPrefillTokens(head.name));
+  candidate.expected_ms =
+      prefill_wait_ms + SlotWaitMs(engine, model, candidate.load) +
+      model.time_factor *
+          (PrefillMs(engine, load, request.prompt_tokens) +
+           static_cast<double>(engine.stride) * DecodeStepMs(engine, load));
+  const bool is_late = !request.time_to_objective_ms.has_value();
+  const double slots = static_cast<double>(engine.slots);
+  const double slot_room = is_late && !request.is_resumed
+                               ? kLateSlotShare * slots - load
+                               : slots + kMaxBeyondSlots - load;
+  double prefill_room_ms = request.max_prefill_wait_ms - prefill_wait_ms;
+  if (!is_late) {
+    const double predicted_ms = this->PredictFirstEventMs(
+        request.service, request.model, candidate.expected_ms);
+    prefill_room_ms =
+        std::min(prefill_room_ms, *request.time_to_objective_ms - predicted_ms);
+  }
+  if (slot_room <= 0 || prefill_room_ms < 0) {
+    return std::nullopt;
+  }
+  const auto history = this->models.find({request.service, request.model});
+  const double typical_tokens = history == this->models.end()
+                                    ? request.prompt_tokens
+                                    : history->second.mean_prompt_tokens;
+  candidate.typical_ms = model.time_factor *
+                         PrefillMs(engine, load, std::max(1.0, typical_tokens));
+  const double prefill_room =
+      (prefill_room_ms + kPrefillPerRoundMs) / candidate.typical_ms;
+  candidate.room = std::min(slot_room, std::max(1.0, prefill_room));
+  return candidate;
+}
+
+double TargetChooser::Contenders(const ChoiceRequest& request) const {
+  if (request.is_resumed) {
+    // A lost group breaks off streams of all entries at the same time.
+    return this->room_share.entries() * static_cast<double>(request.waiting);
+  }
+  return this->room_share.Contenders(request.Pool(), request.waiting);
+}
+
+void TargetChooser::Spread(std::vector<Candidate>& heads, double contenders) {
+  std::vector<double> delays_ms;
+  double typical_ms = 0;
+  for (const Candidate& head : heads) {
+    const bool is_local = head.target->data_centre == this->data_centre;
+    delays_ms.push_back(head.expected_ms + (is_local ? 0 : kRemotePenaltyMs));
+    typical_ms += head.typical_ms / static_cast<double>(heads.size());
+  }
+  const std::vector<double> weights =
+      SpreadWeights(delays_ms, contenders * typical_ms);
+  // The least of exponential variables is the one of a head with a probability
+  // in proportion to its weight.
+  std::exponential_distribution<double> draw(1);
+  for (std::size_t number = 0; number < heads.size(); ++number) {
+    heads[number].score = weights[number] > 0
+                              ? draw(this->random) / weights[number]
+                              : std::numeric_limits<double>::max();
+  }
+  std::sort(
+      heads.begin(), heads.end(),
+      [](const Candidate& a, const Candidate& b) { return a.score < b.score; });
+}
+
+std::vector<TargetChooser::Candidate> TargetChooser::HeadCandidates(
+    const std::vector<const TargetView*>& heads, const ChoiceRequest& request,
+    const EngineProfile& engine, const ModelProfile& model,
+    const TargetTracker& tracker, TimePoint now) {
+  std::vector<Candidate> candidates;
+  double room = 0;
+  for (const TargetView* head : heads) {
+    const std::optional<Candidate> candidate =
+        tracker.IsAvoided(head->name, now)
+            ? std::nullopt
+            : this->MeasureHead(*head, request, engine, model, tracker);
+    if (candidate.has_value()) {
+      candidates.push_back(*candidate);
+      room += candidate->room;
+    }
+  }
+  const double contenders = this->Contenders(request);
+  if (!this->room_share.MaySend(request.Pool(), room, request.waiting,
+                                contenders, now)) {
+    return {};
+  }
+  this->Spread(candidates, contenders);
+  return candidates;
 }
 
 Choice TargetChooser::Choose(const ChoiceRequest& request,
@@ -116,62 +254,32 @@
   }
   const ModelProfile* model =
       service->engine ? service->engine->FindModel(request.model) : nullptr;
-  const std::vector<const TargetView*> candidates =
+  std::vector<const TargetView*> targets =
       service->engine ? view.Heads(request.service, request.model)
                       : view.PlainTargets(request.service);
-  std::vector<Candidate> scored;
-  std::uniform_real_distribution<double> noise(0, kTieBreakNoiseMs);
-  for (const TargetView* target : candidates) {
-    if (std::find(request.tried_targets.begin(), request.tried_targets.end(),
-                  target->name) != request.tried_targets.end()) {
-      continue;
-    }
-    const std::uint32_t load = tracker.Load(target->name);
-    const bool is_avoided = tracker.IsAvoided(target->name, now);
-    bool is_unavailable = load >= kMaxPlainRequests;
-    double expected_ms = kPlainRequestMs * static_cast<double>(load);
-    if (model != nullptr) {
-      const EngineProfile& engine = *service->engine;
-      const double prefill_wait_ms =
-          model->time_factor *
-          PrefillMs(engine, load, tracker.PendingPrefillTokens(target->name));
-      expected_ms =
-          prefill_wait_ms + SlotWaitMs(engine, *model, load) +
-          model->time_factor *
-              (PrefillMs(engine, load, request.prompt_tokens) +
-               static_cast<double>(engine.stride) * DecodeStepMs(engine, load));
-      const bool is_late = !request.time_to_objective_ms.has_value();
-      const double slots = static_cast<double>(engine.slots);
-      const bool has_slot = is_late && !request.is_resumed
-                                ? load < kLateSlotShare * slots
-                                : load < engine.slots + kMaxBeyondSlots;
-      const bool is_on_time =
-          is_late || this->PredictFirstEventMs(request.service, request.model,
-                                               expected_ms) <=
-                         *request.time_to_objective_ms;
-      is_unavailable = is_avoided || !has_slot ||
-                       prefill_wait_ms > request.max_prefill_wait_ms ||
-                       !is_on_time;
-    }
-    if (is_unavailable) {
-      choice.reason = ChoiceFailure::kFull;
-      continue;
-    }
-    double score = expected_ms + noise(this->random);
-    score += target->data_centre == this->data_centre ? 0 : kRemotePenaltyMs;
-    score += is_avoided ? kAvoidedPenaltyMs : 0;
-    scored.push_back({target, load, expected_ms, score});
+  targets.erase(std::remove_if(targets.begin(), targets.end(),
+                               [&request](const TargetView* target) {
+                                 return request.HasTried(target->name);
+                               }),
+                targets.end());
+  if (targets.empty()) {
+    return choice;
   }
-  std::sort(
-      scored.begin(), scored.end(),
-      [](const Candidate& a, const Candidate& b) { return a.score < b.score; });
+  choice.reason = ChoiceFailure::kFull;
+  const std::vector<Candidate> candidates =
+      model == nullptr
+          ? this->PlainCandidates(targets, tracker, now)
+          : this->HeadCandidates(targets, request, *service->engine, *model,
+                                 tracker, now);
   const double cold_rate = service->cold_requests_per_s * cold_factor *
                            kColdRateShare / static_cast<double>(kColdEntries);
-  for (const Candidate& candidate : scored) {
+  for (const Candidate& candidate : candidates) {
     if (!this->TakeColdRequest(*candidate.target, tracker, cold_rate, now)) {
-      choice.reason = ChoiceFailure::kFull;
       continue;
     }
+    if (model != nullptr) {
+      this->room_share.RecordSent(request.Pool());
+    }
     return {candidate.target, ChoiceFailure::kNone, candidate.load,
             candidate.expected_ms};
   }
--- a/src/direct/wait_queue.cc
+++ b/src/direct/wait_queue.cc
@@ -69,6 +69,19 @@
   return expired;
 }
 
+std::size_t WaitQueue::Count(const std::string& queue_key, bool is_late,
+                             TimePoint now) const {
+  std::size_t count = 0;
+  for (const std::pair<const std::uint64_t, QueuedRequest>& entry :
+       this->requests) {
+    const QueuedRequest& request = entry.second;
+    const bool counts = request.queue_key == queue_key &&
+                        (now >= request.dispatch_by) == is_late;
+    count += counts ? 1 : 0;
+  }
+  return count;
+}
+
 std::size_t WaitQueue::CountAhead(const std::string& queue_key, int priority,
                                   TimePoint dispatch_by, TimePoint now) const {
   QueuedRequest candidate;
--- a/tests/direct_fixtures.h
+++ b/tests/direct_fixtures.h
@@ -59,7 +59,9 @@
   return configuration;
 }
 
-inline FleetView MakeView(const std::vector<std::string>& heads) {
+inline FleetView MakeView(
+    const std::vector<std::string>& heads,
+    const Configuration& configuration = MakeConfiguration()) {
   FleetView view;
   FleetUpdate update;
   update.config_version = 3;
@@ -78,7 +80,7 @@
     group.phase = GroupPhase::kOpen;
     update.groups.push_back(group);
   }
-  view.Apply(update, std::make_shared<const RouteTable>(MakeConfiguration()));
+  view.Apply(update, std::make_shared<const RouteTable>(configuration));
   return view;
 }
 
