The plan values hosts by what they can serve, and keeps what a reassignment needs

Causes, one class: a rate limit and a soft curve stood in for an account of what is under way. (b) Reassignments were 2.5 s apart for all domains; a loss in between gave its survivors to whatever could be formed at once, the smaller model. (c) Forming groups did not weigh a model's share of the work, as reassigning does. Change: ServedShare never exceeds the coverage and is full at twice the busy hosts. A domain is reassigned again only when the group for which it was reserved is formed or its time is over; reserved groups count as coverage, so nothing is moved twice for the same lack, and no distance between reassignments is needed. Forming multiplies by the share. Evidence: three tests, each failing on the code before: survivors_of_losses_in_short_order_stay_with_their_model, a_model_short_of_hosts_gets_them_from_one_with_room (3 groups, not 4), no_more_work_is_served_than_the_hosts_can_do (0.63 at a coverage of 0.5).

--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -131,10 +131,10 @@
   static constexpr Duration kCloseTimeout = std::chrono::seconds(6);
   /// Covers an order to leave that a member executes late.
   static constexpr Duration kOrphanMargin = std::chrono::seconds(3);
-  /// Time after a reassignment until the next one; its fabric domain is
-  /// reserved for at least as long.
-  static constexpr Duration kRebalanceInterval =
-      std::chrono::milliseconds(2500);
+  /// Time for which a fabric domain is reserved at least when its hosts are
+  /// reassigned, unless the group for which they were is formed sooner. Until
+  /// then the domain is not reassigned again.
+  static constexpr Duration kReservationTime = std::chrono::milliseconds(2500);
   /// Factor on the published load time while there is no traffic yet.
   static constexpr double kPreTrafficLoadFactor = 0.1;
 
@@ -308,6 +308,10 @@
   /// By model: hosts in its groups divided by BusyHosts.
   [[nodiscard]] std::map<std::string, double> Coverage(
       const Service& service, const PlanInput& input) const;
+  /// Coverage with the groups for which domains are reserved.
+  [[nodiscard]] std::map<std::string, double> PlannedCoverage(
+      const Service& service, const PlanInput& input, TimePoint now) const;
+  [[nodiscard]] bool IsReserved(const std::string& domain, TimePoint now) const;
   void StartGroup(const Service& service, const Candidate& candidate,
                   const PlanInput& input, PlannedActions& actions,
                   TimePoint now);
@@ -415,8 +419,7 @@
   TimePoint forming_starts_at;
   TimePoint first_forming_deadline;
   std::size_t known_target_count = 0;
-  std::map<std::string, std::size_t> host_counts;  ///< By service.
-  TimePoint next_rebalance_at;
+  std::map<std::string, std::size_t> host_counts;      ///< By service.
   std::map<std::string, Group> groups;                 ///< By name.
   std::map<std::string, std::string> group_by_target;  ///< By target id.
   std::map<std::string, ProbeState> probe_states;      ///< By target id.
--- a/include/gooseberryturn/direct/model_demand.h
+++ b/include/gooseberryturn/direct/model_demand.h
@@ -102,7 +102,7 @@
 
 /// \brief Share of the work for a model that is served well when it has
 /// `coverage` times the hosts that the work keeps busy. Each further host adds
-/// less than the one before.
+/// less than the one before; hosts never serve more work than keeps them busy.
 [[nodiscard]] double ServedShare(double coverage) noexcept;
 
 /// \brief Increase of ServedShare per further host, for work that keeps
--- a/src/direct/group_planner_balance.cc
+++ b/src/direct/group_planner_balance.cc
@@ -87,6 +87,26 @@
   return coverage;
 }
 
+bool GroupPlanner::IsReserved(const std::string& domain, TimePoint now) const {
+  const auto reservation = this->reservations.find(domain);
+  return reservation != this->reservations.end() &&
+         now < reservation->second.until;
+}
+
+std::map<std::string, double> GroupPlanner::PlannedCoverage(
+    const Service& service, const PlanInput& input, TimePoint now) const {
+  std::map<std::string, double> coverage = this->Coverage(service, input);
+  for (const std::pair<const std::string, Reservation>& entry :
+       this->reservations) {
+    const ModelProfile* model = service.engine->FindModel(entry.second.model);
+    if (model != nullptr && now < entry.second.until) {
+      coverage[model->name] += static_cast<double>(model->size) /
+                               this->BusyHosts(service, *model, input);
+    }
+  }
+  return coverage;
+}
+
 std::vector<ModelCapacity> GroupPlanner::Capacities(
     const PlanInput& input) const {
   std::vector<ModelCapacity> capacities;
@@ -248,8 +268,11 @@
   best.gain_s = kMinGainSeconds;
   for (std::pair<const std::string, std::vector<std::string>>& domain :
        domains) {
+    if (this->IsReserved(domain.first, now)) {
+      continue;
+    }
     std::vector<std::string>& available_hosts = domain.second;
-    TimePoint until = now + kRebalanceInterval;
+    TimePoint until = now + kReservationTime;
     const auto release = pending_releases.find(domain.first);
     if (release != pending_releases.end()) {
       available_hosts.insert(available_hosts.end(),
@@ -274,10 +297,8 @@
 void GroupPlanner::Rebalance(const Service& service,
                              const FreeHosts& free_hosts,
                              const PlanInput& input, TimePoint now) {
-  if (now < this->next_rebalance_at) {
-    return;
-  }
-  const std::map<std::string, double> coverage = this->Coverage(service, input);
+  const std::map<std::string, double> coverage =
+      this->PlannedCoverage(service, input, now);
   const ModelProfile* underserved = LeastCoveredModel(service, coverage);
   if (underserved == nullptr) {
     return;
@@ -295,7 +316,6 @@
     group.view.closing_for = underserved->name;
     this->SetPhase(group, GroupPhase::kClosing);
     group.close_deadline = now + kCloseTimeout;
-    this->next_rebalance_at = now + kRebalanceInterval;
     this->reservations[reassignment.domain] = {underserved->name,
                                                reassignment.until};
   }
--- a/src/direct/group_planner_forming.cc
+++ b/src/direct/group_planner_forming.cc
@@ -104,6 +104,11 @@
             {"model", group.view.model},
             {"domain", group.view.domain},
             {"expected_s", std::to_string(candidate.forming_s)}});
+  const auto reservation = this->reservations.find(group.view.domain);
+  if (reservation != this->reservations.end() &&
+      reservation->second.model == group.view.model) {
+    this->reservations.erase(reservation);
+  }
   this->groups[group.view.name] = std::move(group);
   this->change_count += 1;
 }
@@ -112,10 +117,9 @@
     const ModelProfile& model, const std::string& domain,
     const std::vector<AvailableHost>& hosts, const PlanInput& input,
     TimePoint now) const {
-  const auto reservation = this->reservations.find(domain);
-  const bool is_reserved_for_other = reservation != this->reservations.end() &&
-                                     now < reservation->second.until &&
-                                     reservation->second.model != model.name;
+  const bool is_reserved_for_other =
+      this->IsReserved(domain, now) &&
+      this->reservations.at(domain).model != model.name;
   if (is_reserved_for_other) {
     return std::nullopt;
   }
@@ -160,8 +164,10 @@
       if (!candidate.has_value()) {
         continue;
       }
-      const double gain = MarginalServedShare(
-          coverage.at(model.name), this->BusyHosts(service, model, input));
+      const double gain =
+          model.share *
+          MarginalServedShare(coverage.at(model.name),
+                              this->BusyHosts(service, model, input));
       const double forming_s = load_factor * candidate->forming_s;
       const double score = gain / (1.0 + forming_s / kFormingTimeScaleSeconds);
       if (score > best_score) {
@@ -209,7 +215,8 @@
                                      PlannedActions& actions, TimePoint now) {
   AvailableHosts available =
       this->AvailableHostsByDomain(service, free_hosts, input, now);
-  std::map<std::string, double> coverage = this->Coverage(service, input);
+  std::map<std::string, double> coverage =
+      this->PlannedCoverage(service, input, now);
   for (;;) {
     const std::optional<Candidate> best =
         this->BestCandidate(service, available, coverage, input, now);
--- a/src/direct/model_demand.cc
+++ b/src/direct/model_demand.cc
@@ -7,9 +7,13 @@
 
 namespace {
 
-/// At a coverage of 1, about nine tenths of the work is served well, because
-/// arrivals come in bursts and hosts are lost.
-constexpr double kSaturation = 2;
+/// Coverage from which on more hosts serve no more work well. Below, bursts of
+/// arrivals and lost hosts cost a part of it.
+constexpr double kFullCoverage = 2;
+
+/// Lower bound of the increase of ServedShare, so that hosts that nothing else
+/// needs are used.
+constexpr double kMinIncrease = 0.01;
 
 double Milli(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
@@ -98,11 +102,12 @@
 }
 
 double ServedShare(double coverage) noexcept {
-  return 1 - std::exp(-kSaturation * coverage);
+  const double effective = std::clamp(coverage, 0.0, kFullCoverage);
+  return effective - effective * effective / (2 * kFullCoverage);
 }
 
 double MarginalServedShare(double coverage, double busy_hosts) noexcept {
-  return kSaturation * std::exp(-kSaturation * coverage) / busy_hosts;
+  return std::max(kMinIncrease, 1 - coverage / kFullCoverage) / busy_hosts;
 }
 
 }  // namespace gooseberryturn::direct
--- a/tests/direct_group_planner_test.cc
+++ b/tests/direct_group_planner_test.cc
@@ -495,6 +495,65 @@
   BOOST_TEST(fleet.CountOpen(kSmall) == 1U);
 }
 
+namespace {
+
+/// Four domains of 18 hosts, with groups of eight and of two. The first groups
+/// leave four large ones.
+Fleet FourDomains(std::uint64_t seed) {
+  Fleet fleet(seed);
+  fleet.configuration.services[0].engine->models = {
+      {kLarge, 8, 0.5, 1.0, 16.0, 1.6}, {kSmall, 2, 0.5, 0.6, 12.0, 1.1}};
+  for (const char* domain : {"a", "b", "c", "d"}) {
+    fleet.AddDomain(domain, 18);
+  }
+  fleet.Run(8000);
+  fleet.has_traffic = true;
+  return fleet;
+}
+
+/// A member of the domain's group of the large model.
+std::string MemberOfLarge(const Fleet& fleet, const std::string& domain) {
+  for (const GroupView& view : fleet.planner.Groups()) {
+    if (view.model == kLarge && view.domain == domain &&
+        view.phase == GroupPhase::kOpen) {
+      return view.members.back();
+    }
+  }
+  return "";
+}
+
+}  // namespace
+
+// Incident 007: the second loss came 1.9 s after a reassignment. Its survivors
+// went to groups of the small model at once, and no large group came back.
+BOOST_AUTO_TEST_CASE(survivors_of_losses_in_short_order_stay_with_their_model) {
+  Fleet fleet = FourDomains(10);
+  fleet.demand = {{kService, kLarge, 3.2}, {kService, kSmall, 10.4}};
+  BOOST_REQUIRE(fleet.CountOpen(kLarge) == 4U);
+  fleet.Kill(MemberOfLarge(fleet, "a"));
+  fleet.Run(fleet.now + 1900);
+  fleet.Kill(MemberOfLarge(fleet, "b"));
+  // Detection, the drain of a small group, a join from a copy, the opening.
+  fleet.Run(fleet.now + 8000);
+  BOOST_TEST(!MemberOfLarge(fleet, "a").empty());
+  BOOST_TEST(!MemberOfLarge(fleet, "b").empty());
+}
+
+// Incident 007: for twenty seconds callers of the large model waited behind
+// three groups that were all busy, next to twenty small ones with room.
+BOOST_AUTO_TEST_CASE(a_model_short_of_hosts_gets_them_from_one_with_room) {
+  Fleet fleet = FourDomains(11);
+  BOOST_REQUIRE(fleet.CountOpen(kLarge) == 4U);
+  // While the large model is hardly asked for, it is not formed again.
+  fleet.demand = {{kService, kLarge, 1}, {kService, kSmall, 18}};
+  fleet.Kill(MemberOfLarge(fleet, "a"));
+  fleet.Run(fleet.now + 8000);
+  BOOST_REQUIRE(fleet.CountOpen(kLarge) == 3U);
+  fleet.demand = {{kService, kLarge, 3.2}, {kService, kSmall, 10.4}};
+  fleet.Run(fleet.now + 30'000);
+  BOOST_TEST(fleet.CountOpen(kLarge) == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(failed_probes_are_rate_limited) {
   // Incident inc-1f61 on tsuzuri-kyushu: the leader sent 428 probes in four
   // seconds, since each failed at once with a refused connection.
--- a/tests/direct_placement_test.cc
+++ b/tests/direct_placement_test.cc
@@ -317,6 +317,14 @@
   BOOST_TEST(MarginalServedShare(0.5, 8) > MarginalServedShare(1, 8));
 }
 
+BOOST_AUTO_TEST_CASE(no_more_work_is_served_than_the_hosts_can_do) {
+  for (double coverage = 0; coverage < 4; coverage += 0.1) {
+    BOOST_TEST(ServedShare(coverage) <= std::min(1.0, coverage) + 1e-9);
+    BOOST_TEST(ServedShare(coverage + 0.1) >= ServedShare(coverage));
+  }
+  BOOST_TEST(ServedShare(2) > 0.95);
+}
+
 BOOST_AUTO_TEST_CASE(model_loads_stay_within_the_weight_store_rate) {
   EngineProfile engine;
   engine.loads_per_s = 3;
