Tests for three reports of other operators: copied refusals, failing resumptions, cut heads

Looked for in both fleets; none of the three was found, so no code changes. Agents use each connection to a target once. - The next server of a broken stream answers with an error: nothing of it reaches the caller, and the answer ends incomplete (second half of a_broken_stream_resumes_at_another_group, real programs). The fleet with agents resumes no streams. - A head that stops anywhere: no answer, the request may have run (a_head_that_breaks_off_is_not_an_answer, for entries and for agents, each length). Open: a caller's request without an attempt id, of which a target's answers cannot be told apart; the users' callers always send one.

--- a/tests/exchange_test.cc
+++ b/tests/exchange_test.cc
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <memory>
@@ -37,7 +38,9 @@
         this->context,
         Endpoint{"127.0.0.1", this->acceptor.local_endpoint().port()}, request,
         Clock::now() + kDeadline);
-    this->exchange->on_head = [](const ResponseHead& /*head*/) {};
+    this->exchange->on_head = [this](const ResponseHead& /*head*/) {
+      this->has_head = true;
+    };
     this->exchange->on_body = [](std::string_view /*bytes*/) {};
     this->exchange->on_done = [this](const Result<void>& result) {
       this->result = result;
@@ -64,6 +67,7 @@
   std::optional<tcp::socket> accepted;
   std::shared_ptr<Exchange> exchange;
   std::optional<Result<void>> result;
+  bool has_head = false;
 };
 
 }  // namespace
@@ -90,3 +94,20 @@
   BOOST_TEST((started.result->error().reason == Reason::kDeadline));
   BOOST_TEST((started.result->error().outcome == Outcome::kNotRun));
 }
+
+BOOST_AUTO_TEST_CASE(a_head_that_breaks_off_is_not_an_answer) {
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+  for (std::size_t size = 0; size < head.size(); ++size) {
+    Started started;
+    started.RunFor(milliseconds(5));
+    BOOST_TEST(!started.Received().empty());
+    asio::write(*started.accepted, asio::buffer(head.substr(0, size)));
+    error_code ignored;
+    started.accepted->shutdown(tcp::socket::shutdown_send, ignored);
+    started.RunFor(milliseconds(20));
+    BOOST_TEST(!started.has_head, "a head of " << size << " bytes");
+    BOOST_REQUIRE(started.result.has_value());
+    BOOST_REQUIRE(!started.result->has_value());
+    BOOST_TEST((started.result->error().outcome == Outcome::kUnknown));
+  }
+}
--- a/tests/platform_fake_target.h
+++ b/tests/platform_fake_target.h
@@ -30,7 +30,8 @@
   kServe,
   kShed,             ///< Answers 503 and says that the request did not run.
   kCloseUnanswered,  ///< Runs the request and closes without an answer.
-  kCutStream         ///< Breaks off in the middle of an event.
+  kCutStream,        ///< Breaks off in the middle of an event.
+  kFailResumed       ///< The same, and answers 500 to what is resumed.
 };
 
 /// A fake target that speaks the platform's protocol: announces itself, accepts
@@ -173,6 +174,11 @@
     if (this->behaviour == Behaviour::kCloseUnanswered) {
       return false;
     }
+    if (this->behaviour == Behaviour::kFailResumed &&
+        request.find("Last-Event-Id") != request.end()) {
+      this->Reply(socket, request, 500, "id: 7\ndata: an error\n\n");
+      return true;
+    }
     const int work = WorkOf(request.body());
     if (request.find("X-Gooseberryturn-Model") == request.end()) {
       std::this_thread::sleep_for(std::chrono::milliseconds(work));
@@ -200,9 +206,9 @@
     asio::write(socket, asio::buffer(head), error);
     const std::string last_event_id(request["Last-Event-Id"]);
     int number = last_event_id.empty() ? 0 : std::stoi(last_event_id);
-    const int end = this->behaviour == Behaviour::kCutStream
-                        ? number + this->cut_after
-                        : event_count;
+    const bool is_cut = this->behaviour == Behaviour::kCutStream ||
+                        this->behaviour == Behaviour::kFailResumed;
+    const int end = is_cut ? number + this->cut_after : event_count;
     while (!error && number < end) {
       number += 1;
       const std::string event = "id: " + std::to_string(number) +
@@ -216,7 +222,7 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(this->pause_ms));
       }
     }
-    if (this->behaviour == Behaviour::kCutStream) {
+    if (is_cut) {
       asio::write(socket, asio::buffer(std::string("8\r\nid: 99\n")), error);
       return false;
     }
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -303,6 +303,14 @@
   }
   BOOST_TEST(resumed.body == expected);
   BOOST_TEST(!resumed.is_complete);
+  // The next group answers with an error: nothing of it reaches the caller, to
+  // whom the answer still ends incomplete.
+  for (const std::unique_ptr<FakeTarget>& engine : engines) {
+    engine->behaviour = Behaviour::kFailResumed;
+  }
+  const Answer failed = fleet.SendRequest("/stream/1", "s2", kKey, true);
+  BOOST_TEST(failed.body == expected.substr(0, expected.size() / 2));
+  BOOST_TEST(!failed.is_complete);
 }
 
 BOOST_AUTO_TEST_CASE(hosts_reload_on_sighup_and_stop_on_sigterm) {
--- a/tests/target_connection_test.cc
+++ b/tests/target_connection_test.cc
@@ -213,6 +213,74 @@
   BOOST_TEST(!connection->is_reusable());
 }
 
+// A refusal of an earlier request promises that that one has not run. Taken for
+// the next request's, it would be a false promise.
+BOOST_AUTO_TEST_CASE(a_second_copy_of_a_refusal_is_not_the_next_answer) {
+  const std::string refusal =
+      "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n" +
+      std::string(kIdHeader) + ": a\r\nContent-Length: 0\r\n\r\n";
+  {
+    asio::io_context context;
+    WrongTarget target(context, refusal, "");
+    target.next = refusal + MakeAnswer("b", "second");
+    const std::shared_ptr<TargetConnection> connection =
+        std::make_shared<TargetConnection>(context, target.endpoint());
+    (void)Exchange(context, connection, "a");
+    BOOST_REQUIRE(connection->is_reusable());
+    const Outcome second = Exchange(context, connection, "b");
+    BOOST_REQUIRE(second.end.has_value());
+    BOOST_TEST((*second.end == ExchangeEnd::kComplete));
+    BOOST_TEST(second.body == "second");
+    BOOST_TEST(!connection->is_reusable());
+  }
+  // Only copies come: the request may have run, so no answer is reported.
+  asio::io_context context;
+  WrongTarget target(context, refusal, "");
+  target.next = refusal + refusal;
+  const std::shared_ptr<TargetConnection> connection =
+      std::make_shared<TargetConnection>(context, target.endpoint());
+  (void)Exchange(context, connection, "a");
+  const Outcome second = Exchange(context, connection, "b");
+  BOOST_REQUIRE(second.end.has_value());
+  BOOST_TEST((*second.end == ExchangeEnd::kInvalid));
+}
+
+BOOST_AUTO_TEST_CASE(a_head_that_breaks_off_is_not_an_answer) {
+  const std::string answer = MakeAnswer("a", "body");
+  const std::size_t head_size = answer.find("body");
+  for (std::size_t size = 0; size < head_size; ++size) {
+    asio::io_context context;
+    HeldTarget target(context);
+    const std::shared_ptr<TargetConnection> connection =
+        std::make_shared<TargetConnection>(context, target.endpoint());
+    bool has_head = false;
+    std::optional<ExchangeEnd> end;
+    ExchangeHooks hooks;
+    hooks.on_head = [&has_head](const ResponseHead& /*head*/) {
+      has_head = true;
+    };
+    hooks.on_body = [](std::string_view /*bytes*/) {};
+    hooks.on_end = [&end](ExchangeEnd ended, const std::string& /*why*/) {
+      end = ended;
+    };
+    connection->Exchange("GET / HTTP/1.1\r\n\r\n", kIdHeader, "a",
+                         std::move(hooks));
+    context.run_for(std::chrono::milliseconds(5));
+    target.Accept();
+    target.Send(answer.substr(0, size));
+    error_code ignored;
+    target.accepted->shutdown(tcp::socket::shutdown_send, ignored);
+    context.restart();
+    const TimePoint limit = Clock::now() + std::chrono::seconds(5);
+    while (!end.has_value() && Clock::now() < limit) {
+      context.run_one_for(std::chrono::milliseconds(50));
+    }
+    BOOST_TEST(!has_head, "a head of " << size << " bytes");
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == ExchangeEnd::kCut), "a head of " << size << " bytes");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(bytes_behind_an_answer_close_the_connection) {
   asio::io_context context;
   WrongTarget target(context, MakeAnswer("a", "first") + MakeAnswer("a", "x"),
