Entries heed what targets say of themselves: leaving, and a pause that they ask for

Nothing read Server-Leaving or a target's Retry-After: an entry went on sending to a target that had said it leaves, until the control hosts told it, and sent into a pause. Change: TargetNotices keeps, for each life of a target, that it leaves and until when it wants nothing; heads of all answers but 421 are read (421 may come from another target at the address). Both are inputs of TargetChooser, the only place that picks a target, so retries, resumed and queued requests go through it. A repeated refusal extends a pause and never shortens it; after it, one request at a time and one more with each good answer. Where all targets pause, callers are refused at once with the time until the first pause ends. Values that are no seconds are ignored, those above five minutes bounded, both counted. The entry does not tell the control hosts (why: docs/design/006). Open: answers to orders and probes at the control hosts are not read; the soak does not draw the two headers.

--- a/include/gooseberryturn/core/reason.h
+++ b/include/gooseberryturn/core/reason.h
@@ -38,9 +38,10 @@
   kSlowCaller,
   kTombstone,      ///< The attempt was seen before or is refused for good.
   kAnswerNotKept,  ///< The request ran, but its answer was not stored.
+  kTargetPaused,   ///< All targets asked for a pause that still lasts.
 };
 
-inline constexpr std::size_t kReasonCount = 28;
+inline constexpr std::size_t kReasonCount = 29;
 
 inline constexpr NameTable<Reason, kReasonCount> kReasonNames = {
     {"none",
@@ -70,7 +71,8 @@
      "answer_cut",
      "slow_caller",
      "tombstone",
-     "answer_not_kept"}};
+     "answer_not_kept",
+     "target_paused"}};
 
 /// \brief HTTP status that the caller gets for `reason`.
 [[nodiscard]] int HttpStatusOf(Reason reason) noexcept;
--- a/include/gooseberryturn/direct/dialect.h
+++ b/include/gooseberryturn/direct/dialect.h
@@ -24,11 +24,15 @@
   std::string target_marker;  ///< Present on a target's own answers.
   /// Set by a target that did not execute the request.
   std::string not_executed;
+  std::string leaving;   ///< Set to kLeavingValue by a target that leaves.
   std::string model;     ///< Requested model.
   std::string tokens;    ///< Prompt tokens and maximum output tokens.
   std::string priority;  ///< Priority at the engine; 0 goes first.
 };
 
+/// \brief Value of the header `leaving` of a target that leaves.
+inline constexpr char kLeavingValue[] = "1";
+
 /// \brief Kind of an order to an engine.
 enum class OrderKind : std::uint8_t { kJoin, kOpen, kClose, kLeave, kStage };
 
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -78,9 +78,9 @@
   /// Text of the update's configuration, `held` if it brings none.
   [[nodiscard]] Result<ConfigurationText> ReadText(
       const FleetUpdate& update) const;
-  /// Sends a report if one is due or further groups are stalled.
   /// Lets the chooser divide the room that new figures show.
   void BeginRound(TimePoint now);
+  /// Sends a report if one is due or further groups are stalled.
   void SendReport(TimePoint now);
   /// True if this entry is leaving and may have ended before `deadline`, so
   /// that a new request with that deadline might be cut.
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -79,6 +79,13 @@
   void EndPrefill();
   /// Records that bytes arrived from the target.
   void OnProgress(TimePoint now);
+  /// Records what the target says of itself in the head of an answer.
+  void RecordNotices(const ResponseHead& head, TimePoint now);
+  void RecordPause(const ResponseHead& head, TimePoint now);
+  /// Ends or keeps waiting a request all of whose targets pause until
+  /// `resumes_at`.
+  /// \returns False if it waits.
+  [[nodiscard]] bool EndIfPaused(TimePoint resumes_at);
   void OnHead(const ResponseHead& head);
   void OnBody(std::string_view bytes);
   void OnEvent(const StreamEvent& event);
@@ -92,6 +99,8 @@
   /// is known to be in force elsewhere.
   void RefuseByConfiguration(int status, Reason reason);
   /// Cancels pending work, logs the outcome and leaves the entry.
+  /// Seconds for the Retry-After of a refusal.
+  [[nodiscard]] double RetryAfterSeconds(Reason reason);
   void Finish(const std::string& outcome);
   /// Cancels the attempt in progress; its end is not reported to OnEnd.
   void CancelAttempt(HealthSignal signal);
@@ -140,7 +149,9 @@
   TimePoint queue_deadline;  ///< Leaves the wait queue without a target then.
 
   std::vector<std::string> tried_targets;
-  std::string target;  ///< Id of the target of the latest attempt.
+  std::string target;      ///< Id of the target of the latest attempt.
+  TargetLife target_life;  ///< The same, at the time of the attempt.
+  TimePoint retry_at;      ///< When a refusal tells the caller to come again.
   std::shared_ptr<TargetConnection> connection;
   std::uint32_t load_at_choice = 0;  ///< In flight at the chosen target.
   double expected_first_event_ms = 0;
--- a/include/gooseberryturn/direct/target_chooser.h
+++ b/include/gooseberryturn/direct/target_chooser.h
@@ -30,10 +30,11 @@
   kNone,      ///< A target was chosen.
   kNoTarget,  ///< No target serves the request.
   kFull,      ///< Targets serve it, but none can take it now.
+  kPaused,    ///< All that could take it asked for a pause.
 };
 
-inline constexpr NameTable<ChoiceFailure, 3> kChoiceFailureNames = {
-    {"none", "no_target", "full"}};
+inline constexpr NameTable<ChoiceFailure, 4> kChoiceFailureNames = {
+    {"none", "no_target", "full", "paused"}};
 
 /// \brief Key of the wait queue for requests of one model.
 [[nodiscard]] std::string QueueKey(const std::string& service,
@@ -86,6 +87,7 @@
   std::uint32_t load = 0;  ///< Its requests in flight before this one.
   /// Milliseconds until the first event according to the published figures.
   double expected_ms = 0;
+  TimePoint resumes_at;  ///< With kPaused: when the first pause ends.
 };
 
 /// \brief Time from dispatch to the first event at a group whose slots are all
@@ -166,6 +168,12 @@
     double mean_prompt_tokens = 0;  ///< 0 before the first prompt.
   };
 
+  /// The targets that the request may go to, by what they said of themselves
+  /// and what it has tried. The reason of `choice` says why there are none.
+  [[nodiscard]] static std::vector<const TargetView*> UsableTargets(
+      const std::vector<const TargetView*>& targets,
+      const ChoiceRequest& request, const TargetTracker& tracker, TimePoint now,
+      Choice& choice);
   /// The targets that can take the request, best first.
   [[nodiscard]] std::vector<Candidate> PlainCandidates(
       const std::vector<const TargetView*>& targets,
--- a/include/gooseberryturn/direct/target_tracker.h
+++ b/include/gooseberryturn/direct/target_tracker.h
@@ -8,6 +8,7 @@
 
 #include "gooseberryturn/core/name_table.h"
 #include "gooseberryturn/core/time.h"
+#include "gooseberryturn/direct/target_notices.h"
 #include "gooseberryturn/direct/view.h"
 
 namespace gooseberryturn::direct {
@@ -46,6 +47,8 @@
   void SetTotals(const std::vector<InFlightWork>& totals);
   /// \brief Returns this entry's work in flight and remembers it as reported.
   [[nodiscard]] std::vector<InFlightWork> ReportInFlightWork();
+  /// \brief This entry's requests in flight at `target`.
+  [[nodiscard]] std::uint32_t OwnRequests(const std::string& target) const;
   /// \brief Requests in flight of all entries at `target`.
   [[nodiscard]] std::uint32_t Load(const std::string& target) const;
   /// \brief Prompt tokens of all entries that wait for prefill at `target`.
@@ -66,6 +69,12 @@
   [[nodiscard]] bool TakeColdRequest(const std::string& target, double per_s,
                                      TimePoint now);
 
+  /// \brief What targets said of themselves.
+  [[nodiscard]] TargetNotices& notices() noexcept { return this->said; }
+  [[nodiscard]] const TargetNotices& notices() const noexcept {
+    return this->said;
+  }
+
   static constexpr Duration kStallTimeout = std::chrono::milliseconds(320);
   static constexpr Duration kMinAvoidTime = std::chrono::milliseconds(500);
   static constexpr Duration kMaxAvoidTime = std::chrono::seconds(4);
@@ -88,6 +97,7 @@
   };
 
   std::map<std::string, TargetState> targets;
+  TargetNotices said;
 };
 
 }  // namespace gooseberryturn::direct
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -10,6 +10,7 @@
 #include "gooseberryturn/direct/announcement.h"
 #include "gooseberryturn/direct/configuration_text.h"
 #include "gooseberryturn/direct/model_demand.h"
+#include "gooseberryturn/direct/target_notices.h"
 
 namespace gooseberryturn::direct {
 
@@ -32,6 +33,9 @@
   /// Entries that may send to it while it is cold; see AssignColdEntries.
   std::vector<std::string> cold_entries;
 
+  /// \brief The life that this state belongs to.
+  [[nodiscard]] TargetLife Life() const { return {name, start_time_ms}; }
+
   MSGPACK_DEFINE(name, address, service, data_centre, start_time_ms, is_leaving,
                  is_cold, engine, last_model, cold_entries)
 };
--- a/include/gooseberryturn/observe/metrics.h
+++ b/include/gooseberryturn/observe/metrics.h
@@ -43,17 +43,36 @@
   kReservedTokens,
   kConcurrencyLimit,
   kRequestsAfterClose,
+  kTargetsLeaving,  ///< Learnt from answers.
+  kTargetPauses,    ///< Asked for by targets.
+  kTargetPausesBounded,
+  kTargetPausesIgnored,
 };
 
-inline constexpr std::size_t kMetricCount = 16;
+inline constexpr std::size_t kMetricCount = 20;
 
 /// \brief Exported names, without the prefix `gooseberryturn_`.
 inline constexpr NameTable<Metric, kMetricCount> kMetricNames = {
-    {"requests_total", "answers_total", "answer_bytes_total", "in_flight",
-     "connections", "relay_buffer_bytes", "view_renewals_total",
-     "view_renewal_bytes_total", "view_index", "log_commit_index", "is_leader",
-     "groups", "claims", "reserved_tokens", "concurrency_limit",
-     "requests_after_close_total"}};
+    {"requests_total",
+     "answers_total",
+     "answer_bytes_total",
+     "in_flight",
+     "connections",
+     "relay_buffer_bytes",
+     "view_renewals_total",
+     "view_renewal_bytes_total",
+     "view_index",
+     "log_commit_index",
+     "is_leader",
+     "groups",
+     "claims",
+     "reserved_tokens",
+     "concurrency_limit",
+     "requests_after_close_total",
+     "targets_leaving_total",
+     "target_pauses_total",
+     "target_pauses_bounded_total",
+     "target_pauses_ignored_total"}};
 
 /// \brief Durations that are exported as summaries with quantiles.
 enum class Timing : std::uint8_t { kFirstByte, kRequest, kCommit };
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -250,6 +250,9 @@
       request, this->entry.view, this->entry.target_tracker,
       this->entry.settings.cold_factor, now);
   if (choice.target == nullptr) {
+    if (choice.reason == ChoiceFailure::kPaused) {
+      return this->EndIfPaused(choice.resumes_at);
+    }
     if (choice.reason == ChoiceFailure::kNoTarget && this->model.empty() &&
         !this->is_head_sent && !this->IsMoving()) {
       this->GiveUp();
@@ -317,6 +320,7 @@
   const TargetView* view = this->entry.view.FindTarget(target_id);
   const TimePoint now = Clock::now();
   this->target = target_id;
+  this->target_life = view->Life();
   this->tried_targets.push_back(target_id);
   this->attempt_started_at = now;
   if (this->tried_targets.size() == 1) {
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -17,6 +17,8 @@
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kServerError = 500;
+constexpr int kServiceUnavailable = 503;
+constexpr std::size_t kMaxLoggedHeaderBytes = 64;
 constexpr char kEventStream[] = "text/event-stream";
 
 }  // namespace
@@ -35,8 +37,55 @@
   this->LeaveQueue();
 }
 
+void RequestFlow::RecordNotices(const ResponseHead& head, TimePoint now) {
+  const int status = static_cast<int>(head.result_int());
+  if (status == kMisdirected) {
+    // Another target may be at the address: it says nothing of this one.
+    return;
+  }
+  TargetNotices& notices = this->entry.target_tracker.notices();
+  const bool is_leaving =
+      ToView(head[this->entry.dialect.headers.leaving]) == kLeavingValue;
+  if (is_leaving && notices.RecordLeaving(this->target_life)) {
+    this->entry.metrics.Add(observe::Metric::kTargetsLeaving);
+    LogEvent(Level::kInfo, this->caller_attempt_id, "target_leaving",
+             {{"target", this->target}, {"status", std::to_string(status)}});
+  }
+  if (status == kServiceUnavailable) {
+    this->RecordPause(head, now);
+  } else if (status < kServerError) {
+    notices.RecordGoodAnswer(this->target_life, now);
+  }
+}
+
+void RequestFlow::RecordPause(const ResponseHead& head, TimePoint now) {
+  const std::string_view text = ToView(head[http::field::retry_after]);
+  const RequestedPause pause = ReadPause(text);
+  if (pause.state == PauseState::kNone) {
+    return;
+  }
+  observe::Metrics& metrics = this->entry.metrics;
+  TimePoint until = now;
+  if (pause.state == PauseState::kIgnored) {
+    metrics.Add(observe::Metric::kTargetPausesIgnored);
+  } else {
+    until = this->entry.target_tracker.notices().RecordPause(this->target_life,
+                                                             now + pause.time);
+    metrics.Add(observe::Metric::kTargetPauses);
+    metrics.Add(observe::Metric::kTargetPausesBounded,
+                pause.state == PauseState::kBounded ? 1 : 0);
+  }
+  LogEvent(Level::kInfo, this->caller_attempt_id, "target_pause",
+           {{"target", this->target},
+            {"retry_after", std::string(text.substr(0, kMaxLoggedHeaderBytes))},
+            {"as", std::string(kPauseStateNames.Name(pause.state))},
+            {"pauses_ms", std::to_string(WholeMs(until - now))}});
+}
+
 void RequestFlow::OnHead(const ResponseHead& head) {
-  this->OnProgress(Clock::now());
+  const TimePoint now = Clock::now();
+  this->OnProgress(now);
+  this->RecordNotices(head, now);
   this->answer_head = head;
   const HeaderNames& names = this->entry.dialect.headers;
   const std::string_view content_type = ToView(head[http::field::content_type]);
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -48,6 +48,39 @@
   }
 }
 
+bool RequestFlow::EndIfPaused(TimePoint resumes_at) {
+  if (this->IsMoving()) {
+    return false;
+  }
+  if (this->is_head_sent && resumes_at < this->queue_deadline) {
+    return false;
+  }
+  this->LeaveQueue();
+  if (this->is_head_sent || this->possible_executions > 0) {
+    this->GiveUp();
+  } else {
+    this->retry_at = resumes_at;
+    this->Refuse(kUnavailable, Reason::kTargetPaused);
+  }
+  return true;
+}
+
+double RequestFlow::RetryAfterSeconds(Reason reason) {
+  const TimePoint now = Clock::now();
+  if (reason == Reason::kTargetPaused) {
+    return std::chrono::duration<double>(this->retry_at - now).count();
+  }
+  if (reason == Reason::kLeaving) {
+    // Another entry may take at once what this one no longer takes.
+    return 0;
+  }
+  const double remaining_s =
+      std::chrono::duration<double>(this->deadline - now).count();
+  std::uniform_real_distribution<double> draw(kMinRetryAfterS, kMaxRetryAfterS);
+  return std::min(draw(this->entry.random),
+                  std::max(0.0, remaining_s) * kRetryAfterShare);
+}
+
 void RequestFlow::Refuse(int status, Reason reason) {
   const http::status code = http::int_to_status(static_cast<unsigned>(status));
   std::string lines = "HTTP/1.1 " + std::to_string(status) + " " +
@@ -57,15 +90,7 @@
              this->caller_attempt_id + "\r\n";
   }
   if (status == kUnavailable) {
-    const double remaining_s =
-        std::chrono::duration<double>(this->deadline - Clock::now()).count();
-    std::uniform_real_distribution<double> draw(kMinRetryAfterS,
-                                                kMaxRetryAfterS);
-    // Another entry may take at once what this one no longer takes.
-    const double wait_s =
-        reason == Reason::kLeaving ? 0 : draw(this->entry.random);
-    const double retry_after_s =
-        std::min(wait_s, std::max(0.0, remaining_s) * kRetryAfterShare);
+    const double retry_after_s = this->RetryAfterSeconds(reason);
     std::array<char, 32> text{};
     std::snprintf(text.data(), text.size(), "%.2f", retry_after_s);
     lines += std::string("Retry-After: ") + text.data() + "\r\n";
--- a/src/direct/target_chooser.cc
+++ b/src/direct/target_chooser.cc
@@ -242,6 +242,44 @@
   return candidates;
 }
 
+std::vector<const TargetView*> TargetChooser::UsableTargets(
+    const std::vector<const TargetView*>& targets, const ChoiceRequest& request,
+    const TargetTracker& tracker, TimePoint now, Choice& choice) {
+  const TargetNotices& notices = tracker.notices();
+  std::vector<const TargetView*> usable;
+  choice.reason = ChoiceFailure::kNoTarget;
+  for (const TargetView* target : targets) {
+    const TargetLife life = target->Life();
+    if (notices.IsLeaving(life)) {
+      continue;
+    }
+    const std::optional<TimePoint> paused_until =
+        notices.PausedUntil(life, now);
+    if (paused_until.has_value()) {
+      const bool is_first = choice.reason != ChoiceFailure::kPaused;
+      choice.reason = ChoiceFailure::kPaused;
+      choice.resumes_at =
+          is_first ? *paused_until : std::min(choice.resumes_at, *paused_until);
+    } else if (!request.HasTried(target->name)) {
+      usable.push_back(target);
+    }
+  }
+  if (usable.empty()) {
+    return usable;
+  }
+  choice.reason = ChoiceFailure::kFull;
+  usable.erase(std::remove_if(usable.begin(), usable.end(),
+                              [&tracker, &notices](const TargetView* target) {
+                                const std::optional<std::uint32_t> limit =
+                                    notices.RequestLimit(target->Life());
+                                return limit.has_value() &&
+                                       tracker.OwnRequests(target->name) >=
+                                           *limit;
+                              }),
+               usable.end());
+  return usable;
+}
+
 Choice TargetChooser::Choose(const ChoiceRequest& request,
                              const FleetView& view, TargetTracker& tracker,
                              double cold_factor, TimePoint now) {
@@ -254,18 +292,13 @@
   }
   const ModelProfile* model =
       service->engine ? service->engine->FindModel(request.model) : nullptr;
-  std::vector<const TargetView*> targets =
-      service->engine ? view.Heads(request.service, request.model)
-                      : view.PlainTargets(request.service);
-  targets.erase(std::remove_if(targets.begin(), targets.end(),
-                               [&request](const TargetView* target) {
-                                 return request.HasTried(target->name);
-                               }),
-                targets.end());
+  const std::vector<const TargetView*> targets =
+      UsableTargets(service->engine ? view.Heads(request.service, request.model)
+                                    : view.PlainTargets(request.service),
+                    request, tracker, now, choice);
   if (targets.empty()) {
     return choice;
   }
-  choice.reason = ChoiceFailure::kFull;
   const std::vector<Candidate> candidates =
       model == nullptr
           ? this->PlainCandidates(targets, tracker, now)
@@ -280,8 +313,11 @@
     if (model != nullptr) {
       this->room_share.RecordSent(request.Pool());
     }
-    return {candidate.target, ChoiceFailure::kNone, candidate.load,
-            candidate.expected_ms};
+    choice.target = candidate.target;
+    choice.reason = ChoiceFailure::kNone;
+    choice.load = candidate.load;
+    choice.expected_ms = candidate.expected_ms;
+    return choice;
   }
   return choice;
 }
--- a/src/direct/target_tracker.cc
+++ b/src/direct/target_tracker.cc
@@ -78,6 +78,11 @@
   return work;
 }
 
+std::uint32_t TargetTracker::OwnRequests(const std::string& target) const {
+  const auto found = this->targets.find(target);
+  return found == this->targets.end() ? 0 : found->second.own_requests;
+}
+
 std::uint32_t TargetTracker::Load(const std::string& target) const {
   const auto found = this->targets.find(target);
   if (found == this->targets.end()) {
--- a/tests/platform_fake_target.h
+++ b/tests/platform_fake_target.h
@@ -91,7 +91,16 @@
     return this->state == "open";
   }
 
+  /// Sets the Retry-After of refusals; empty for none.
+  void SetRetryAfter(const std::string& text) {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->retry_after = text;
+  }
+
   std::atomic<Behaviour> behaviour = Behaviour::kServe;
+  std::atomic<bool> says_leaving = false;  ///< In its answers only.
+  std::atomic<int> born = 1;               ///< Start time that it announces.
+  std::atomic<int> received = 0;   ///< Requests, also those that it refused.
   std::atomic<int> cut_after = 3;  ///< Events before kCutStream breaks off.
   std::atomic<int> event_interval_ms = 10;
   std::atomic<int> pause_ms = 0;  ///< Silence after the first event.
@@ -147,8 +156,15 @@
     response.set("X-Gooseberryturn-Attempt-Id",
                  request["X-Gooseberryturn-Attempt-Id"]);
     response.set("X-Gooseberryturn-Server-Seal", "seal-" + this->id);
+    if (this->says_leaving) {
+      response.set("Server-Leaving", "1");
+    }
     if (is_not_run) {
       response.set("X-Gooseberryturn-Not-Executed", "1");
+      const std::lock_guard<std::mutex> guard(this->mutex);
+      if (!this->retry_after.empty()) {
+        response.set("Retry-After", this->retry_after);
+      }
     }
     response.body() = body;
     response.prepare_payload();
@@ -158,6 +174,7 @@
 
   /// \returns False when the connection is to be closed.
   bool HandleRequest(asio::ip::tcp::socket& socket, const Request& request) {
+    this->received += 1;
     if (this->behaviour == Behaviour::kShed) {
       this->Reply(socket, request, 503, "", true);
       return true;
@@ -201,6 +218,7 @@
     head += "X-Gooseberryturn-Attempt-Id: " +
             std::string(request["X-Gooseberryturn-Attempt-Id"]) + "\r\n";
     head += "X-Gooseberryturn-Server-Seal: seal-" + this->id +
+            (this->says_leaving ? "\r\nServer-Leaving: 1" : "") +
             "\r\nTransfer-Encoding: chunked\r\n\r\n";
     error_code error;
     asio::write(socket, asio::buffer(head), error);
@@ -261,7 +279,8 @@
     const std::lock_guard<std::mutex> guard(this->mutex);
     std::string json = R"({"service":")" + this->service + R"(","address":")" +
                        ToString(this->address) +
-                       R"(","zone":"za","state":"ready","born":1,"seq":)" +
+                       R"(","zone":"za","state":"ready","born":)" +
+                       std::to_string(this->born) + R"(,"seq":)" +
                        std::to_string(++this->sequence);
     if (this->service == "engines") {
       json += R"(,"domain":"d1","staged":["m"],"models":[)";
@@ -300,6 +319,7 @@
   std::atomic<bool> is_stopped = false;
   std::mutex mutex;
   std::vector<std::string> runs;
+  std::string retry_after;
   std::map<std::string, std::string> last_headers;
   std::string group;
   std::string model;
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -4,11 +4,13 @@
 #include <boost/test/unit_test.hpp>
 #include <cerrno>
 #include <chrono>
+#include <csignal>
 #include <future>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "gooseberryturn/core/time.h"
 #include "platform_fake_target.h"
 #include "platform_fleet.h"
 #include "process.h"
@@ -313,6 +315,117 @@
   BOOST_TEST(!failed.is_complete);
 }
 
+// The control hosts never learn that the target leaves: only its answers say
+// so.
+BOOST_AUTO_TEST_CASE(a_target_that_says_it_leaves_gets_nothing_new) {
+  PlatformFleet fleet(74);
+  fleet.PutConfiguration(1);
+  FakeTarget target("i-1", fleet.EndpointAt(20, 9000), fleet.ControlEndpoint(2),
+                    "plain");
+  BOOST_REQUIRE(Eventually(
+      [&fleet] { return fleet.SendRequest("/safe/1", "warm").status == 200; }));
+  target.says_leaving = true;
+  BOOST_TEST(fleet.SendRequest("/safe/1", "last").status == 200);
+  const int received = target.received;
+  const auto send_some = [&fleet] {
+    for (int number = 0; number < 5; ++number) {
+      const std::string id = std::to_string(number);
+      BOOST_TEST(fleet.SendRequest("/safe/1", "s" + id).status == 503);
+      BOOST_TEST(fleet.SendRequest("/unsafe/1", "u" + id).status == 503);
+    }
+  };
+  send_some();
+  // Neither a new configuration nor a reload ends it, nor the loss of control.
+  fleet.PutConfiguration(2);
+  fleet.entries.front()->Signal(SIGHUP);
+  BOOST_TEST(Eventually([&fleet] {
+    return fleet.entries.front()->Log().find("settings_reloaded") !=
+           std::string::npos;
+  }));
+  target.says_leaving = false;
+  send_some();
+  for (const std::unique_ptr<Process>& control : fleet.controls) {
+    control->Signal(SIGSTOP);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  send_some();
+  for (const std::unique_ptr<Process>& control : fleet.controls) {
+    control->Signal(SIGCONT);
+  }
+  BOOST_TEST(target.received == received);
+  // The next life under the same id and address is another one.
+  target.born = 2;
+  BOOST_TEST(Eventually([&fleet] {
+    return fleet.SendRequest("/safe/1", "again").status == 200;
+  }));
+  BOOST_TEST(fleet.entries.front()->Log().find("target_leaving") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(the_head_of_a_stream_says_that_its_target_leaves) {
+  PlatformFleet fleet(75);
+  fleet.PutConfiguration(1);
+  std::vector<std::unique_ptr<FakeTarget>> engines;
+  for (int number = 1; number <= 2; ++number) {
+    engines.push_back(std::make_unique<FakeTarget>(
+        "e-" + std::to_string(number), fleet.EndpointAt(30 + number, 9000),
+        fleet.ControlEndpoint(1), "engines"));
+  }
+  BOOST_REQUIRE(Eventually([&fleet] {
+    return fleet.SendRequest("/stream/1", "warm", kKey, true).status == 200;
+  }));
+  for (const std::unique_ptr<FakeTarget>& engine : engines) {
+    engine->says_leaving = true;
+  }
+  // What runs there goes on to its end.
+  const Answer last = fleet.SendRequest("/stream/1", "last", kKey, true);
+  BOOST_TEST(last.status == 200);
+  BOOST_TEST(last.is_complete);
+  const int received = engines[0]->received + engines[1]->received;
+  BOOST_TEST(fleet.SendRequest("/stream/1", "s1", kKey, true).status == 503);
+  BOOST_TEST(engines[0]->received + engines[1]->received == received);
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_asks_for_a_pause_gets_it) {
+  PlatformFleet fleet(76);
+  fleet.PutConfiguration(1);
+  FakeTarget target("i-1", fleet.EndpointAt(20, 9000), fleet.ControlEndpoint(2),
+                    "plain");
+  BOOST_REQUIRE(Eventually(
+      [&fleet] { return fleet.SendRequest("/safe/1", "warm").status == 200; }));
+  target.SetRetryAfter("1.5");
+  target.behaviour = Behaviour::kShed;
+  const TimePoint asked_at = Clock::now();
+  BOOST_TEST(fleet.SendRequest("/safe/1", "first").status == 503);
+  const int received = target.received;
+  target.behaviour = Behaviour::kServe;
+  double last_wait_s = 2;
+  while (Clock::now() < asked_at + std::chrono::milliseconds(1300)) {
+    const TimePoint sent_at = Clock::now();
+    const Answer refused = fleet.SendRequest("/safe/1", "p");
+    // Refused at once, with the time that is left.
+    BOOST_TEST((Clock::now() - sent_at < std::chrono::milliseconds(500)));
+    BOOST_TEST(refused.status == 503);
+    BOOST_REQUIRE(refused.headers.count("Retry-After") == 1U);
+    const double wait_s = std::stod(refused.headers.at("Retry-After"));
+    BOOST_TEST(wait_s <= last_wait_s);
+    last_wait_s = wait_s;
+  }
+  BOOST_TEST(target.received == received);
+  BOOST_TEST(Eventually(
+      [&fleet] { return fleet.SendRequest("/safe/1", "on").status == 200; }));
+  BOOST_TEST((Clock::now() >= asked_at + std::chrono::milliseconds(1500)));
+  // A pause that cannot be read is none, and is counted.
+  target.SetRetryAfter("soon");
+  target.behaviour = Behaviour::kShed;
+  (void)fleet.SendRequest("/unsafe/1", "bad");
+  target.behaviour = Behaviour::kServe;
+  BOOST_TEST(fleet.SendRequest("/safe/1", "served").status == 200);
+  BOOST_TEST(Get(fleet.ReadinessEndpoint(), "/metrics")
+                 .body.find("target_pauses_ignored_total 1") !=
+             std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(hosts_reload_on_sighup_and_stop_on_sigterm) {
   PlatformFleet fleet(64);
   fleet.PutConfiguration(1);
