--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -77,14 +77,19 @@
   static constexpr Duration kLeaveTimeout = std::chrono::milliseconds(2000);
   static constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(220);
+  static_assert(GroupPlanner::kOrderResendInterval < kOrderTimeout,
+                "an order may be repeated while an earlier one is unanswered");
+  static_assert(GroupPlanner::kProbeInterval < kProbeTimeout,
+                "a target may be probed while an earlier probe is unanswered");
+  static_assert(kCommitTimeout < kCallTimeout,
+                "an answer must reach a host that forwarded the call");
   static constexpr Duration kJoinRequestInterval =
       std::chrono::milliseconds(400);
   /// The reported work of a follower that is silent for longer is ignored.
   static constexpr Duration kFollowerTimeout = std::chrono::milliseconds(1500);
   /// Time that targets have to announce themselves to a new leader. Until then
-  /// its updates don't replace what followers know from earlier leaders. A
-  /// constant of its own with the same value as GroupPlanner::kSettleTime.
-  static constexpr Duration kSettleTime = std::chrono::milliseconds(2500);
+  /// its updates don't replace what followers know from earlier leaders.
+  static constexpr Duration kSettleTime = GroupPlanner::kSettleTime;
   /// A follower with more unsent bytes gets no update until some are sent.
   static constexpr std::size_t kMaxUnsentBytes = 256U * 1024U;
 
--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -107,8 +107,7 @@
   /// stalled.
   static constexpr Duration kStallReportLifetime =
       std::chrono::milliseconds(500);
-  /// Time that a new leader gives targets to announce their state. A constant
-  /// of its own with the same value as ControlHost::kSettleTime.
+  /// Time that a new leader gives targets to announce their state.
   static constexpr Duration kSettleTime = std::chrono::milliseconds(2500);
   /// Used without known groups: every target has announced itself by then.
   static constexpr Duration kSettleTimeWithoutGroups =
