The soak draws targets that leave by their answers and targets that ask for a pause

Change: two of the three plain targets refuse for 50 to 300 ms with a Retry-After of 0.1 to 0.9 s, or say for 100 to 1,000 ms in their answers that they leave and then begin a new life. Every request is still accounted for.

--- a/tests/platform_soak_test.cc
+++ b/tests/platform_soak_test.cc
@@ -24,7 +24,8 @@
 #include "soak_fleet.h"
 
 /// Callers with kept connections send whole requests through the real programs
-/// while configurations change and processes are told to reload and to stop.
+/// while configurations change, processes are told to reload and to stop, and
+/// targets say that they leave or ask for a pause.
 /// Every request is accounted for at its caller and at the targets. None of the
 /// disturbances breaks a target, so every request that reached one is owed its
 /// complete answer or a refusal (issue 26).
@@ -111,7 +112,7 @@
 
   std::vector<std::thread> StartDisturbances() {
     std::vector<std::thread> threads;
-    this->active_disturbances = 5;
+    this->active_disturbances = 6;
     threads.emplace_back([this] {
       this->Repeat(2, 20, 1800, [this](Random& /*random*/) {
         this->op.Vary();
@@ -141,9 +142,38 @@
             .Freeze(milliseconds(Draw(random, 2, 40)));
       });
     });
+    threads.emplace_back([this] {
+      this->Repeat(7, 300, 2000, [this](Random& random) {
+        // The first target is spared, so that requests can always be served.
+        FakeTarget& target =
+            *this->targets[static_cast<std::size_t>(Draw(random, 1, 2))];
+        if (DrawChance(random, 50)) {
+          AskForPause(random, target);
+        } else {
+          LeaveAndComeBack(random, target);
+        }
+      });
+    });
     return threads;
   }
 
+  /// The target refuses for a moment and asks for a longer pause.
+  void AskForPause(Random& random, FakeTarget& target) {
+    target.SetRetryAfter("0." + std::to_string(Draw(random, 1, 9)));
+    target.behaviour = Behaviour::kShed;
+    std::this_thread::sleep_for(milliseconds(Draw(random, 50, 300)));
+    target.behaviour = Behaviour::kServe;
+    this->pauses += 1;
+  }
+  /// The target says in its answers that it leaves, and then has a new life.
+  void LeaveAndComeBack(Random& random, FakeTarget& target) {
+    target.says_leaving = true;
+    std::this_thread::sleep_for(milliseconds(Draw(random, 100, 1000)));
+    target.says_leaving = false;
+    target.born += 1;
+    this->leaves += 1;
+  }
+
   /// Calls `act` again and again until the soak is over, after pauses. Returns
   /// when the checks are done: a process ends with the thread that started it.
   void Repeat(std::uint64_t part, int min_pause_ms, int max_pause_ms,
@@ -280,7 +310,8 @@
       control_stops += control->stops;
     }
     summary << ", entries stopped " << entry_stops << ", control hosts stopped "
-            << control_stops;
+            << control_stops << ", pauses " << this->pauses << ", leaves "
+            << this->leaves;
     for (const auto& count : this->counts) {
       summary << ", " << count.first << ": " << count.second;
     }
@@ -289,6 +320,8 @@
     BOOST_TEST(this->op.acknowledged > 2);
     BOOST_TEST(entry_stops > 0);
     BOOST_TEST(control_stops > 0);
+    BOOST_TEST(this->pauses > 0);
+    BOOST_TEST(this->leaves > 0);
     for (const Kind kind : {Kind::kSafe, Kind::kUnsafe, Kind::kStream}) {
       BOOST_TEST(this->successes[kind] > 0);
     }
@@ -337,6 +370,8 @@
   Scene scene;
   std::vector<std::unique_ptr<Caller>> callers;
   std::atomic<int> active_disturbances = 0;
+  std::atomic<int> pauses = 0;  ///< Asked for by targets.
+  std::atomic<int> leaves = 0;  ///< Told by targets in their answers.
   std::atomic<bool> is_checked = false;
   Accounts accounts;
   std::map<std::string, int> counts;
