Names and places after a reading of the change: incarnation, RoomPool, QueueKey

Cause: read as a newcomer. The notices of targets spoke of a life where the glossary has incarnation; RoomPool and QueueKey stood beside the chooser; a member was called `said`; a comment used a figure of speech; a local constant broke the linter's naming rule. No behaviour changes. Result: direct_placement_test, direct_dispatch_test, target_notices_test, direct_group_planner_test and platform_path_test pass; linter clean on the files touched.

--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -130,9 +130,9 @@
   static constexpr Duration kCloseTimeout = std::chrono::seconds(6);
   /// Covers an order to leave that a member executes late.
   static constexpr Duration kOrphanMargin = std::chrono::seconds(3);
-  /// Time for which a fabric domain is reserved at least when its hosts are
-  /// reassigned, unless the group for which they were is formed sooner. Until
-  /// then the domain is not reassigned again.
+  /// Shortest time for which a fabric domain stays reserved after a
+  /// reassignment, unless the group that it is for starts sooner. A reserved
+  /// domain is not reassigned.
   static constexpr Duration kReservationTime = std::chrono::milliseconds(2500);
   /// Factor on the published load time while there is no traffic yet.
   static constexpr double kPreTrafficLoadFactor = 0.1;
--- a/include/gooseberryturn/direct/load_spread.h
+++ b/include/gooseberryturn/direct/load_spread.h
@@ -11,8 +11,8 @@
 /// \details Figures of the heads' load are old by the time they are used, and
 /// all entries use the same ones. If each picked the least delayed head, that
 /// one would get all requests until the next figures. So the work that is
-/// expected until then is poured over the heads: the least delayed ones get
-/// most, and each gets what raises it to the common level.
+/// expected until then is divided among the heads: the least delayed ones get
+/// most, and each gets what raises its delay to a common level.
 ///
 /// \param delays_ms Expected delay at each head, milliseconds.
 /// \param arriving_ms Delay that the arriving work adds at one head if it gets
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -149,8 +149,9 @@
   TimePoint queue_deadline;  ///< Leaves the wait queue without a target then.
 
   std::vector<std::string> tried_targets;
-  std::string target;      ///< Id of the target of the latest attempt.
-  TargetLife target_life;  ///< The same, at the time of the attempt.
+  std::string target;  ///< Id of the target of the latest attempt.
+  TargetIncarnation
+      target_incarnation;  ///< Of `target` when the attempt began.
   TimePoint retry_at;      ///< When a refusal tells the caller to come again.
   std::shared_ptr<TargetConnection> connection;
   std::uint32_t load_at_choice = 0;  ///< In flight at the chosen target.
--- a/include/gooseberryturn/direct/room_share.h
+++ b/include/gooseberryturn/direct/room_share.h
@@ -11,6 +11,11 @@
 
 namespace gooseberryturn::direct {
 
+/// \brief Pool of RoomShare for requests with one queue key that compete with
+/// each other: those that can still meet their objective, or those that are
+/// late.
+[[nodiscard]] std::string RoomPool(const std::string& queue_key, bool is_late);
+
 /// \brief Divides room at group heads among the entries that see it.
 ///
 /// \details Entries hear of each other's requests with a delay. Within it, all
--- a/include/gooseberryturn/direct/target_chooser.h
+++ b/include/gooseberryturn/direct/target_chooser.h
@@ -15,6 +15,7 @@
 #include "gooseberryturn/direct/fleet_view.h"
 #include "gooseberryturn/direct/room_share.h"
 #include "gooseberryturn/direct/target_tracker.h"
+#include "gooseberryturn/direct/wait_queue.h"
 
 namespace gooseberryturn::direct {
 
@@ -36,15 +37,6 @@
 inline constexpr NameTable<ChoiceFailure, 4> kChoiceFailureNames = {
     {"none", "no_target", "full", "paused"}};
 
-/// \brief Key of the wait queue for requests of one model.
-[[nodiscard]] std::string QueueKey(const std::string& service,
-                                   const std::string& model);
-
-/// \brief Pool of RoomShare for requests with one queue key that compete with
-/// each other: those that can still meet their objective, or those that are
-/// late.
-[[nodiscard]] std::string RoomPool(const std::string& queue_key, bool is_late);
-
 /// \brief Share of its objective that a request may wait at a group head for
 /// the prefill of other prompts.
 inline constexpr double kPrefillWaitShare = 0.85;
--- a/include/gooseberryturn/direct/target_tracker.h
+++ b/include/gooseberryturn/direct/target_tracker.h
@@ -70,9 +70,11 @@
                                      TimePoint now);
 
   /// \brief What targets said of themselves.
-  [[nodiscard]] TargetNotices& notices() noexcept { return this->said; }
+  [[nodiscard]] TargetNotices& notices() noexcept {
+    return this->target_notices;
+  }
   [[nodiscard]] const TargetNotices& notices() const noexcept {
-    return this->said;
+    return this->target_notices;
   }
 
   static constexpr Duration kStallTimeout = std::chrono::milliseconds(320);
@@ -97,7 +99,7 @@
   };
 
   std::map<std::string, TargetState> targets;
-  TargetNotices said;
+  TargetNotices target_notices;
 };
 
 }  // namespace gooseberryturn::direct
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -33,8 +33,10 @@
   /// Entries that may send to it while it is cold; see AssignColdEntries.
   std::vector<std::string> cold_entries;
 
-  /// \brief The life that this state belongs to.
-  [[nodiscard]] TargetLife Life() const { return {name, start_time_ms}; }
+  /// \brief The incarnation that this state belongs to.
+  [[nodiscard]] TargetIncarnation Incarnation() const {
+    return {name, start_time_ms};
+  }
 
   MSGPACK_DEFINE(name, address, service, data_centre, start_time_ms, is_leaving,
                  is_cold, engine, last_model, cold_entries)
--- a/include/gooseberryturn/direct/wait_queue.h
+++ b/include/gooseberryturn/direct/wait_queue.h
@@ -11,6 +11,10 @@
 
 namespace gooseberryturn::direct {
 
+/// \brief Key of the wait queue for requests of one model.
+[[nodiscard]] std::string QueueKey(const std::string& service,
+                                   const std::string& model);
+
 /// \brief A request that waits until a target can take it.
 struct QueuedRequest {
   std::uint64_t id = 0;
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -320,7 +320,7 @@
   const TargetView* view = this->entry.view.FindTarget(target_id);
   const TimePoint now = Clock::now();
   this->target = target_id;
-  this->target_life = view->Life();
+  this->target_incarnation = view->Incarnation();
   this->tried_targets.push_back(target_id);
   this->attempt_started_at = now;
   if (this->tried_targets.size() == 1) {
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -46,7 +46,7 @@
   TargetNotices& notices = this->entry.target_tracker.notices();
   const bool is_leaving =
       ToView(head[this->entry.dialect.headers.leaving]) == kLeavingValue;
-  if (is_leaving && notices.RecordLeaving(this->target_life)) {
+  if (is_leaving && notices.RecordLeaving(this->target_incarnation)) {
     this->entry.metrics.Add(observe::Metric::kTargetsLeaving);
     LogEvent(Level::kInfo, this->caller_attempt_id, "target_leaving",
              {{"target", this->target}, {"status", std::to_string(status)}});
@@ -54,7 +54,7 @@
   if (status == kServiceUnavailable) {
     this->RecordPause(head, now);
   } else if (status < kServerError) {
-    notices.RecordGoodAnswer(this->target_life, now);
+    notices.RecordGoodAnswer(this->target_incarnation, now);
   }
 }
 
@@ -69,8 +69,8 @@
   if (pause.state == PauseState::kIgnored) {
     metrics.Add(observe::Metric::kTargetPausesIgnored);
   } else {
-    until = this->entry.target_tracker.notices().RecordPause(this->target_life,
-                                                             now + pause.time);
+    until = this->entry.target_tracker.notices().RecordPause(
+        this->target_incarnation, now + pause.time);
     metrics.Add(observe::Metric::kTargetPauses);
     metrics.Add(observe::Metric::kTargetPausesBounded,
                 pause.state == PauseState::kBounded ? 1 : 0);
--- a/src/direct/room_share.cc
+++ b/src/direct/room_share.cc
@@ -5,6 +5,10 @@
 
 namespace gooseberryturn::direct {
 
+std::string RoomPool(const std::string& queue_key, bool is_late) {
+  return queue_key + (is_late ? "/late" : "");
+}
+
 void RoomShare::BeginRound(std::size_t entries, const WaitingByPool& waiting,
                            TimePoint now) {
   this->UpdateMeans(waiting);
--- a/src/direct/target_chooser.cc
+++ b/src/direct/target_chooser.cc
@@ -92,14 +92,6 @@
   return is_assigned && tracker.TakeColdRequest(target.name, per_s, now);
 }
 
-std::string QueueKey(const std::string& service, const std::string& model) {
-  return service + "/" + model;
-}
-
-std::string RoomPool(const std::string& queue_key, bool is_late) {
-  return queue_key + (is_late ? "/late" : "");
-}
-
 void TargetChooser::RecordPrompt(const std::string& service,
                                  const std::string& model,
                                  double prompt_tokens) {
@@ -249,12 +241,12 @@
   std::vector<const TargetView*> usable;
   choice.reason = ChoiceFailure::kNoTarget;
   for (const TargetView* target : targets) {
-    const TargetLife life = target->Life();
-    if (notices.IsLeaving(life)) {
+    const TargetIncarnation incarnation = target->Incarnation();
+    if (notices.IsLeaving(incarnation)) {
       continue;
     }
     const std::optional<TimePoint> paused_until =
-        notices.PausedUntil(life, now);
+        notices.PausedUntil(incarnation, now);
     if (paused_until.has_value()) {
       const bool is_first = choice.reason != ChoiceFailure::kPaused;
       choice.reason = ChoiceFailure::kPaused;
@@ -271,7 +263,7 @@
   usable.erase(std::remove_if(usable.begin(), usable.end(),
                               [&tracker, &notices](const TargetView* target) {
                                 const std::optional<std::uint32_t> limit =
-                                    notices.RequestLimit(target->Life());
+                                    notices.RequestLimit(target->Incarnation());
                                 return limit.has_value() &&
                                        tracker.OwnRequests(target->name) >=
                                            *limit;
--- a/src/direct/target_notices.cc
+++ b/src/direct/target_notices.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr std::string_view kBlanks = " \t";
+
 /// True for digits with at most one decimal point among them.
 bool IsDecimal(std::string_view text) {
   std::size_t digits = 0;
@@ -27,7 +29,6 @@
 }
 
 std::string_view Trim(std::string_view text) {
-  constexpr std::string_view kBlanks = " \t";
   const std::size_t first = text.find_first_not_of(kBlanks);
   if (first == std::string_view::npos) {
     return {};
@@ -55,18 +56,21 @@
   return {PauseState::kValid, FromSeconds(seconds)};
 }
 
-const TargetNotices::Notice* TargetNotices::Find(const TargetLife& life) const {
-  const auto found = this->notices.find(life.target);
-  const bool is_this_life = found != this->notices.end() &&
-                            life.start_time_ms <= found->second.start_time_ms;
-  return is_this_life ? &found->second : nullptr;
+const TargetNotices::Notice* TargetNotices::Find(
+    const TargetIncarnation& incarnation) const {
+  const auto found = this->notices.find(incarnation.target);
+  const bool is_this_incarnation =
+      found != this->notices.end() &&
+      incarnation.start_time_ms <= found->second.start_time_ms;
+  return is_this_incarnation ? &found->second : nullptr;
 }
 
-TargetNotices::Notice& TargetNotices::Make(const TargetLife& life) {
-  Notice& notice = this->notices[life.target];
-  if (notice.number == 0 || notice.start_time_ms < life.start_time_ms) {
+TargetNotices::Notice& TargetNotices::FindOrAdd(
+    const TargetIncarnation& incarnation) {
+  Notice& notice = this->notices[incarnation.target];
+  if (notice.number == 0 || notice.start_time_ms < incarnation.start_time_ms) {
     notice = Notice();
-    notice.start_time_ms = life.start_time_ms;
+    notice.start_time_ms = incarnation.start_time_ms;
     notice.number = ++this->next_number;
   }
   if (this->notices.size() > kMaxTargets) {
@@ -77,51 +81,55 @@
                            return a.second.number < b.second.number;
                          }));
   }
-  return this->notices[life.target];
+  return this->notices[incarnation.target];
 }
 
-bool TargetNotices::RecordLeaving(const TargetLife& life) {
-  return !std::exchange(this->Make(life).is_leaving, true);
+bool TargetNotices::RecordLeaving(const TargetIncarnation& incarnation) {
+  return !std::exchange(this->FindOrAdd(incarnation).is_leaving, true);
 }
 
-TimePoint TargetNotices::RecordPause(const TargetLife& life, TimePoint until) {
-  Notice& notice = this->Make(life);
+TimePoint TargetNotices::RecordPause(const TargetIncarnation& incarnation,
+                                     TimePoint until) {
+  Notice& notice = this->FindOrAdd(incarnation);
   notice.paused_until = std::max(notice.paused_until, until);
-  notice.limit = 1;
+  notice.request_limit = 1;
   return notice.paused_until;
 }
 
-void TargetNotices::RecordGoodAnswer(const TargetLife& life, TimePoint now) {
-  const Notice* known = this->Find(life);
-  const bool is_returning = known != nullptr && known->limit.has_value() &&
+void TargetNotices::RecordGoodAnswer(const TargetIncarnation& incarnation,
+                                     TimePoint now) {
+  const Notice* known = this->Find(incarnation);
+  const bool is_returning = known != nullptr &&
+                            known->request_limit.has_value() &&
                             now >= known->paused_until;
   if (!is_returning) {
     return;
   }
-  std::optional<std::uint32_t>& limit = this->notices[life.target].limit;
+  std::optional<std::uint32_t>& limit =
+      this->notices[incarnation.target].request_limit;
   *limit += 1;
   if (*limit >= kFullLimit) {
     limit.reset();
   }
 }
 
-bool TargetNotices::IsLeaving(const TargetLife& life) const {
-  const Notice* notice = this->Find(life);
+bool TargetNotices::IsLeaving(const TargetIncarnation& incarnation) const {
+  const Notice* notice = this->Find(incarnation);
   return notice != nullptr && notice->is_leaving;
 }
 
-std::optional<TimePoint> TargetNotices::PausedUntil(const TargetLife& life,
-                                                    TimePoint now) const {
-  const Notice* notice = this->Find(life);
+std::optional<TimePoint> TargetNotices::PausedUntil(
+    const TargetIncarnation& incarnation, TimePoint now) const {
+  const Notice* notice = this->Find(incarnation);
   const bool is_paused = notice != nullptr && now < notice->paused_until;
   return is_paused ? std::optional<TimePoint>(notice->paused_until)
                    : std::nullopt;
 }
 
 std::optional<std::uint32_t> TargetNotices::RequestLimit(
-    const TargetLife& life) const {
-  const Notice* notice = this->Find(life);
-  return notice == nullptr ? std::nullopt : notice->limit;
+    const TargetIncarnation& incarnation) const {
+  const Notice* notice = this->Find(incarnation);
+  return notice == nullptr ? std::nullopt : notice->request_limit;
 }
 
 }  // namespace gooseberryturn::direct
--- a/src/direct/wait_queue.cc
+++ b/src/direct/wait_queue.cc
@@ -27,6 +27,10 @@
 
 }  // namespace
 
+std::string QueueKey(const std::string& service, const std::string& model) {
+  return service + "/" + model;
+}
+
 std::vector<std::uint64_t> WaitQueue::DispatchOrder(
     const std::string& queue_key, TimePoint now) const {
   std::vector<QueuedRequest> matching;
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -224,7 +224,7 @@
   static constexpr std::int64_t kMaxQueueMs = 1200;
 
   void Arrive() {
-    // The same parameters as a heavy-tailed mix of prompts.
+    // Most prompts are short, a few are long.
     constexpr double kPromptSigma = 0.8;
     constexpr double kMaxPromptFactor = 3;
     std::lognormal_distribution<double> prompt(
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -353,7 +353,7 @@
     control->Signal(SIGCONT);
   }
   BOOST_TEST(target.received == received);
-  // The next life under the same id and address is another one.
+  // A restart under the same id and address is another incarnation.
   target.born = 2;
   BOOST_TEST(Eventually([&fleet] {
     return fleet.SendRequest("/safe/1", "again").status == 200;
--- a/tests/platform_soak_test.cc
+++ b/tests/platform_soak_test.cc
@@ -165,7 +165,8 @@
     target.behaviour = Behaviour::kServe;
     this->pauses += 1;
   }
-  /// The target says in its answers that it leaves, and then has a new life.
+  /// The target says in its answers that it leaves, and then has a new
+  /// incarnation.
   void LeaveAndComeBack(Random& random, FakeTarget& target) {
     target.says_leaving = true;
     std::this_thread::sleep_for(milliseconds(Draw(random, 100, 1000)));
--- a/tests/target_notices_test.cc
+++ b/tests/target_notices_test.cc
@@ -52,7 +52,7 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(leaving_ends_with_the_life_and_with_nothing_else) {
+BOOST_AUTO_TEST_CASE(leaving_ends_with_the_incarnation_and_nothing_else) {
   TargetNotices notices;
   BOOST_TEST(notices.RecordLeaving({"t", 5}));
   BOOST_TEST(!notices.RecordLeaving({"t", 5}));
@@ -61,7 +61,7 @@
   BOOST_TEST(notices.IsLeaving({"t", 4}));
   BOOST_TEST(!notices.IsLeaving({"other", 5}));
   BOOST_TEST(!notices.IsLeaving({"t", 6}));
-  // What the next life says is kept for itself.
+  // What the next incarnation says is kept for itself.
   (void)notices.RecordPause({"t", 6}, At(1000));
   BOOST_TEST(!notices.IsLeaving({"t", 6}));
 }
