Pools and delay models that callers name are bounded

The pools of RoomShare and the delay models are keyed by the model that a caller names; a caller that names ever new models (which wait up to 1.2 s for a group, or stream from a plain service) added an entry for each, for good. Change: a pool whose average falls below a thousandth of a request is forgotten; first events are recorded only for models that the service has. Result: pools_that_callers_name_do_not_add_up (5,000 names, under 100 pools kept; without the erase none is ever removed, by reading). direct_dispatch_test passes.

--- a/include/gooseberryturn/direct/room_share.h
+++ b/include/gooseberryturn/direct/room_share.h
@@ -64,6 +64,13 @@
   static constexpr Duration kMaxRound = std::chrono::milliseconds(250);
   /// Weight of the newest round in the moving average of contenders.
   static constexpr double kRoundWeight = 0.1;
+  /// A pool whose average is lower is forgotten.
+  static constexpr double kMinMeanContenders = 0.001;
+
+  /// \brief Number of pools with an average.
+  [[nodiscard]] std::size_t PoolCount() const noexcept {
+    return this->mean_contenders.size();
+  }
 
  private:
   /// What this entry has sent of one pool in this round.
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -127,9 +127,11 @@
   if (!this->is_head_sent) {
     this->is_head_sent = true;
     this->first_event_at = now;
-    this->entry.chooser.RecordFirstEvent(
-        this->service, this->model, this->expected_first_event_ms,
-        static_cast<double>(WholeMs(now - this->attempt_started_at)));
+    if (this->FindModel() != nullptr) {
+      this->entry.chooser.RecordFirstEvent(
+          this->service, this->model, this->expected_first_event_ms,
+          static_cast<double>(WholeMs(now - this->attempt_started_at)));
+    }
     this->caller->BeginChunks(this->SerializeAnswerHead());
     this->entry.metrics.Observe(observe::Timing::kFirstByte,
                                 now - this->received_at);
--- a/src/direct/room_share.cc
+++ b/src/direct/room_share.cc
@@ -32,6 +32,10 @@
   for (const std::pair<const std::string, double>& pool : contenders) {
     double& mean = this->mean_contenders[pool.first];
     mean += kRoundWeight * (pool.second - mean);
+    // Callers name the models of pools, so those without requests must end.
+    if (mean < kMinMeanContenders) {
+      this->mean_contenders.erase(pool.first);
+    }
   }
 }
 
--- a/tests/direct_dispatch_test.cc
+++ b/tests/direct_dispatch_test.cc
@@ -131,6 +131,15 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(pools_that_callers_name_do_not_add_up) {
+  RoomShare entry(1);
+  for (int round = 0; round < 5000; ++round) {
+    entry.BeginRound(8, {{"engines/no-such-" + std::to_string(round), 1}},
+                     At(100 * round));
+  }
+  BOOST_TEST(entry.PoolCount() < 100U);
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_without_news_goes_on) {
   RoomShare entry(1);
   entry.BeginRound(1, {}, At(0));
