Entries tell how late their event loop runs and how long a closed connection was idle

Change: summary event_loop_delay_seconds, log event event_loop_late from 25 ms on, idle_ms in caller_closed and request_after_close. No decision changes. Result: caller_connection_test and platform_test pass.

--- a/include/gooseberryturn/direct/caller_connection.h
+++ b/include/gooseberryturn/direct/caller_connection.h
@@ -76,6 +76,10 @@
     return this->unsent;
   }
   [[nodiscard]] bool is_busy() const noexcept { return this->in_request; }
+  /// \brief Time for which the connection was idle before its latest request.
+  [[nodiscard]] Duration IdleTime() const noexcept {
+    return this->received_at - this->idle_since;
+  }
 
   static constexpr std::size_t kHighWaterBytes = 64U * 1024U;
   /// Bounds on what is read and dropped after the last answer.
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -60,6 +60,8 @@
       std::chrono::milliseconds(2300);
   /// Requests in flight are aborted this long before the grace period ends.
   static constexpr Duration kLeaveMargin = std::chrono::milliseconds(900);
+  /// A delay of the event loop from which on it is logged.
+  static constexpr Duration kLongLoopDelay = std::chrono::milliseconds(25);
 
  private:
   friend class RequestFlow;
@@ -85,6 +87,8 @@
   /// True if this entry is leaving and may have ended before `deadline`, so
   /// that a new request with that deadline might be cut.
   [[nodiscard]] bool IsTooLateFor(TimePoint deadline) const;
+  /// Records by how much the event loop runs late.
+  void RecordLoopDelay(TimePoint now);
   void Tick();
   /// Tries to dispatch the requests in the wait queue.
   void DispatchQueued();
@@ -127,6 +131,7 @@
   std::uint64_t incarnation;
   std::mt19937_64 random;
   TimePoint next_report_at;
+  TimePoint next_tick_at;
   std::size_t reported_stall_count = 0;
   std::vector<CutRequest> cut_requests;
   bool has_received_request = false;
--- a/include/gooseberryturn/observe/metrics.h
+++ b/include/gooseberryturn/observe/metrics.h
@@ -75,13 +75,19 @@
      "target_pauses_ignored_total"}};
 
 /// \brief Durations that are exported as summaries with quantiles.
-enum class Timing : std::uint8_t { kFirstByte, kRequest, kCommit };
+enum class Timing : std::uint8_t {
+  kFirstByte,
+  kRequest,
+  kCommit,
+  kLoopDelay,  ///< Time by which the event loop runs late.
+};
 
-inline constexpr std::size_t kTimingCount = 3;
+inline constexpr std::size_t kTimingCount = 4;
 
 /// \brief Exported names, without the prefix `gooseberryturn_`.
 inline constexpr NameTable<Timing, kTimingCount> kTimingNames = {
-    {"first_byte_seconds", "request_seconds", "commit_seconds"}};
+    {"first_byte_seconds", "request_seconds", "commit_seconds",
+     "event_loop_delay_seconds"}};
 
 /// \brief Counters, gauges and timings of one process; thread-safe.
 ///
--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -358,6 +358,7 @@
        {"read_partly", is_read_partly ? "true" : "false"},
        {"unanswered", is_unanswered ? "true" : "false"},
        {"unsent", std::to_string(this->unsent)},
+       {"idle_ms", std::to_string(WholeMs(this->IdleTime()))},
        {"ms", std::to_string(WholeMs(Clock::now() - this->received_at))}});
 }
 
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -125,9 +125,10 @@
     this->metrics.CountClose(cause);
     this->callers.erase(weak.lock());
   };
-  caller->on_request_after_close = [this] {
+  caller->on_request_after_close = [this, weak] {
     this->metrics.Add(observe::Metric::kRequestsAfterClose);
-    LogEvent(Level::kError, "", "request_after_close");
+    LogEvent(Level::kError, "", "request_after_close",
+             {{"idle_ms", std::to_string(WholeMs(weak.lock()->IdleTime()))}});
   };
   caller->on_request = [this](const std::shared_ptr<CallerConnection>& from,
                               CallerMessage message, TimePoint received_at) {
@@ -313,8 +314,23 @@
   this->is_dispatching_queued = false;
 }
 
+void EntryHost::RecordLoopDelay(TimePoint now) {
+  if (this->next_tick_at == TimePoint()) {
+    return;
+  }
+  const Duration delay = std::max(Duration(0), now - this->next_tick_at);
+  this->metrics.Observe(observe::Timing::kLoopDelay, delay);
+  if (delay >= kLongLoopDelay) {
+    LogEvent(Level::kInfo, "", "event_loop_late",
+             {{"ms", std::to_string(WholeMs(delay))},
+              {"open", std::to_string(this->flows.size())},
+              {"config_version", std::to_string(this->view.version())}});
+  }
+}
+
 void EntryHost::Tick() {
   const TimePoint now = Clock::now();
+  this->RecordLoopDelay(now);
   this->SendReport(now);
   this->target_pool.Expire(now);
   std::vector<std::shared_ptr<RequestFlow>> open;
@@ -336,6 +352,7 @@
   if (this->is_leaving) {
     this->AdvanceLeave(now);
   }
+  this->next_tick_at = Clock::now() + kTickInterval;
   this->timer.expires_after(kTickInterval);
   this->timer.async_wait([this](const error_code& error) {
     if (!error) {
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -56,6 +56,7 @@
       retries(),
       closes(),
       timings{
+          Quantiles(accumulators::extended_p_square_probabilities = kQuantiles),
           Quantiles(accumulators::extended_p_square_probabilities = kQuantiles),
           Quantiles(accumulators::extended_p_square_probabilities = kQuantiles),
           Quantiles(accumulators::extended_p_square_probabilities =
