--- a/src/consensus/driver.cc
+++ b/src/consensus/driver.cc
@@ -143,8 +143,11 @@
   for (const Message& message : ready.messages) {
     this->Send(message);
   }
-  if (ready.snapshot.has_value() && !this->machine.load(ready.snapshot->data)) {
-    LogEvent(Level::kError, "", "snapshot_damaged");
+  if (ready.snapshot.has_value()) {
+    this->bytes_since_snapshot = 0;
+    if (!this->machine.load(ready.snapshot->data)) {
+      LogEvent(Level::kError, "", "snapshot_damaged");
+    }
   }
   for (const Entry& entry : ready.committed) {
     this->ApplyEntry(entry);
@@ -161,7 +164,9 @@
   const Index snapshot_index = this->raft.log().snapshot().index;
   const bool is_due = applied >= snapshot_index + kSnapshotThreshold ||
                       this->bytes_since_snapshot >= kSnapshotBytes;
-  if (this->is_write_in_progress || !is_due) {
+  // A snapshot from the leader may be in the log, but not loaded yet. The state
+  // is then older than the log, and must not replace its beginning.
+  if (this->is_write_in_progress || applied <= snapshot_index || !is_due) {
     return;
   }
   this->bytes_since_snapshot = 0;
