--- a/src/consensus/storage.cc
+++ b/src/consensus/storage.cc
@@ -276,6 +276,20 @@
   if (!entries.has_value()) {
     return tl::make_unexpected(entries.error());
   }
+  const auto is_replaced = [&stored](const Entry& entry) {
+    return entry.index == stored.snapshot.index &&
+           entry.term != stored.snapshot.term;
+  };
+  if (std::any_of(entries->begin(), entries->end(), is_replaced)) {
+    // The snapshot was stored, but not the log that belongs to it: the entries
+    // after the snapshot conflict with it as well.
+    entries->clear();
+    this->positions.clear();
+    const Result<void> truncated = this->TruncateLog(0);
+    if (!truncated.has_value()) {
+      return tl::make_unexpected(truncated.error());
+    }
+  }
   for (Entry& entry : *entries) {
     if (entry.index <= stored.snapshot.index) {
       continue;
--- a/tests/storage_test.cc
+++ b/tests/storage_test.cc
@@ -205,3 +205,34 @@
   Storage reopened = Open();
   BOOST_TEST(reopened.Load()->entries.size() == 2U);
 }
+
+BOOST_FIXTURE_TEST_CASE(
+    replaced_entries_do_not_return_when_a_snapshot_was_half_saved,
+    TemporaryFolder) {
+  {
+    // The leader's snapshot is stored, but the disk is full before the log is
+    // replaced, and the host restarts.
+    Storage storage = Open();
+    Save(storage, 1, 5);
+    Snapshot snapshot;
+    snapshot.index = 3;
+    snapshot.term = 2;
+    const std::string blocked = LogPath() + ".new";
+    std::filesystem::create_directory(blocked);
+    BOOST_REQUIRE(!storage.SaveSnapshot(snapshot, {}).has_value());
+    std::filesystem::remove(blocked);
+  }
+  {
+    Storage storage = Open();
+    const PersistentState stored = storage.Load().value();
+    BOOST_TEST(stored.snapshot.index == 3U);
+    BOOST_TEST(stored.entries.empty());
+    Ready ready;
+    ready.entries = {{2, 4, EntryKind::kCommand, "committed"}};
+    BOOST_REQUIRE(storage.Save(ready).has_value());
+  }
+  Storage storage = Open();
+  const PersistentState stored = storage.Load().value();
+  BOOST_REQUIRE(stored.entries.size() == 1U);
+  BOOST_TEST(stored.entries.front().data == "committed");
+}
