A planned stop does not wait for a full disk

The storage thread repeated a failed write without end, and a stop joins that thread. A control host that was told to stop while its disk was full therefore stopped serving, and then stood until the disk had room again or it was killed at the end of the grace: its process ran, listened to nothing, answered no vote, and was missing in the core for all that time.

The pause between two tries now ends when the driver stops, and the write is given up. That is safe: messages and results that depend on a write are sent only after it, so that a write given up is one that never began to count, as in a crash.

Not covered: a disk that neither fails nor answers. A sync that hangs holds the stop as before.

--- a/include/gooseberryturn/consensus/driver.h
+++ b/include/gooseberryturn/consensus/driver.h
@@ -69,6 +69,9 @@
   /// streams on `listener`.
   void Start(link::Listener& listener);
   /// \brief Stops the storage thread and waits for it.
+  ///
+  /// \details A write that fails is not repeated any more; nothing that depends
+  /// on it has been sent.
   void Stop();
   /// \brief Proposes a command and calls `on_applied` once it is applied.
   ///
--- a/include/gooseberryturn/core/bounded_queue.h
+++ b/include/gooseberryturn/core/bounded_queue.h
@@ -8,6 +8,8 @@
 #include <optional>
 #include <utility>
 
+#include "gooseberryturn/core/time.h"
+
 namespace gooseberryturn {
 
 /// \brief Bounded queue between two threads.
@@ -51,6 +53,15 @@
     this->not_empty.notify_all();
   }
 
+  /// \brief Waits until the queue is closed, for no longer than `limit`; for
+  /// the thread that pops.
+  /// \returns Whether it is closed.
+  [[nodiscard]] bool WaitUntilClosed(Duration limit) {
+    std::unique_lock<std::mutex> guard(this->mutex);
+    return this->not_empty.wait_for(guard, limit,
+                                    [this] { return this->closed; });
+  }
+
  private:
   const std::size_t capacity;
   std::mutex mutex;
--- a/src/consensus/driver.cc
+++ b/src/consensus/driver.cc
@@ -97,7 +97,9 @@
       // write succeeds.
       LogEvent(Level::kError, "", "storage_failed",
                observe::FieldsOf(written.error()));
-      std::this_thread::sleep_for(kStorageRetryInterval);
+      if (this->write_jobs.WaitUntilClosed(kStorageRetryInterval)) {
+        return;
+      }
       written = this->Write(*job);
     }
     boost::asio::post(this->context, [this, done = std::move(*job)] {
--- a/tests/driver_test.cc
+++ b/tests/driver_test.cc
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "gooseberryturn/protocol/codec.h"
@@ -28,6 +29,8 @@
 const Endpoint kFollowerLink = {"127.130.0.1", 7340};
 const Endpoint kLeaderLink = {"127.130.0.2", 7340};
 constexpr std::chrono::seconds kLimit(20);
+/// A planned stop allows control hosts this long.
+constexpr std::chrono::seconds kStopLimit(2);
 
 [[nodiscard]] Membership TwoHosts() {
   Membership membership;
@@ -193,6 +196,26 @@
   BOOST_TEST(this->RunUntil([this] { return this->applied == 101; }));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_stop_does_not_wait_for_a_full_disk, DriverFixture) {
+  this->SendEntries(1, 1, 0);
+  BOOST_REQUIRE(this->IsAcknowledged(1));
+  const FullDisk full(0);
+  this->SendEntries(2, 2, 0);
+  this->RunFor(kFullTime);
+  // The disk gets room only after the stop must have ended.
+  std::thread room([this] {
+    std::this_thread::sleep_for(2 * kStopLimit);
+    rlimit free = {};
+    getrlimit(RLIMIT_FSIZE, &free);
+    free.rlim_cur = free.rlim_max;
+    setrlimit(RLIMIT_FSIZE, &free);
+  });
+  const TimePoint before = Clock::now();
+  this->driver->Stop();
+  BOOST_TEST((Clock::now() - before < kStopLimit));
+  room.join();
+}
+
 BOOST_FIXTURE_TEST_CASE(a_torn_write_is_repeated_when_the_disk_has_room,
                         DriverFixture) {
   this->SendEntries(1, 3, 1);
