Tests: control hosts whose disks are full one after another

Three real control hosts and an entry, an operator whose changes of about 200 kB make the log due for compaction every few seconds, and a file size limit (RLIMIT_FSIZE, set from outside on the running process) in the place of a full disk: each host's in turn, twice; the leader's, whoever leads, four times; a planned stop of a follower and of the leader meanwhile; a restart of each host with its disk full. Each change is acknowledged within ack_ms (4,000 ms), also after the last disk has room; the newest is read back from every host and in force at the entry within config_apply_ms (2,000 ms), and after all hosts were killed and started again. While a disk is full, the test checks that the host's log doesn't grow.

What it doesn't show: ENOSPC itself (the limit gives EFBIG, by the same way through write and its callers), a rename or a directory's sync that fails, and a sync that reports the full disk late.

--- a/tests/process.h
+++ b/tests/process.h
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -48,6 +49,15 @@
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
+  /// Makes the disk full for the running process, or gives it room again: its
+  /// files can't grow beyond 0 bytes. The program must have been started with
+  /// SIGXFSZ ignored. The log file takes no lines meanwhile.
+  void SetDiskFull(bool is_full) const {
+    rlimit limit = {};
+    prlimit(this->pid, RLIMIT_FSIZE, nullptr, &limit);
+    limit.rlim_cur = is_full ? 0 : limit.rlim_max;
+    prlimit(this->pid, RLIMIT_FSIZE, &limit, nullptr);
+  }
   /// Starts the program; may be called again after it has exited.
   void Start() {
     std::vector<char*> argv;
