--- a/tests/driver_test.cc
+++ b/tests/driver_test.cc
@@ -77,7 +77,10 @@
     options.election_timeout_max = std::chrono::minutes(20);
     StateMachine machine;
     machine.apply = [this](const Entry& entry) { this->applied = entry.index; };
-    machine.save = [this] { return std::to_string(this->applied); };
+    machine.save = [this] {
+      return std::to_string(this->applied) +
+             std::string(this->saved_bytes, ' ');
+    };
     machine.load = [this](const std::string& bytes) {
       this->applied = std::stoull(bytes);
       return true;
@@ -156,6 +159,7 @@
   observe::Metrics metrics;
   std::string folder;
   Index applied = 0;
+  std::size_t saved_bytes = 0;
   std::vector<Message> replies;
   std::shared_ptr<link::Stream> stream;
   std::unique_ptr<Driver> driver;
@@ -235,3 +239,26 @@
   BOOST_TEST(stored.entries.size() == 6U);
   BOOST_TEST(!reopened.had_incomplete_record());
 }
+
+BOOST_FIXTURE_TEST_CASE(a_compaction_is_repeated_when_the_disk_has_room,
+                        DriverFixture) {
+  this->saved_bytes = 2 * Driver::kSnapshotBytes;
+  this->SendEntries(1, 1, 0, Driver::kSnapshotBytes);
+  BOOST_REQUIRE(this->IsAcknowledged(1));
+  {
+    // There is room for entry 2, but not for the whole snapshot.
+    const FullDisk full(Driver::kSnapshotBytes + 1000);
+    this->SendEntries(2, 2, 1);
+    BOOST_REQUIRE(this->IsAcknowledged(2));
+    this->SendEntries(3, 4, 2);
+    this->RunFor(kFullTime);
+    BOOST_TEST(this->replies.back().index == 2U);
+  }
+  BOOST_TEST(this->IsAcknowledged(4));
+  this->driver->Stop();
+  Storage reopened = Storage::Open(this->folder, kFollower).value();
+  const PersistentState stored = reopened.Load().value();
+  BOOST_TEST(stored.snapshot.index == 1U);
+  BOOST_TEST(stored.entries.size() == 3U);
+  BOOST_TEST(!std::filesystem::exists(this->PathOf("snapshot.new")));
+}
