A deposed leader answers its calls although its disk is still full

A host looked at whether it still leads only when no write was in progress. A leader whose disk was full, and that another host had replaced, knew of it by the new leader's messages, but kept the calls that it had proposed until the disk had room again. In gooseberryturn-control such a change was answered only then, or with 504 after kAnswerTimeout (8 s); gooseberryturn-direct-control ends its calls itself after 0.7 s (kCommitTimeout). /metrics said "leader" for as long.

The change of role is now handled before the write in progress is looked at. The answer is "unknown", which is right whether the entry is stored later or not.

--- a/src/consensus/driver.cc
+++ b/src/consensus/driver.cc
@@ -109,10 +109,11 @@
 }
 
 void Driver::ProcessReady() {
+  // A write may wait for a long time, and calls must not wait with it.
+  this->HandleRoleChange();
   if (this->is_write_in_progress) {
     return;
   }
-  this->HandleRoleChange();
   const std::shared_ptr<Ready> ready =
       std::make_shared<Ready>(this->raft.TakeReady());
   if (ready->IsEmpty()) {
--- a/tests/driver_test.cc
+++ b/tests/driver_test.cc
@@ -61,20 +61,24 @@
 /// A follower's driver, and a leader that the test plays.
 class DriverFixture {
  public:
-  DriverFixture()
+  /// \param is_alone It is the only voter and leads, instead of following.
+  explicit DriverFixture(bool is_alone = false)
       : channels(context), listener(context), leader_listener(context) {
     char name[] = "/tmp/gooseberryturn-driver-XXXXXX";
     this->folder = mkdtemp(name);
     Storage storage = Storage::Open(this->folder, kFollower).value();
     PersistentState stored = storage.Load().value();
     stored.snapshot.membership = TwoHosts();
+    stored.snapshot.membership.Find(kLeader)->is_voter = !is_alone;
     BOOST_REQUIRE(storage.SaveSnapshot(stored.snapshot, {}).has_value());
     Options options;
     options.id = kFollower;
     options.disk_id = storage.identity().disk_id;
-    // Only the test's leader runs.
-    options.election_timeout_min = std::chrono::minutes(10);
-    options.election_timeout_max = std::chrono::minutes(20);
+    if (!is_alone) {
+      // Only the test's leader runs.
+      options.election_timeout_min = std::chrono::minutes(10);
+      options.election_timeout_max = std::chrono::minutes(20);
+    }
     StateMachine machine;
     machine.apply = [this](const Entry& entry) { this->applied = entry.index; };
     machine.save = [this] {
@@ -158,6 +162,7 @@
   link::Listener leader_listener;
   observe::Metrics metrics;
   std::string folder;
+  Term leader_term = 1;
   Index applied = 0;
   std::size_t saved_bytes = 0;
   std::vector<Message> replies;
@@ -169,12 +174,21 @@
     message.from = kLeader;
     message.to = kFollower;
     message.disk_id = 77;
-    message.term = 1;
+    message.term = this->leader_term;
     this->stream->Send(protocol::EncodeFrame(protocol::FrameType::kMessage,
                                              protocol::Encode(message)));
   }
 };
 
+/// A driver that leads.
+class LeaderFixture : public DriverFixture {
+ public:
+  LeaderFixture() : DriverFixture(true) {
+    BOOST_REQUIRE(this->RunUntil(
+        [this] { return this->driver->HasLease(Clock::now()); }));
+  }
+};
+
 /// Time for which the disk stays full; longer than one retry of the driver.
 constexpr std::chrono::milliseconds kFullTime(700);
 
@@ -207,7 +221,7 @@
   this->SendEntries(2, 2, 0);
   this->RunFor(kFullTime);
   // The disk gets room only after the stop must have ended.
-  std::thread room([this] {
+  std::thread room([] {
     std::this_thread::sleep_for(2 * kStopLimit);
     rlimit free = {};
     getrlimit(RLIMIT_FSIZE, &free);
@@ -262,3 +276,17 @@
   BOOST_TEST(stored.entries.size() == 3U);
   BOOST_TEST(!std::filesystem::exists(this->PathOf("snapshot.new")));
 }
+
+BOOST_FIXTURE_TEST_CASE(
+    a_deposed_leader_answers_its_calls_while_its_disk_is_full, LeaderFixture) {
+  const FullDisk full(0);
+  bool is_answered = false;
+  this->driver->Propose("change", [&is_answered](const Result<Index>& applied) {
+    is_answered = !applied.has_value();
+  });
+  this->RunFor(kFullTime);
+  BOOST_TEST(!is_answered);
+  this->leader_term = this->driver->node().term() + 1;
+  this->SendEntries(100, 100, 0);
+  BOOST_TEST(this->RunUntil([&is_answered] { return is_answered; }));
+}
