--- a/src/consensus/driver.cc
+++ b/src/consensus/driver.cc
@@ -97,7 +97,9 @@
       // write succeeds.
       LogEvent(Level::kError, "", "storage_failed",
                observe::FieldsOf(written.error()));
-      std::this_thread::sleep_for(kStorageRetryInterval);
+      if (this->write_jobs.WaitUntilClosed(kStorageRetryInterval)) {
+        return;
+      }
       written = this->Write(*job);
     }
     boost::asio::post(this->context, [this, done = std::move(*job)] {
@@ -107,10 +109,11 @@
 }
 
 void Driver::ProcessReady() {
+  // A write may wait for a long time, and calls must not wait with it.
+  this->HandleRoleChange();
   if (this->is_write_in_progress) {
     return;
   }
-  this->HandleRoleChange();
   const std::shared_ptr<Ready> ready =
       std::make_shared<Ready>(this->raft.TakeReady());
   if (ready->IsEmpty()) {
@@ -143,8 +146,11 @@
   for (const Message& message : ready.messages) {
     this->Send(message);
   }
-  if (ready.snapshot.has_value() && !this->machine.load(ready.snapshot->data)) {
-    LogEvent(Level::kError, "", "snapshot_damaged");
+  if (ready.snapshot.has_value()) {
+    this->bytes_since_snapshot = 0;
+    if (!this->machine.load(ready.snapshot->data)) {
+      LogEvent(Level::kError, "", "snapshot_damaged");
+    }
   }
   for (const Entry& entry : ready.committed) {
     this->ApplyEntry(entry);
@@ -161,7 +167,9 @@
   const Index snapshot_index = this->raft.log().snapshot().index;
   const bool is_due = applied >= snapshot_index + kSnapshotThreshold ||
                       this->bytes_since_snapshot >= kSnapshotBytes;
-  if (this->is_write_in_progress || !is_due) {
+  // A snapshot from the leader may be in the log, but not loaded yet. The state
+  // is then older than the log, and must not replace its beginning.
+  if (this->is_write_in_progress || applied <= snapshot_index || !is_due) {
     return;
   }
   this->bytes_since_snapshot = 0;
