A failed test of the platform's programs prints what became of its requests

PlatformFleet now keeps the folder of a failed case and prints the answers of SendRequest and the last 60 lines of each log.

--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -1,13 +1,19 @@
 #ifndef GOOSEBERRYTURN_TESTS_PLATFORM_FLEET_H_
 #define GOOSEBERRYTURN_TESTS_PLATFORM_FLEET_H_
 
+#include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <cstdint>
 #include <cstdlib>
+#include <deque>
+#include <exception>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -20,7 +26,18 @@
 
 inline constexpr char kKey[] = "Bearer key-1";
 
-/// Three control hosts and one or more entries on addresses 127.NET.0.*.
+/// True once a check of the test case that runs now has failed.
+[[nodiscard]] inline bool HasTestFailed() {
+  namespace framework = boost::unit_test;
+  return std::uncaught_exceptions() > 0 ||
+         !framework::results_collector
+              .results(framework::framework::current_test_case().p_id)
+              .passed();
+}
+
+/// Three control hosts and one or more entries on addresses 127.NET.0.*. When
+/// the test case fails, the answers of SendRequest and the logs are printed,
+/// and the folder with the logs is kept.
 class PlatformFleet {
  public:
   explicit PlatformFleet(int net, int entry_count = 1) : net(net) {
@@ -36,6 +53,10 @@
   ~PlatformFleet() {
     this->controls.clear();
     this->entries.clear();
+    if (HasTestFailed()) {
+      this->PrintRecord();
+      return;
+    }
     std::error_code ignored;
     std::filesystem::remove_all(this->folder, ignored);
   }
@@ -99,8 +120,29 @@
       headers["X-Gooseberryturn-Model"] = "m";
       headers["X-Gooseberryturn-Token-Usage"] = "10,10";
     }
-    return Call(this->CallerEndpoint(), "POST", path, headers, "body")
-        .ReadAll();
+    const std::chrono::steady_clock::time_point began_at =
+        std::chrono::steady_clock::now();
+    const Answer answer =
+        Call(this->CallerEndpoint(), "POST", path, headers, "body").ReadAll();
+    this->Record(path + " " + id, answer, began_at);
+    return answer;
+  }
+
+  /// Keeps what became of a request for the record of a failed test case.
+  void Record(const std::string& request, const Answer& answer,
+              std::chrono::steady_clock::time_point began_at) const {
+    const std::chrono::milliseconds time =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - began_at);
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->outcomes.push_back(
+        request + ": " + std::to_string(answer.status) +
+        (answer.is_complete ? " complete" : " incomplete") + " after " +
+        std::to_string(time.count()) + " ms, " +
+        std::to_string(answer.body.size()) + " bytes");
+    if (this->outcomes.size() > kRecordedLines) {
+      this->outcomes.pop_front();
+    }
   }
 
   /// Starts control host `number`; one without a disk forwards calls to the
@@ -126,6 +168,33 @@
   std::string folder;
 
  private:
+  /// Prints the outcomes and the last lines of each log.
+  void PrintRecord() const {
+    std::cerr << "failed; logs in " << this->folder << "\n";
+    for (const std::string& outcome : this->outcomes) {
+      std::cerr << outcome << "\n";
+    }
+    for (const std::filesystem::directory_entry& file :
+         std::filesystem::directory_iterator(this->folder)) {
+      if (file.path().extension() == ".log") {
+        std::cerr << file.path().filename().string() << ":\n";
+        PrintLastLines(file.path());
+      }
+    }
+  }
+  static void PrintLastLines(const std::filesystem::path& path) {
+    std::ifstream file(path);
+    std::deque<std::string> lines;
+    for (std::string line; std::getline(file, line);) {
+      lines.push_back(line);
+      if (lines.size() > kRecordedLines) {
+        lines.pop_front();
+      }
+    }
+    for (const std::string& line : lines) {
+      std::cerr << line << "\n";
+    }
+  }
   void WriteSettings(const std::string& file, int number,
                      const std::string& lines,
                      const std::vector<int>& known = {1, 2, 3}) {
@@ -158,8 +227,11 @@
   }
 
   static constexpr int kFirstEntryNumber = 9;
+  static constexpr std::size_t kRecordedLines = 60;
 
   int net;
+  mutable std::mutex mutex;
+  mutable std::deque<std::string> outcomes;
 };
 
 }  // namespace gooseberryturn::fleet
--- a/tests/platform_stop_test.cc
+++ b/tests/platform_stop_test.cc
@@ -35,12 +35,17 @@
     }));
   }
 
-  /// Starts a stream and returns once a target runs it.
+  /// Starts a stream and returns once a target runs it. One that is answered
+  /// without a run fails at once.
   [[nodiscard]] std::future<Answer> StartStream(const std::string& id) {
     std::future<Answer> stream = std::async(std::launch::async, [this, id] {
       return this->SendRequest("/stream/1", id, kKey, true, kLongMs);
     });
-    BOOST_REQUIRE(Eventually([this, &id] { return this->HasRun(id); }));
+    BOOST_REQUIRE(Eventually([this, &id, &stream] {
+      return this->HasRun(id) || stream.wait_for(std::chrono::seconds(0)) ==
+                                     std::future_status::ready;
+    }));
+    BOOST_REQUIRE(this->HasRun(id));
     return stream;
   }
   [[nodiscard]] bool HasRun(const std::string& id) const {
