The start of a fleet test waits for a stream that is served

Cause: the start of ServingFleet waited for a stream whose answer is complete. A refusal is a complete answer too. So it went on after the first 503 of the warm-up stream, 1.2 s after the configuration, whether or not the group was open. The next stream then had 1.2 s (kMaxQueueTime) in which the group had to open; beside load it opened later.

Evidence: on the code before, 9 of 9 starts beside twelve busy processes ended their warm-up with a 503 (refused_503_overloaded, no_view before); in one of them the stream "early" waited from 1.2 s to 2.4 s, the targets were told to join 0.9 s before its refusal and to open 0.7 s before it, and it was answered 503 overloaded after 1218 ms, without a target. The refusal was truthful: there was no open group in the view. Nothing had been taken and not sent on, and the delay model had no part (it needs 30 first events).

The start now needs status 200 of the warm-up stream, in platform_path_test too; the checks of the cases are as they were.

--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -128,6 +128,12 @@
     return answer;
   }
 
+  /// Sends a stream. A refusal is a complete answer too, but does not count.
+  [[nodiscard]] bool IsStreamServed(const std::string& id) const {
+    const Answer answer = this->SendRequest("/stream/1", id, kKey, true);
+    return answer.status == 200 && answer.is_complete;
+  }
+
   /// Keeps what became of a request for the record of a failed test case.
   void Record(const std::string& request, const Answer& answer,
               std::chrono::steady_clock::time_point began_at) const {
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -289,9 +289,7 @@
                          });
   };
   BOOST_REQUIRE(Eventually([&count_open] { return count_open() == 2; }));
-  BOOST_REQUIRE(Eventually([&fleet] {
-    return fleet.SendRequest("/stream/1", "warm", kKey, true).is_complete;
-  }));
+  BOOST_REQUIRE(Eventually([&fleet] { return fleet.IsStreamServed("warm"); }));
   for (const std::unique_ptr<FakeTarget>& engine : engines) {
     engine->behaviour = Behaviour::kCutStream;
   }
--- a/tests/platform_stop_test.cc
+++ b/tests/platform_stop_test.cc
@@ -30,7 +30,7 @@
           this->ControlEndpoint(number), "engines"));
     }
     BOOST_REQUIRE(Eventually([this] {
-      return this->SendRequest("/stream/1", "warm", kKey, true).is_complete &&
+      return this->IsStreamServed("warm") &&
              this->SendRequest("/safe/1", "warm").status == 200;
     }));
   }
