A second SIGTERM no longer ends a process with its requests

What callers saw: when a process that was stopping got SIGTERM (or SIGINT) once more, it ended at once, with 143; every request in progress ended with a closed connection and no answer, among them those that may not be repeated (LOST).

Cause: OnStopSignal waited for one signal and let its signal set go with the handler. Without a set the kernel's default action holds again. All programs use it: entries, agents and control hosts of both fleets.

Why it works: the set lives as long as the event loop and goes on taking signals, which it logs (stop_signal_ignored). The end of a planned stop is bounded by the grace period; SIGKILL ends it sooner.

--- a/include/gooseberryturn/app/program.h
+++ b/include/gooseberryturn/app/program.h
@@ -52,7 +52,8 @@
 void PrintFaults(const config::Faults& faults, const std::string& file);
 
 /// \brief Calls `on_stop` in the context's thread on the first SIGTERM or
-/// SIGINT. Also makes the process ignore SIGPIPE.
+/// SIGINT; further ones must not cut the requests in progress and are ignored.
+/// Also makes the process ignore SIGPIPE.
 void OnStopSignal(boost::asio::io_context& context,
                   std::function<void()> on_stop);
 
--- a/src/app/program.cc
+++ b/src/app/program.cc
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <exception>
 #include <memory>
+#include <string>
 #include <utility>
 
 #include "gooseberryturn/fwd.h"
@@ -14,6 +15,22 @@
 
 namespace options = boost::program_options;
 
+namespace {
+
+/// Without a signal set that exists, the next signal would end the process.
+void IgnoreFurther(const std::shared_ptr<boost::asio::signal_set>& signals) {
+  signals->async_wait(
+      [signals](const boost::system::error_code& error, int number) {
+        if (!error) {
+          observe::LogEvent(observe::Level::kInfo, "", "stop_signal_ignored",
+                            {{"signal", std::to_string(number)}});
+          IgnoreFurther(signals);
+        }
+      });
+}
+
+}  // namespace
+
 CommandLine ParseCommandLine(int argc, char** argv, const std::string& program,
                              const std::string& purpose, bool has_bootstrap) {
   CommandLine command_line;
@@ -88,6 +105,7 @@
       [signals, on_stop = std::move(on_stop)](
           const boost::system::error_code& error, int /*number*/) {
         if (!error) {
+          IgnoreFurther(signals);
           on_stop();
         }
       });
--- a/tests/platform_fake_target.h
+++ b/tests/platform_fake_target.h
@@ -103,7 +103,8 @@
   std::atomic<int> received = 0;   ///< Requests, also those that it refused.
   std::atomic<int> cut_after = 3;  ///< Events before kCutStream breaks off.
   std::atomic<int> event_interval_ms = 10;
-  std::atomic<int> pause_ms = 0;  ///< Silence after the first event.
+  std::atomic<int> pause_ms = 0;         ///< Silence after the first event.
+  std::atomic<bool> is_holding = false;  ///< Plain answers wait meanwhile.
   static constexpr int kEventCount = 6;
   /// A body that starts so is followed by the amount of work: the time in ms
   /// that a plain answer takes, or the number of events of a stream.
@@ -199,6 +200,9 @@
     const int work = WorkOf(request.body());
     if (request.find("X-Gooseberryturn-Model") == request.end()) {
       std::this_thread::sleep_for(std::chrono::milliseconds(work));
+      while (this->is_holding && !this->is_stopped) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      }
       this->Reply(socket, request, 200, "answer of " + this->id);
       return true;
     }
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -110,7 +110,8 @@
                                    const std::string& id,
                                    const std::string& key = kKey,
                                    bool is_stream = false,
-                                   int deadline_ms = 3000) const {
+                                   int deadline_ms = 3000,
+                                   const std::string& body = "body") const {
     std::map<std::string, std::string> headers = {
         {"Host", "shop.example"},
         {"X-Gooseberryturn-Attempt-Id", id},
@@ -123,7 +124,7 @@
     const std::chrono::steady_clock::time_point began_at =
         std::chrono::steady_clock::now();
     const Answer answer =
-        Call(this->CallerEndpoint(), "POST", path, headers, "body").ReadAll();
+        Call(this->CallerEndpoint(), "POST", path, headers, body).ReadAll();
     this->Record(path + " " + id, answer, began_at);
     return answer;
   }
--- a/tests/platform_stop_test.cc
+++ b/tests/platform_stop_test.cc
@@ -1,8 +1,11 @@
 #define BOOST_TEST_MODULE platform_stop
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 #include "platform_fake_target.h"
@@ -57,6 +60,22 @@
     return std::find(runs.begin(), runs.end(), id) != runs.end();
   }
 
+  /// Sends a plain request with a deadline past the end of the grace period.
+  [[nodiscard]] std::future<Answer> StartPlain(const std::string& path,
+                                               const std::string& id) {
+    return std::async(std::launch::async, [this, path, id] {
+      return this->SendRequest(path, id, kKey, false, kLongMs);
+    });
+  }
+  /// Sends the signal and returns once the entry leaves.
+  void Stop() {
+    this->entries.front()->Signal(SIGTERM);
+    BOOST_REQUIRE(Eventually([this] {
+      return this->entries.front()->Log().find(R"("event":"leaving")") !=
+             std::string::npos;
+    }));
+  }
+
   std::unique_ptr<FakeTarget> plain;
   std::vector<std::unique_ptr<FakeTarget>> engines;
 };
@@ -113,3 +132,18 @@
   BOOST_TEST(Get(fleet.ReadinessEndpoint(), "/metrics")
                  .Contains("retries_total{reason=\"target_busy\"} 0"));
 }
+
+// LOST: a second signal ended the process at once, with all its requests.
+BOOST_AUTO_TEST_CASE(a_second_stop_signal_cuts_nothing) {
+  ServingFleet fleet(121);
+  fleet.plain->is_holding = true;
+  std::future<Answer> answer = fleet.StartPlain("/unsafe/1", "held");
+  BOOST_REQUIRE(Eventually([&fleet] { return fleet.HasRun("held"); }));
+  fleet.Stop();
+  fleet.entries.front()->Signal(SIGTERM);
+  fleet.entries.front()->Signal(SIGHUP);
+  std::this_thread::sleep_for(std::chrono::milliseconds(kShortMs));
+  fleet.plain->is_holding = false;
+  BOOST_TEST(answer.get().status == 200);
+  BOOST_TEST(fleet.entries.front()->WaitExit() == 0);
+}
