Callers of a model whose heads all leave are told at once

When all heads of a model had said in their answers that they leave, a request for it waited for kMaxQueueTime (1.2 s) and was then refused, although no target could take it and no group that could was forming. Change: the choice of a target tells this case apart (ChoiceFailure::kLeaving); a request is refused at once unless the view shows a group of its model that forms or opens.

--- a/include/gooseberryturn/direct/fleet_view.h
+++ b/include/gooseberryturn/direct/fleet_view.h
@@ -42,6 +42,9 @@
   /// centre is in service.
   [[nodiscard]] std::vector<const TargetView*> Heads(
       const std::string& service, const std::string& model) const;
+  /// \brief True while a group of `model` forms or opens.
+  [[nodiscard]] bool IsGroupStarting(const std::string& service,
+                                     const std::string& model) const;
   /// \brief Targets of a plain service that are not leaving and whose data
   /// centre is in service.
   [[nodiscard]] std::vector<const TargetView*> PlainTargets(
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -12,6 +12,7 @@
 #include "gooseberryturn/direct/caller_connection.h"
 #include "gooseberryturn/direct/configuration.h"
 #include "gooseberryturn/direct/event_splitter.h"
+#include "gooseberryturn/direct/target_chooser.h"
 #include "gooseberryturn/direct/target_connection.h"
 #include "gooseberryturn/direct/target_tracker.h"
 
@@ -71,6 +72,9 @@
   /// Ends a request that found no target in time or may not be retried.
   void GiveUp();
   void Dispatch();
+  /// True when no target serves the request and none is about to: waiting in
+  /// the queue would not help its caller.
+  [[nodiscard]] bool IsUnservable(ChoiceFailure reason) const;
   void StartAttempt(const std::string& target_id);
   [[nodiscard]] std::string SerializeRequest(
       const std::string& target_id) const;
--- a/include/gooseberryturn/direct/target_chooser.h
+++ b/include/gooseberryturn/direct/target_chooser.h
@@ -32,10 +32,11 @@
   kNoTarget,  ///< No target serves the request.
   kFull,      ///< Targets serve it, but none can take it now.
   kPaused,    ///< All that could take it asked for a pause.
+  kLeaving,   ///< All that serve it said in answers that they leave.
 };
 
-inline constexpr NameTable<ChoiceFailure, 4> kChoiceFailureNames = {
-    {"none", "no_target", "full", "paused"}};
+inline constexpr NameTable<ChoiceFailure, 5> kChoiceFailureNames = {
+    {"none", "no_target", "full", "paused", "leaving"}};
 
 /// \brief Share of its objective that a request may wait at a group head for
 /// the prefill of other prompts.
--- a/src/direct/fleet_view.cc
+++ b/src/direct/fleet_view.cc
@@ -57,6 +57,18 @@
   return heads;
 }
 
+bool FleetView::IsGroupStarting(const std::string& service,
+                                const std::string& model) const {
+  return std::any_of(
+      this->groups.begin(), this->groups.end(),
+      [&service, &model](const std::pair<const std::string, GroupView>& entry) {
+        const GroupView& group = entry.second;
+        const bool is_starting = group.phase == GroupPhase::kForming ||
+                                 group.phase == GroupPhase::kOpening;
+        return is_starting && group.service == service && group.model == model;
+      });
+}
+
 std::vector<const TargetView*> FleetView::PlainTargets(
     const std::string& service) const {
   std::vector<const TargetView*> found;
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -216,6 +216,18 @@
                               this->dispatch_by, this->queue_deadline});
 }
 
+bool RequestFlow::IsUnservable(ChoiceFailure reason) const {
+  if (this->is_head_sent || this->IsMoving()) {
+    return false;
+  }
+  if (this->model.empty()) {
+    return reason == ChoiceFailure::kNoTarget ||
+           reason == ChoiceFailure::kLeaving;
+  }
+  return reason == ChoiceFailure::kLeaving &&
+         !this->entry.view.IsGroupStarting(this->service, this->model);
+}
+
 bool RequestFlow::TryDispatch() {
   if (this->is_done) {
     return true;
@@ -253,8 +265,7 @@
     if (choice.reason == ChoiceFailure::kPaused) {
       return this->EndIfPaused(choice.resumes_at);
     }
-    if (choice.reason == ChoiceFailure::kNoTarget && this->model.empty() &&
-        !this->is_head_sent && !this->IsMoving()) {
+    if (this->IsUnservable(choice.reason)) {
       this->GiveUp();
       return true;
     }
--- a/src/direct/target_chooser.cc
+++ b/src/direct/target_chooser.cc
@@ -239,7 +239,14 @@
     const TargetTracker& tracker, TimePoint now, Choice& choice) {
   const TargetNotices& notices = tracker.notices();
   std::vector<const TargetView*> usable;
-  choice.reason = ChoiceFailure::kNoTarget;
+  const bool are_all_leaving =
+      !targets.empty() &&
+      std::all_of(targets.begin(), targets.end(),
+                  [&notices](const TargetView* target) {
+                    return notices.IsLeaving(target->Incarnation());
+                  });
+  choice.reason =
+      are_all_leaving ? ChoiceFailure::kLeaving : ChoiceFailure::kNoTarget;
   for (const TargetView* target : targets) {
     const TargetIncarnation incarnation = target->Incarnation();
     if (notices.IsLeaving(incarnation)) {
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <future>
 #include <memory>
 #include <string>
@@ -23,6 +24,8 @@
 
 /// The grace period in the settings that PlatformFleet writes.
 constexpr std::chrono::seconds kGracePeriod(6);
+/// RequestFlow::kMaxQueueTime.
+constexpr int kMaxQueueMs = 1200;
 
 /// A named pipe that is full and that nobody reads.
 class FullPipe {
@@ -382,6 +385,19 @@
   const int received = engines[0]->received + engines[1]->received;
   BOOST_TEST(fleet.SendRequest("/stream/1", "s1", kKey, true).status == 503);
   BOOST_TEST(engines[0]->received + engines[1]->received == received);
+  // No other group is about to serve the model: the caller is told at once.
+  std::string log;
+  std::size_t ended = std::string::npos;
+  BOOST_REQUIRE(Eventually([&fleet, &log, &ended] {
+    log = fleet.entries.front()->Log();
+    ended = log.find(R"("request":"s1","outcome")");
+    return ended != std::string::npos &&
+           log.find('\n', ended) != std::string::npos;
+  }));
+  const std::string key = R"("ms":")";
+  const std::size_t time = log.find(key, ended);
+  BOOST_REQUIRE(time != std::string::npos);
+  BOOST_TEST(std::atoi(log.c_str() + time + key.size()) < kMaxQueueMs);
 }
 
 BOOST_AUTO_TEST_CASE(a_target_that_asks_for_a_pause_gets_it) {
--- a/tests/target_notices_test.cc
+++ b/tests/target_notices_test.cc
@@ -105,6 +105,18 @@
       (chooser.Choose(resumed, view, tracker, 1.5, At(0)).target == nullptr));
 }
 
+BOOST_AUTO_TEST_CASE(a_model_whose_heads_all_leave_is_known_to_be_unservable) {
+  const FleetView view = MakeView({"h1", "h2"});
+  TargetTracker tracker;
+  TargetChooser chooser("a", "entry", 7);
+  tracker.notices().RecordLeaving({"h1", 0});
+  tracker.notices().RecordLeaving({"h2", 0});
+  BOOST_TEST(
+      (Choose(chooser, view, tracker, 0).reason == ChoiceFailure::kLeaving));
+  BOOST_TEST((Choose(chooser, MakeView({}), tracker, 0).reason ==
+              ChoiceFailure::kNoTarget));
+}
+
 BOOST_AUTO_TEST_CASE(callers_of_paused_targets_learn_the_shortest_wait) {
   const FleetView view = MakeView({"h1", "h2"});
   TargetTracker tracker;
