Test: hosts that are removed while their disks are full come back

Five control hosts; each one's disk is full for 4.5 s in turn, which is longer than a silent host stays a member (kSilenceTimeout, 3 s). At least one is removed meanwhile, changes stay within ack_ms, and all five vote again at the end.

--- a/tests/platform_disk_test.cc
+++ b/tests/platform_disk_test.cc
@@ -5,7 +5,10 @@
 #include <chrono>
 #include <csignal>
 #include <filesystem>
+#include <map>
+#include <memory>
 #include <random>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -29,6 +32,8 @@
 /// Bound for an acknowledged change to be in force at the entries.
 constexpr milliseconds kApplyLimit(2000);
 constexpr milliseconds kFullTime(3000);
+/// Longer than a host may be silent before the others remove it.
+constexpr milliseconds kRemovalTime(4500);
 /// Time for a write that has begun before the disk was full.
 constexpr milliseconds kSettleTime(500);
 constexpr milliseconds kChangeInterval(100);
@@ -42,13 +47,13 @@
 
 /// `count` random keys as members of a JSON list; they hardly compress.
 [[nodiscard]] std::string RandomKeys(std::mt19937_64& random, int count) {
-  constexpr char kCharacters[] =
+  constexpr char characters[] =
       "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789";
   std::string keys;
   for (int key = 0; key < count; ++key) {
     keys += ",\"";
     for (int at = 0; at < kKeyCharacters; ++at) {
-      keys += kCharacters[random() % (sizeof(kCharacters) - 1)];
+      keys += characters[random() % (sizeof(characters) - 1)];
     }
     keys += '"';
   }
@@ -80,11 +85,11 @@
     }
   }
   /// Makes the disk of control host `number` full for `length`.
-  void FillDisk(int number) const {
+  void FillDisk(int number, milliseconds length = kFullTime) const {
     this->Control(number).SetDiskFull(true);
     std::this_thread::sleep_for(kSettleTime);
     const std::uintmax_t stored = this->StoredBytes(number);
-    std::this_thread::sleep_for(kFullTime - kSettleTime);
+    std::this_thread::sleep_for(length - kSettleTime);
     BOOST_TEST(this->StoredBytes(number) == stored);
     this->Control(number).SetDiskFull(false);
   }
@@ -93,7 +98,8 @@
   }
   /// Number of the control host that leads, 0 if there is none.
   [[nodiscard]] int Leader() const {
-    for (int number = 1; number <= 3; ++number) {
+    for (std::size_t at = 0; at < this->controls.size(); ++at) {
+      const int number = static_cast<int>(at) + 1;
       if (Get(this->ControlEndpoint(number), "/metrics")
               .Contains("is_leader 1\n")) {
         return number;
@@ -110,6 +116,28 @@
     }));
     return leader;
   }
+  /// Voters after each change of the core's membership, in order.
+  [[nodiscard]] std::vector<int> VoterCounts() const {
+    std::map<std::string, int> by_time;
+    for (const std::unique_ptr<Process>& host : this->controls) {
+      std::istringstream lines(host->Log());
+      for (std::string line; std::getline(lines, line);) {
+        if (line.find("\"event\":\"quorum_changed\"") != std::string::npos) {
+          by_time[ValueOf(line, "\"time_us\":")] =
+              std::stoi(ValueOf(line, "\"voters\":\""));
+        }
+      }
+    }
+    std::vector<int> counts;
+    for (const std::pair<const std::string, int>& change : by_time) {
+      counts.push_back(change.second);
+    }
+    return counts;
+  }
+  [[nodiscard]] bool HasVoters(int count) const {
+    const std::vector<int> counts = this->VoterCounts();
+    return !counts.empty() && counts.back() == count;
+  }
   /// The newest acknowledged change is read back from every control host and in
   /// force at the entry.
   void CheckNewest() const {
@@ -146,6 +174,13 @@
   milliseconds slowest = milliseconds(0);
 
  private:
+  /// Digits after `key` in a line of the log.
+  [[nodiscard]] static std::string ValueOf(const std::string& line,
+                                           const std::string& key) {
+    const std::size_t begin = line.find(key) + key.size();
+    return line.substr(begin,
+                       line.find_first_not_of("0123456789", begin) - begin);
+  }
   [[nodiscard]] static std::string KeyOf(int version) {
     return "key-of-" + std::to_string(version);
   }
@@ -302,3 +337,30 @@
   fleet.CheckChanges();
   fleet.CheckNewest();
 }
+
+BOOST_AUTO_TEST_CASE(
+    a_core_that_removes_hosts_with_full_disks_takes_them_back) {
+  ChangedFleet fleet(135);
+  // Started one after another, they join the first three.
+  for (const int number : {4, 5}) {
+    fleet.StartControl(number);
+  }
+  BOOST_REQUIRE(Eventually([&fleet] { return fleet.HasVoters(5); }));
+  const std::size_t joins = fleet.VoterCounts().size();
+  fleet.StartChanges();
+  for (int number = 1; number <= 5; ++number) {
+    fleet.FillDisk(number, kRemovalTime);
+  }
+  const int before = fleet.newest;
+  std::this_thread::sleep_for(kAckLimit);
+  BOOST_TEST(fleet.newest > before + 1);
+  const std::vector<int> counts = fleet.VoterCounts();
+  BOOST_REQUIRE(counts.size() > joins);
+  // At least one host was removed meanwhile.
+  BOOST_TEST((*std::min_element(counts.begin() + static_cast<long>(joins),
+                                counts.end()) < 5));
+  BOOST_TEST(Eventually([&fleet] { return fleet.HasVoters(5); }));
+  fleet.StopChanges();
+  fleet.CheckChanges();
+  fleet.CheckNewest();
+}
