--- a/tests/control_process_test.cc
+++ b/tests/control_process_test.cc
@@ -1,5 +1,7 @@
 #define BOOST_TEST_MODULE control_process
 #include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <csignal>
 
 #include "fleet.h"
 
@@ -172,3 +174,49 @@
   BOOST_TEST(ParseVersion(fleet.CallOperatorApi("GET", "/v1/document").body) ==
              0);
 }
+
+BOOST_AUTO_TEST_CASE(changes_go_on_after_each_disk_was_full_in_turn) {
+  constexpr std::chrono::seconds kFullTime(3);
+  constexpr std::chrono::seconds kAckLimit(4);
+  std::signal(SIGXFSZ, SIG_IGN);
+  Fleet fleet(136);
+  fleet.StartControlHosts();
+  int version = 0;
+  const auto change_for = [&fleet, &version,
+                           kAckLimit](std::chrono::seconds length) {
+    const std::chrono::steady_clock::time_point end =
+        std::chrono::steady_clock::now() + length;
+    while (std::chrono::steady_clock::now() < end) {
+      const std::chrono::steady_clock::time_point sent =
+          std::chrono::steady_clock::now();
+      fleet.ApplyDocument(DocumentWithNote(std::to_string(version)), version);
+      version += 1;
+      BOOST_TEST((std::chrono::steady_clock::now() - sent < kAckLimit));
+    }
+  };
+  change_for(kFullTime);
+  for (int round = 0; round < 2; ++round) {
+    for (int id = 1; id <= 3; ++id) {
+      Process& host = fleet.GetProcess("control-" + std::to_string(id));
+      host.SetDiskFull(true);
+      change_for(kFullTime);
+      host.SetDiskFull(false);
+    }
+  }
+  change_for(kFullTime);
+  // A planned stop doesn't wait for room.
+  Process& leader =
+      fleet.GetProcess("control-" + std::to_string(fleet.WaitForLeader()));
+  leader.SetDiskFull(true);
+  change_for(std::chrono::seconds(1));
+  leader.Signal(SIGTERM);
+  BOOST_TEST(leader.WaitExitFor(kAckLimit) == 0);
+  for (int id = 1; id <= 3; ++id) {
+    Process& host = fleet.GetProcess("control-" + std::to_string(id));
+    host.Kill();
+    host.Start();
+  }
+  const Answer document = fleet.CallOperatorApi("GET", "/v1/document");
+  BOOST_TEST(ParseVersion(document.body) == version);
+  fleet.ApplyDocument(DocumentWithNote("last"), version);
+}
