A first start that met a full disk begins anew

Where the disk took the first and not the second (or the host was killed between them) the start failed, rightly. But the next start found an identity, took the folder for one in use, and never stored the members: the host belonged to no core, voted for nobody, and waited to be taken in by a leader. Where this met most hosts, one after another, no core formed: all processes ran, and every change was refused to the end.

The members are now stored first, and the identity, which marks the folder as in use, after them. Until the identity is there, each start begins anew. That a folder with an identity and nothing else might begin anew instead was not chosen: a host that has lost its other files must not vote again.

--- a/include/gooseberryturn/consensus/storage.h
+++ b/include/gooseberryturn/consensus/storage.h
@@ -37,17 +37,23 @@
  public:
   /// \brief Opens the folder; creates the folder and the identity when they do
   /// not exist.
+  ///
+  /// \details A new folder begins with `initial` unless that has no members.
+  /// It is stored before the identity, so that a start that was cut off begins
+  /// anew.
   /// \returns kBadRequest when the folder belongs to another id; kTargetFailed
   /// when the identity is damaged, when a log exists without an identity, or
   /// when a file cannot be written.
   [[nodiscard]] static Result<Storage> Open(const std::string& folder,
-                                            NodeId id);
+                                            NodeId id,
+                                            const Snapshot& initial = {});
 
   /// \brief Opens the folder, whichever id it belongs to; without an identity,
-  /// one is created for `new_id`.
+  /// one is created for `new_id`, and `initial` is stored as Open does.
   /// \returns kTargetFailed as Open does.
   [[nodiscard]] static Result<Storage> OpenAny(const std::string& folder,
-                                               NodeId new_id);
+                                               NodeId new_id,
+                                               const Snapshot& initial = {});
 
   Storage(Storage&& other) noexcept;
   Storage& operator=(Storage&& other) = delete;
--- a/programs/control/main.cc
+++ b/programs/control/main.cc
@@ -42,8 +42,12 @@
 }
 
 int Run(const config::ControlSettings& settings, bool is_bootstrap) {
+  consensus::Snapshot initial;
+  if (is_bootstrap) {
+    initial.membership = InitialMembership(settings);
+  }
   Result<consensus::Storage> storage =
-      consensus::Storage::Open(settings.data_folder, settings.id);
+      consensus::Storage::Open(settings.data_folder, settings.id, initial);
   if (!storage.has_value()) {
     return app::ReportStartFailure(storage.error());
   }
@@ -51,13 +55,7 @@
   if (!state.has_value()) {
     return app::ReportStartFailure(state.error());
   }
-  if (storage->is_new() && is_bootstrap) {
-    state->snapshot.membership = InitialMembership(settings);
-    const Result<void> saved = storage->SaveSnapshot(state->snapshot, {});
-    if (!saved.has_value()) {
-      return app::ReportStartFailure(saved.error());
-    }
-  } else if (storage->is_new()) {
+  if (storage->is_new() && !is_bootstrap) {
     observe::LogEvent(observe::Level::kWarn, "", "empty_data_folder",
                       {{"hint", "waiting to be added as a new control host"}});
   }
--- a/src/consensus/storage.cc
+++ b/src/consensus/storage.cc
@@ -181,8 +181,9 @@
   return {};
 }
 
-Result<Storage> Storage::Open(const std::string& folder, NodeId id) {
-  Result<Storage> storage = Storage::OpenAny(folder, id);
+Result<Storage> Storage::Open(const std::string& folder, NodeId id,
+                              const Snapshot& initial) {
+  Result<Storage> storage = Storage::OpenAny(folder, id, initial);
   if (storage.has_value() && storage->stored_identity.id != id) {
     return tl::make_unexpected(
         Error{Reason::kBadRequest, Step::kStorage, Outcome::kNotRun, folder,
@@ -192,7 +193,8 @@
   return storage;
 }
 
-Result<Storage> Storage::OpenAny(const std::string& folder, NodeId new_id) {
+Result<Storage> Storage::OpenAny(const std::string& folder, NodeId new_id,
+                                 const Snapshot& initial) {
   Storage storage(folder);
   std::error_code error;
   std::filesystem::create_directories(folder, error);
@@ -205,8 +207,16 @@
     }
     storage.stored_identity = {new_id, RandomId()};
     storage.has_created_identity = true;
-    const Result<void> saved = storage.ReplaceFile(
-        kIdentityFile, EncodeRecord(protocol::Encode(storage.stored_identity)));
+    Result<void> saved;
+    if (!initial.membership.peers.empty()) {
+      saved = storage.ReplaceFile(kSnapshotFile,
+                                  EncodeRecord(protocol::Encode(initial)));
+    }
+    if (saved.has_value()) {
+      saved = storage.ReplaceFile(
+          kIdentityFile,
+          EncodeRecord(protocol::Encode(storage.stored_identity)));
+    }
     if (!saved.has_value()) {
       return tl::make_unexpected(saved.error());
     }
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -61,8 +61,12 @@
   const consensus::NodeId id_if_new =
       is_initial_voter ? InitialVoterId(*this->settings.control_endpoint)
                        : RandomId();
-  Result<consensus::Storage> storage =
-      consensus::Storage::OpenAny(this->settings.data_folder, id_if_new);
+  consensus::Snapshot initial;
+  if (is_initial_voter) {
+    initial.membership = this->InitialMembership();
+  }
+  Result<consensus::Storage> storage = consensus::Storage::OpenAny(
+      this->settings.data_folder, id_if_new, initial);
   if (!storage.has_value()) {
     return tl::make_unexpected(storage.error());
   }
@@ -72,13 +76,6 @@
   if (!stored.has_value()) {
     return tl::make_unexpected(stored.error());
   }
-  if (storage->is_new() && is_initial_voter) {
-    stored->snapshot.membership = this->InitialMembership();
-    const Result<void> saved = storage->SaveSnapshot(stored->snapshot, {});
-    if (!saved.has_value()) {
-      return tl::make_unexpected(saved.error());
-    }
-  }
   LogEvent(Level::kInfo, "", "log_opened",
            {{"id", std::to_string(this->id)},
             {"is_new", storage->is_new() ? "true" : "false"},
--- a/tests/platform_disk_test.cc
+++ b/tests/platform_disk_test.cc
@@ -41,6 +41,9 @@
 /// A change that isn't acknowledged within this time is given up.
 constexpr seconds kChangeLimit(20);
 constexpr int kUnauthorized = 401;
+/// Room for a host's identity, but not for the first list of the core's
+/// members.
+constexpr rlim_t kIdentityBytes = 60;
 /// With so many keys, forty changes make the log due for compaction.
 constexpr int kKeysPerChange = 6000;
 constexpr int kKeyCharacters = 40;
@@ -225,13 +228,14 @@
   std::thread operator_thread;
 };
 
-/// While it exists, programs start with a full disk: see Process::SetDiskFull.
+/// While it exists, programs start with a disk that has room for `bytes` in
+/// each file: see Process::SetDiskFull.
 class FullDisk {
  public:
-  FullDisk() {
+  explicit FullDisk(rlim_t bytes = 0) {
     getrlimit(RLIMIT_FSIZE, &this->before);
     rlimit full = this->before;
-    full.rlim_cur = 0;
+    full.rlim_cur = bytes;
     setrlimit(RLIMIT_FSIZE, &full);
   }
   ~FullDisk() { setrlimit(RLIMIT_FSIZE, &this->before); }
@@ -364,3 +368,28 @@
   fleet.CheckChanges();
   fleet.CheckNewest();
 }
+
+BOOST_AUTO_TEST_CASE(hosts_whose_first_start_met_a_full_disk_form_a_core) {
+  PlatformFleet fleet(137, 0);
+  for (int number = 1; number <= 3; ++number) {
+    Process& host = *fleet.controls[static_cast<std::size_t>(number - 1)];
+    host.Kill();
+    std::filesystem::remove_all(fleet.folder + "/c" + std::to_string(number));
+  }
+  for (const std::unique_ptr<Process>& host : fleet.controls) {
+    const FullDisk inherited(kIdentityBytes);
+    host->Start();
+    BOOST_TEST(host->WaitExitFor(kStopLimit) > 0);
+  }
+  for (const std::unique_ptr<Process>& host : fleet.controls) {
+    host->Start();
+  }
+  BOOST_TEST(Eventually(
+      [&fleet] {
+        return Call(fleet.ControlEndpoint(1), "PUT", "/api/config", {},
+                    fleet.ConfigurationJson(1, 2000))
+                   .ReadAll()
+                   .status == 200;
+      },
+      kChangeLimit));
+}
