--- /dev/null
+++ b/tests/odd_input_test.cc
@@ -0,0 +1,140 @@
+#define BOOST_TEST_MODULE odd_input
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "../platform/settings.h"
+#include "../platform/wire.h"
+
+using namespace gooseberryturn;  // NOLINT
+
+/// Input of other writers: readers refuse it, and what is sound holds.
+namespace {
+
+const std::string kConfiguration =
+    R"({"version":7,"routes":[{"name":"r1","host":"a.example",)"
+    R"("path_prefix":"/p/","kind":"streaming","timeout_ms":8000,"slo_ms":400,)"
+    R"("priority":1,"service":"s1","attempts":2}],"services":[{"name":"s1",)"
+    R"("max_conns":306,"cold_per_s":26.0,"engine":{"slots":34,"stride":5,)"
+    R"("loads_at_once":3,"models":[{"name":"m","size":4,"share":0.5,)"
+    R"("load_s":16.0,"warm_s":1.6}]}}],"limits":{"max_header_bytes":1000,)"
+    R"("max_body_bytes":2000,"header_timeout_ms":3000,"idle_timeout_ms":4000},)"
+    R"("tenants":[{"name":"t","api_keys":["k1"],"priority":1}]})";
+
+const std::string kAnnouncement =
+    R"({"service":"s1","address":"10.0.0.9:80","zone":"za","slots":34,)"
+    R"("state":"ready","cold_left_ms":250,"seq":4,"born":17,"domain":"d",)"
+    R"("staged":["m"],"models":[{"name":"m"}],"group":{"name":"g1",)"
+    R"("epoch":12,"rank":1,"state":"ready"}})";
+
+/// `text` with the number at `key` replaced.
+std::string WithNumber(std::string text, const std::string& key,
+                       const std::string& number) {
+  const std::size_t start = text.find("\"" + key + "\":") + key.size() + 3;
+  const std::size_t end = text.find_first_of(",}", start);
+  return text.replace(start, end - start, number);
+}
+
+bool IsConfiguration(const std::string& text) {
+  return platform::MakeDialect().read_configuration(text).has_value();
+}
+
+bool IsAnnouncement(const std::string& text) {
+  return platform::MakeDialect().read_announcement("i", text).has_value();
+}
+
+std::string WhyNoConfiguration(const std::string& text) {
+  const Result<direct::Configuration> read =
+      platform::MakeDialect().read_configuration(text);
+  return read.has_value() ? "" : read.error().message;
+}
+
+}  // namespace
+
+// A number out of range was cast: the result differs between processors.
+BOOST_AUTO_TEST_CASE(a_number_out_of_range_is_refused_and_named) {
+  for (const char* number : {"1e300", "-1e300", "-7", "1e19"}) {
+    for (const char* key :
+         {"timeout_ms", "slo_ms", "attempts", "max_conns", "slots", "stride",
+          "loads_at_once", "size", "max_header_bytes", "max_body_bytes",
+          "header_timeout_ms", "idle_timeout_ms", "load_s", "warm_s"}) {
+      const std::string why =
+          WhyNoConfiguration(WithNumber(kConfiguration, key, number));
+      BOOST_TEST(why.find(key) != std::string::npos, key << " " << number);
+    }
+    for (const char* key : {"slots", "seq", "born"}) {
+      BOOST_TEST(!IsAnnouncement(WithNumber(kAnnouncement, key, number)),
+                 key << " " << number);
+    }
+  }
+  // A cold time that is over is no fault.
+  BOOST_TEST(IsAnnouncement(WithNumber(kAnnouncement, "cold_left_ms", "-7")));
+  BOOST_TEST(
+      !IsAnnouncement(WithNumber(kAnnouncement, "cold_left_ms", "1e300")));
+  BOOST_TEST(!IsAnnouncement(
+      WithNumber(kAnnouncement, "born", "18446744073709551615")));
+  BOOST_TEST(
+      !IsConfiguration(WithNumber(kConfiguration, "priority", "-1e300")));
+}
+
+// A group of no hosts could be formed again and again, without an end.
+BOOST_AUTO_TEST_CASE(a_model_of_no_hosts_is_refused) {
+  BOOST_TEST(!IsConfiguration(WithNumber(kConfiguration, "size", "0")));
+  BOOST_TEST(!IsConfiguration(WithNumber(kConfiguration, "size", "0.5")));
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_number_with_a_decimal_point_is_accepted) {
+  const Result<direct::Configuration> read =
+      platform::MakeDialect().read_configuration(
+          WithNumber(kConfiguration, "timeout_ms", "8000.0"));
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->routes[0].timeout_ms == 8000);
+  BOOST_TEST(IsAnnouncement(WithNumber(kAnnouncement, "slots", "3.4e1")));
+}
+
+// One announcement of megabytes went into the log, the stored state and all
+// updates.
+BOOST_AUTO_TEST_CASE(names_of_an_announcement_are_bounded) {
+  const std::string long_name(100'000, 'x');
+  for (const char* key : {"service", "zone", "domain", "name"}) {
+    std::string text = kAnnouncement;
+    const std::size_t start = text.find("\"" + std::string(key) + "\":\"") +
+                              std::string(key).size() + 4;
+    BOOST_TEST(!IsAnnouncement(text.insert(start, long_name)), key);
+  }
+  std::string text = kAnnouncement;
+  std::string names;
+  for (int count = 0; count < 100'000; ++count) {
+    names += "\"m\",";
+  }
+  BOOST_TEST(!IsAnnouncement(text.insert(text.find("[\"m\"]") + 1, names)));
+  BOOST_TEST(!platform::MakeDialect()
+                  .read_announcement(long_name, kAnnouncement)
+                  .has_value());
+}
+
+// A port over 65535 was cut to its last 16 bits.
+BOOST_AUTO_TEST_CASE(settings_out_of_range_are_refused_and_named) {
+  const std::string settings =
+      "node_name=front-1\nzone=za\nip=10.1.0.40\nport_range=7340,7355\n"
+      "seeds=10.1.0.40:82\nbootstrap=true\n";
+  BOOST_REQUIRE(platform::ReadSettings(settings).has_value());
+  for (const char* key :
+       {"tolerate.machines", "heartbeat_ms", "bounds.stall_ms",
+        "bounds.grace_s", "bounds.retry_budget_ratio",
+        "bounds.retry_budget_burst", "bounds.cold_factor"}) {
+    for (const char* value : {"1e300", "-1", "nan", "inf"}) {
+      const Result<direct::HostSettings> read = platform::ReadSettings(
+          settings + std::string(key) + "=" + value + "\n");
+      BOOST_REQUIRE(!read.has_value());
+      BOOST_TEST(read.error().message.find(key) != std::string::npos);
+    }
+  }
+  for (const char* ports :
+       {"72876,72880", "7340,72880", "7340,-1", "x,7355", "7340,7355x"}) {
+    BOOST_TEST(!platform::ReadSettings(settings + "port_range=" + ports + "\n")
+                    .has_value(),
+               ports);
+  }
+}
