One odd announcement no longer outdates the true ones of a sound target

Cause: announcements are put in order by `born` and `seq` alone. One entry of another writer with a huge `seq` or a later `born` under a sound target's id, or at its address, made all the true ones look old until its record expired, after 30 s. The expiry counts as the end of the target: its group is dissolved.

For `seq` no bound is safe: a target's first call to a new leader may have any number, and calls that got lost count too. So a record that its target does not continue gives way to a run that goes on: five announcements, each with a higher seq, over five seconds in which nothing newer was heard. Late announcements do not do that: they are fewer, and what they are older than is heard on.

--- a/include/gooseberryturn/direct/registry.h
+++ b/include/gooseberryturn/direct/registry.h
@@ -2,6 +2,7 @@
 #define GOOSEBERRYTURN_DIRECT_REGISTRY_H_
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -38,13 +39,17 @@
 ///
 /// \details A silent target is kept for kSilentRetention: it may only be
 /// partitioned from the control hosts and still serve callers. Announcements
-/// that arrive late are recognised by `start_time_ms` and `sequence`.
+/// that arrive late are recognised by `start_time_ms` and `sequence`. Both may
+/// come from another writer, though: a record that its target does not continue
+/// gives way to one that goes on announcing itself for kTakeoverTime.
 class Registry {
  public:
   /// \brief Registers or updates the target, unless the announcement is stale:
   /// out of order, or from a run of a target that has ended since.
-  AnnouncementResult HandleAnnouncement(const Announcement& announcement,
-                                        TimePoint now);
+  /// \param unix_ms The time of day; without it, any start is credible.
+  AnnouncementResult HandleAnnouncement(
+      const Announcement& announcement, TimePoint now,
+      std::int64_t unix_ms = std::numeric_limits<std::int64_t>::max());
   /// \brief Marks a target that withdrew; it is kept until it is silent for
   /// kLeavingRetention.
   void MarkLeaving(const std::string& id, TimePoint now);
@@ -70,6 +75,13 @@
 
   static constexpr Duration kSilentRetention = std::chrono::seconds(30);
   static constexpr Duration kLeavingRetention = std::chrono::seconds(12);
+  /// Longer than announcements are usually late.
+  static constexpr Duration kTakeoverTime = std::chrono::seconds(5);
+  /// In that time, each with a higher sequence than the one before.
+  static constexpr int kTakeoverAnnouncements = 5;
+  /// A start that lies further ahead replaces no other run: clocks of hosts
+  /// differ by less.
+  static constexpr std::int64_t kMaxClockDifferenceMs = 24LL * 60 * 60 * 1000;
 
  private:
   /// A target that withdrew. Late announcements of the same run don't register
@@ -79,6 +91,15 @@
     TimePoint forget_at;
   };
 
+  /// Stale announcements of one run, since the record that they are older than
+  /// was last heard of.
+  struct Contender {
+    std::int64_t start_time_ms = 0;
+    std::uint64_t sequence = 0;
+    int announcements = 0;
+    TimePoint since;
+  };
+
   /// Ids of the targets whose last known address is `address`.
   [[nodiscard]] std::set<std::string> IdsAt(const Endpoint& address) const;
   void SetAddress(TargetRecord& record, const Endpoint& address);
@@ -90,12 +111,23 @@
   /// before.
   void RemoveOlderAt(const Endpoint& address, const std::string& id,
                      std::int64_t start_time_ms);
-  /// True when another target at the same address started later.
-  [[nodiscard]] bool IsSuperseded(const Announcement& announcement) const;
+  /// Other targets at the same address that started later.
+  [[nodiscard]] std::vector<std::string> SupersedingIds(
+      const Announcement& announcement) const;
+  /// True when the announcement would replace another run.
+  [[nodiscard]] bool ReplacesRun(const Announcement& announcement) const;
+  /// True for one that is older than a record of its target or its address.
+  [[nodiscard]] bool IsOlder(const Announcement& announcement) const;
+  /// When a record that the announcement is older than was last heard of.
+  [[nodiscard]] TimePoint NewerHeardAt(const Announcement& announcement) const;
+  /// Counts an announcement that is older than a record.
+  /// \returns Whether it takes the record's place.
+  [[nodiscard]] bool TakesOver(const Announcement& announcement, TimePoint now);
 
   std::map<std::string, TargetRecord> records;
   std::map<std::string, std::set<std::string>> ids_by_address;
   std::map<std::string, Tombstone> tombstones;
+  std::map<std::string, Contender> contenders;  ///< By id.
   std::vector<std::string> removed;
 };
 
--- a/src/direct/control_host_calls.cc
+++ b/src/direct/control_host_calls.cc
@@ -1,3 +1,4 @@
+#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -20,6 +21,12 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
+std::int64_t UnixMs() {
+  return std::chrono::duration_cast<Milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 /// Summary of an engine's state for the log.
 std::string Describe(const std::optional<EngineReport>& report) {
   if (!report.has_value()) {
@@ -132,7 +139,7 @@
     return;
   }
   const AnnouncementResult result =
-      this->registry.HandleAnnouncement(*announcement, Clock::now());
+      this->registry.HandleAnnouncement(*announcement, Clock::now(), UnixMs());
   if (result == AnnouncementResult::kNew ||
       result == AnnouncementResult::kChanged) {
     this->AssignColdEntries();
--- a/src/direct/registry.cc
+++ b/src/direct/registry.cc
@@ -51,14 +51,74 @@
   }
 }
 
-bool Registry::IsSuperseded(const Announcement& announcement) const {
+std::vector<std::string> Registry::SupersedingIds(
+    const Announcement& announcement) const {
+  std::vector<std::string> superseding;
+  for (const std::string& id : this->IdsAt(announcement.address)) {
+    const bool is_later =
+        this->records.at(id).view.start_time_ms > announcement.start_time_ms;
+    if (id != announcement.id && is_later) {
+      superseding.push_back(id);
+    }
+  }
+  return superseding;
+}
+
+bool Registry::ReplacesRun(const Announcement& announcement) const {
+  const auto known = this->records.find(announcement.id);
+  const bool replaces_own =
+      known != this->records.end() &&
+      known->second.view.start_time_ms < announcement.start_time_ms;
   const std::set<std::string> ids = this->IdsAt(announcement.address);
-  return std::any_of(ids.begin(), ids.end(),
-                     [this, &announcement](const std::string& id) {
-                       return id != announcement.id &&
-                              this->records.at(id).view.start_time_ms >
-                                  announcement.start_time_ms;
-                     });
+  return replaces_own || std::any_of(ids.begin(), ids.end(),
+                                     [&announcement](const std::string& id) {
+                                       return id != announcement.id;
+                                     });
+}
+
+bool Registry::IsOlder(const Announcement& announcement) const {
+  const auto known = this->records.find(announcement.id);
+  if (known == this->records.end()) {
+    return !this->SupersedingIds(announcement).empty();
+  }
+  const TargetRecord& record = known->second;
+  const bool is_earlier_run =
+      announcement.start_time_ms < record.view.start_time_ms;
+  const bool is_late =
+      announcement.start_time_ms == record.view.start_time_ms &&
+      announcement.sequence <= record.sequence;
+  return is_earlier_run || is_late;
+}
+
+TimePoint Registry::NewerHeardAt(const Announcement& announcement) const {
+  const auto known = this->records.find(announcement.id);
+  if (known != this->records.end()) {
+    return known->second.last_heard_at;
+  }
+  TimePoint heard_at;
+  for (const std::string& id : this->SupersedingIds(announcement)) {
+    heard_at = std::max(heard_at, this->records.at(id).last_heard_at);
+  }
+  return heard_at;
+}
+
+bool Registry::TakesOver(const Announcement& announcement, TimePoint now) {
+  Contender& contender = this->contenders[announcement.id];
+  const bool is_continued =
+      contender.announcements > 0 &&
+      contender.start_time_ms == announcement.start_time_ms &&
+      contender.since >= this->NewerHeardAt(announcement);
+  if (!is_continued) {
+    contender = {announcement.start_time_ms, announcement.sequence, 1, now};
+    return false;
+  }
+  if (announcement.sequence <= contender.sequence) {
+    return false;
+  }
+  contender.sequence = announcement.sequence;
+  contender.announcements += 1;
+  return contender.announcements >= kTakeoverAnnouncements &&
+         now >= contender.since + kTakeoverTime;
 }
 
 void Registry::RemoveOlderAt(const Endpoint& address, const std::string& id,
@@ -79,25 +139,30 @@
 }
 
 AnnouncementResult Registry::HandleAnnouncement(
-    const Announcement& announcement, TimePoint now) {
+    const Announcement& announcement, TimePoint now, std::int64_t unix_ms) {
+  const bool is_credible =
+      announcement.start_time_ms - kMaxClockDifferenceMs <= unix_ms;
+  if (!is_credible && this->ReplacesRun(announcement)) {
+    return AnnouncementResult::kStale;
+  }
   const auto tombstone = this->tombstones.find(announcement.id);
   const bool has_withdrawn =
       tombstone != this->tombstones.end() &&
       announcement.start_time_ms <= tombstone->second.start_time_ms;
   const auto known = this->records.find(announcement.id);
-  if (known != this->records.end()) {
-    const TargetRecord& record = known->second;
-    const bool is_earlier_run =
-        announcement.start_time_ms < record.view.start_time_ms;
-    const bool is_late =
-        announcement.start_time_ms == record.view.start_time_ms &&
-        announcement.sequence <= record.sequence;
-    if (is_earlier_run || is_late) {
+  if (known == this->records.end() && has_withdrawn) {
+    return AnnouncementResult::kStale;
+  }
+  const bool is_takeover = this->IsOlder(announcement);
+  if (is_takeover) {
+    if (!this->TakesOver(announcement, now)) {
       return AnnouncementResult::kStale;
     }
-  } else if (has_withdrawn || this->IsSuperseded(announcement)) {
-    return AnnouncementResult::kStale;
+    for (const std::string& id : this->SupersedingIds(announcement)) {
+      this->Remove(this->records.find(id));
+    }
   }
+  this->contenders.erase(announcement.id);
   this->RemoveOlderAt(announcement.address, announcement.id,
                       announcement.start_time_ms);
   const bool is_new_run =
@@ -111,7 +176,7 @@
   record.view.data_centre = announcement.data_centre;
   record.view.start_time_ms = announcement.start_time_ms;
   record.view.is_leaving = announcement.is_leaving || has_withdrawn ||
-                           (before.is_leaving && !is_new_run);
+                           (before.is_leaving && !is_new_run && !is_takeover);
   record.view.is_cold = announcement.cold_left_ms > 0;
   if (!record.view.is_cold) {
     record.view.cold_entries.clear();
@@ -176,6 +241,12 @@
     tombstone =
         has_expired ? this->tombstones.erase(tombstone) : std::next(tombstone);
   }
+  for (auto contender = this->contenders.begin();
+       contender != this->contenders.end();) {
+    const bool has_expired = now >= contender->second.since + kSilentRetention;
+    contender =
+        has_expired ? this->contenders.erase(contender) : std::next(contender);
+  }
   return changed;
 }
 
--- a/tests/odd_input_test.cc
+++ b/tests/odd_input_test.cc
@@ -6,8 +6,11 @@
 
 #include "../platform/settings.h"
 #include "../platform/wire.h"
+#include "direct_fixtures.h"
+#include "gooseberryturn/direct/registry.h"
 
-using namespace gooseberryturn;  // NOLINT
+using namespace gooseberryturn;          // NOLINT
+using namespace gooseberryturn::direct;  // NOLINT
 
 /// Input of other writers: readers refuse it, and what is sound holds.
 namespace {
@@ -138,3 +141,110 @@
                ports);
   }
 }
+
+// ----------------------------------------------------------------- registry
+
+namespace {
+
+constexpr std::int64_t kNowUnixMs = 1'800'000'000'000;
+constexpr std::int64_t kBornMs = kNowUnixMs - 60'000;
+constexpr std::int64_t kHeartbeatMs = 300;
+
+/// A registry that target i1 announces itself to, after one odd announcement.
+class ContestedRegistry {
+ public:
+  explicit ContestedRegistry(const Announcement& odd) {
+    this->Announce();
+    (void)this->registry.HandleAnnouncement(odd, At(this->now_ms), kNowUnixMs);
+  }
+  /// Announces the target until it is in the registry as it says, or `limit_ms`
+  /// is over.
+  [[nodiscard]] bool IsSoundWithin(std::int64_t limit_ms) {
+    const std::int64_t end_ms = this->now_ms + limit_ms;
+    while (this->now_ms <= end_ms) {
+      this->Announce();
+      (void)this->registry.Expire(At(this->now_ms));
+      const TargetRecord* record = this->registry.Find("i1");
+      if (record != nullptr && record->sequence == this->sequence &&
+          record->view.start_time_ms == kBornMs && !record->view.is_leaving) {
+        return this->registry.targets().size() == 1;
+      }
+    }
+    return false;
+  }
+
+  Registry registry;
+  std::int64_t now_ms = 1000;
+
+ private:
+  void Announce() {
+    this->now_ms += kHeartbeatMs;
+    (void)this->registry.HandleAnnouncement(
+        MakeAnnouncement("i1", "10.0.0.1", kBornMs, ++this->sequence),
+        At(this->now_ms), kNowUnixMs);
+  }
+
+  std::uint64_t sequence = 0;
+};
+
+constexpr std::int64_t kTakeoverLimitMs = 6000;
+
+}  // namespace
+
+// The true announcements looked old until the record expired, after 30 s; that
+// counted as the end of the target.
+BOOST_AUTO_TEST_CASE(one_huge_sequence_does_not_outdate_the_true_ones) {
+  Announcement odd = MakeAnnouncement("i1", "10.0.0.1", kBornMs, 1ULL << 63U);
+  BOOST_TEST(ContestedRegistry(odd).IsSoundWithin(kTakeoverLimitMs));
+  odd.is_leaving = true;
+  BOOST_TEST(ContestedRegistry(odd).IsSoundWithin(kTakeoverLimitMs));
+}
+
+BOOST_AUTO_TEST_CASE(a_start_far_ahead_replaces_no_sound_target) {
+  const std::int64_t odd_start_ms = kNowUnixMs * 100;
+  BOOST_TEST(
+      ContestedRegistry(MakeAnnouncement("i1", "10.0.0.1", odd_start_ms, 1))
+          .IsSoundWithin(kHeartbeatMs));
+  BOOST_TEST(
+      ContestedRegistry(MakeAnnouncement("odd", "10.0.0.1", odd_start_ms, 1))
+          .IsSoundWithin(kHeartbeatMs));
+}
+
+BOOST_AUTO_TEST_CASE(a_credible_start_yields_to_the_target_that_goes_on) {
+  for (const char* id : {"i1", "odd"}) {
+    BOOST_TEST(
+        ContestedRegistry(MakeAnnouncement(id, "10.0.0.1", kNowUnixMs, 1))
+            .IsSoundWithin(kTakeoverLimitMs),
+        id);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(late_announcements_never_replace_a_run_that_goes_on) {
+  Registry registry;
+  for (std::uint64_t number = 1; number < 100; ++number) {
+    const TimePoint now = At(static_cast<std::int64_t>(number) * kHeartbeatMs);
+    (void)registry.HandleAnnouncement(
+        MakeAnnouncement("i1", "10.0.0.1", kBornMs + 1, 1000 + number), now,
+        kNowUnixMs);
+    for (const std::int64_t born_ms : {kBornMs, kBornMs + 1}) {
+      BOOST_TEST((registry.HandleAnnouncement(
+                      MakeAnnouncement("i1", "10.0.0.1", born_ms, number), now,
+                      kNowUnixMs) == AnnouncementResult::kStale));
+    }
+  }
+  // All at once, after a partition: they are older than what was heard last.
+  const TimePoint later = At(100 * kHeartbeatMs);
+  for (std::uint64_t number = 100; number < 200; ++number) {
+    BOOST_TEST((registry.HandleAnnouncement(
+                    MakeAnnouncement("i1", "10.0.0.1", kBornMs, number), later,
+                    kNowUnixMs) == AnnouncementResult::kStale));
+  }
+}
+
+// A host whose own clock is far behind still takes targets in.
+BOOST_AUTO_TEST_CASE(a_clock_far_behind_keeps_no_target_out) {
+  Registry registry;
+  BOOST_TEST((registry.HandleAnnouncement(
+                  MakeAnnouncement("i1", "10.0.0.1", kBornMs, 1), At(0), 0) ==
+              AnnouncementResult::kNew));
+}
