A leaving entry passes nothing on that may outlast it

Targets were told the caller's whole deadline (19,999 ms with 5.1 s left) and worked on for connections that had ended.

Cause: whether a request may outlast its entry was asked once, when it was read. It was not asked again when it left the queue or was to be sent again after a target had not run it, and the deadline of an attempt did not know of the entry's end.

Why it works: RefuseIfTooLate is asked at each dispatch and in each tick of a queued request; only one that no target may have run is refused, with 503 and Retry-After 0. Attempts that begin at a leaving entry get its end as their deadline.

--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -85,6 +85,9 @@
   /// True if this entry is leaving and may have ended before `deadline`, so
   /// that a new request with that deadline might be cut.
   [[nodiscard]] bool IsTooLateFor(TimePoint deadline) const;
+  /// When a request with that deadline ends at the latest: this entry may leave
+  /// before.
+  [[nodiscard]] TimePoint LatestEnd(TimePoint deadline) const;
   void Tick();
   /// Tries to dispatch the requests in the wait queue.
   void DispatchQueued();
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -98,6 +98,10 @@
   /// Refuses what the configuration doesn't allow; with 503 while a newer one
   /// is known to be in force elsewhere.
   void RefuseByConfiguration(int status, Reason reason);
+  /// Refuses a request that was not sent yet if the entry may leave before its
+  /// deadline, so that it is not cut while it runs.
+  /// \returns Whether it was refused.
+  [[nodiscard]] bool RefuseIfTooLate();
   /// Cancels pending work, logs the outcome and leaves the entry.
   /// Seconds for the Retry-After of a refusal.
   [[nodiscard]] double RetryAfterSeconds(Reason reason);
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -94,6 +94,10 @@
          deadline > this->leave_deadline;
 }
 
+TimePoint EntryHost::LatestEnd(TimePoint deadline) const {
+  return this->is_leaving ? std::min(deadline, this->leave_deadline) : deadline;
+}
+
 bool EntryHost::IsReady() const {
   return !this->is_leaving && this->view.version() != 0;
 }
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -134,8 +134,7 @@
   this->deadline =
       this->received_at +
       Milliseconds(std::min(caller_timeout_ms, this->route->timeout_ms));
-  if (this->entry.IsTooLateFor(this->deadline)) {
-    this->Refuse(kUnavailable, Reason::kLeaving);
+  if (this->RefuseIfTooLate()) {
     return false;
   }
   this->dispatch_by = this->received_at + this->MaxOnTimeWait();
@@ -148,6 +147,17 @@
   return true;
 }
 
+bool RequestFlow::RefuseIfTooLate() {
+  const bool may_have_run =
+      this->IsMoving() || this->is_head_sent || this->possible_executions > 0;
+  if (may_have_run || !this->entry.IsTooLateFor(this->deadline)) {
+    return false;
+  }
+  this->LeaveQueue();
+  this->Refuse(kUnavailable, Reason::kLeaving);
+  return true;
+}
+
 const EngineProfile* RequestFlow::FindEngine() const {
   const Service* found =
       this->route_table->configuration().FindService(this->service);
@@ -217,7 +227,7 @@
 }
 
 bool RequestFlow::TryDispatch() {
-  if (this->is_done) {
+  if (this->is_done || this->RefuseIfTooLate()) {
     return true;
   }
   if (this->IsMoving() && !this->HasRetry(true)) {
@@ -292,8 +302,9 @@
       add(name, ToView(field.value()));
     }
   }
+  const TimePoint latest_end = this->entry.LatestEnd(this->deadline);
   add(names.deadline, std::to_string(std::max<std::int64_t>(
-                          1, RemainingMs(this->deadline, Clock::now()))));
+                          1, RemainingMs(latest_end, Clock::now()))));
   add(names.target, target_id);
   if (this->team != nullptr) {
     add(names.team, this->team->name);
@@ -346,7 +357,7 @@
       self->OnEnd(end, cause);
     }
   };
-  hooks.send_by = this->deadline;
+  hooks.send_by = this->entry.LatestEnd(this->deadline);
   this->connection->Exchange(this->SerializeRequest(target_id),
                              this->entry.dialect.headers.attempt,
                              this->caller_attempt_id, std::move(hooks));
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -156,8 +156,8 @@
   const bool is_rejected =
       end == ExchangeEnd::kComplete &&
       !this->answer_head[this->entry.dialect.headers.not_executed].empty();
-  const bool is_too_late =
-      end == ExchangeEnd::kNotSent && now >= this->deadline;
+  const bool is_too_late = end == ExchangeEnd::kNotSent &&
+                           now >= this->entry.LatestEnd(this->deadline);
   HealthSignal signal = HealthSignal::kBad;
   if (end == ExchangeEnd::kCancelled || is_rejected || is_too_late) {
     signal = HealthSignal::kNone;
@@ -244,7 +244,7 @@
        this->possible_executions + 1 >= this->route->max_executions)) {
     return false;
   }
-  return Clock::now() < this->deadline &&
+  return Clock::now() < this->entry.LatestEnd(this->deadline) &&
          this->tried_targets.size() < kMaxAttempts;
 }
 
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -172,7 +172,7 @@
 }
 
 void RequestFlow::Tick(TimePoint now) {
-  if (this->is_done) {
+  if (this->is_done || (this->is_queued && this->RefuseIfTooLate())) {
     return;
   }
   if (now >= this->deadline) {
--- a/tests/platform_stop_test.cc
+++ b/tests/platform_stop_test.cc
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <future>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -19,6 +20,12 @@
 
 constexpr int kLongMs = 20'000;
 constexpr int kShortMs = 500;
+/// Time after the signal at which only what surely ends in time is taken.
+constexpr int kLateMs = 2600;
+/// Less than the grace period in the settings that PlatformFleet writes.
+constexpr int kLastEndMs = 5500;
+/// Most requests in flight at a plain target.
+constexpr int kPlainRoom = 16;
 
 /// A fleet with one group of two engines and one plain target.
 class ServingFleet : public PlatformFleet {
@@ -80,6 +87,24 @@
   std::vector<std::unique_ptr<FakeTarget>> engines;
 };
 
+/// A request of a stop, its time after the signal and its outcome.
+struct StopAttempt {
+  std::string path;
+  int after_ms = 0;
+  int deadline_ms = 0;
+  std::future<Answer> answer;
+
+  [[nodiscard]] std::string Id() const {
+    return this->path + std::to_string(this->after_ms) + "-" +
+           std::to_string(this->deadline_ms);
+  }
+  [[nodiscard]] bool IsStream() const { return this->path == "/stream/"; }
+  /// True if it came late and its deadline lies past the end.
+  [[nodiscard]] bool IsTooLate() const {
+    return this->after_ms >= kLateMs && this->deadline_ms == kLongMs;
+  }
+};
+
 }  // namespace
 
 // LOST: a request was taken long after the stop began and given up at its end.
@@ -147,3 +172,86 @@
   BOOST_TEST(answer.get().status == 200);
   BOOST_TEST(fleet.entries.front()->WaitExit() == 0);
 }
+
+// Targets worked on for callers whose connection had ended with the process.
+BOOST_AUTO_TEST_CASE(a_target_is_given_no_time_past_the_end_of_its_entry) {
+  ServingFleet fleet(122);
+  fleet.Stop();
+  BOOST_TEST(fleet.StartPlain("/unsafe/1", "early").get().status == 200);
+  std::map<std::string, std::string> headers = fleet.plain->LastHeaders();
+  BOOST_TEST(std::stoi(headers["X-Gooseberryturn-Deadline-Ms"]) <= kLastEndMs);
+}
+
+// LOST: what had waited was passed on late in the grace period, with a deadline
+// past its end.
+BOOST_AUTO_TEST_CASE(what_waits_at_a_leaving_entry_is_refused_in_time) {
+  ServingFleet fleet(123);
+  fleet.plain->is_holding = true;
+  const int before = fleet.plain->received;
+  std::vector<std::future<Answer>> held;
+  for (int number = 0; number < kPlainRoom; ++number) {
+    held.push_back(
+        fleet.StartPlain("/unsafe/1", "held-" + std::to_string(number)));
+  }
+  BOOST_REQUIRE(Eventually([&fleet, before] {
+    return fleet.plain->received == before + kPlainRoom;
+  }));
+  fleet.Stop();
+  std::this_thread::sleep_for(std::chrono::milliseconds(kLateMs - 700));
+  std::future<Answer> waiting = fleet.StartPlain("/unsafe/1", "waiting");
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  fleet.plain->is_holding = false;
+  const Answer refused = waiting.get();
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(!fleet.HasRun("waiting"));
+  for (std::future<Answer>& answer : held) {
+    BOOST_TEST(answer.get().status == 200);
+  }
+  BOOST_TEST(fleet.entries.front()->WaitExit() == 0);
+}
+
+// LOST: requests ended without an answer at the end of the grace period.
+BOOST_AUTO_TEST_CASE(every_request_of_a_stop_is_answered) {
+  ServingFleet fleet(124);
+  fleet.plain->is_holding = true;
+  for (const std::unique_ptr<FakeTarget>& engine : fleet.engines) {
+    engine->event_interval_ms = 200;
+  }
+  std::vector<StopAttempt> attempts;
+  const auto send_all = [&fleet, &attempts](int after_ms) {
+    for (const char* path : {"/safe/", "/unsafe/", "/stream/"}) {
+      for (const int deadline_ms : {kLongMs, kShortMs}) {
+        StopAttempt next = {path, after_ms, deadline_ms, {}};
+        next.answer = std::async(
+            std::launch::async, [&fleet, path, deadline_ms, id = next.Id()] {
+              return fleet.SendRequest(path, id, kKey,
+                                       std::string(path) == "/stream/",
+                                       deadline_ms, "work 100");
+            });
+        attempts.push_back(std::move(next));
+      }
+    }
+  };
+  send_all(-1);
+  BOOST_REQUIRE(
+      Eventually([&fleet] { return fleet.HasRun("/unsafe/-1-20000"); }));
+  fleet.Stop();
+  const std::chrono::steady_clock::time_point stopped_at =
+      std::chrono::steady_clock::now();
+  for (const int after_ms : {0, 1500, kLateMs, 3600}) {
+    std::this_thread::sleep_until(stopped_at +
+                                  std::chrono::milliseconds(after_ms));
+    send_all(after_ms);
+  }
+  for (StopAttempt& attempt : attempts) {
+    const Answer answer = attempt.answer.get();
+    const bool has_run = fleet.HasRun(attempt.Id());
+    BOOST_TEST_CONTEXT(attempt.Id() << " " << answer.status) {
+      BOOST_TEST((answer.is_complete || attempt.IsStream()));
+      BOOST_TEST(answer.status != 0);
+      BOOST_TEST((answer.status != 503 || !has_run));
+      BOOST_TEST((!attempt.IsTooLate() || answer.status == 503));
+    }
+  }
+  BOOST_TEST(fleet.entries.front()->WaitExit() == 0);
+}
