Tests of a planned stop: other streams, kept connections, a change, no control hosts

every_request_of_a_stop_is_answered covers streams that may not be resumed too. Two more cases guard what was found sound: a request in progress outlives a change that shortens its route's time limit and the loss of all control hosts, and one on a connection that was open before the stop gets 502 or 504 and Connection: close at the end. They were not run on the code before; they show no fault.

--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -98,6 +98,9 @@
            R"("path_prefix":"/unsafe/","kind":"unsafe","service":"plain"},{)" +
            route +
            R"("path_prefix":"/stream/","kind":"streaming","resumable":true,)"
+           R"("service":"engines"},{)" +
+           route +
+           R"("path_prefix":"/once/","kind":"streaming","resumable":false,)"
            R"("service":"engines"}],"services":[{"name":"plain"},)"
            R"({"name":"engines","engine":{"slots":8,"stride":5,"step_ms":1,)"
            R"("read_per_s":45900,"chunk":2048,"loads_per_s":9,)"
--- a/tests/platform_stop_test.cc
+++ b/tests/platform_stop_test.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "kept_connection.h"
 #include "platform_fake_target.h"
 #include "platform_fleet.h"
 
@@ -98,7 +99,9 @@
     return this->path + std::to_string(this->after_ms) + "-" +
            std::to_string(this->deadline_ms);
   }
-  [[nodiscard]] bool IsStream() const { return this->path == "/stream/"; }
+  [[nodiscard]] bool IsStream() const {
+    return this->path == "/stream/" || this->path == "/once/";
+  }
   /// True if it came late and its deadline lies past the end.
   [[nodiscard]] bool IsTooLate() const {
     return this->after_ms >= kLateMs && this->deadline_ms == kLongMs;
@@ -210,6 +213,48 @@
   BOOST_TEST(fleet.entries.front()->WaitExit() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_of_a_stop_outlives_a_change_and_the_control) {
+  ServingFleet fleet(125);
+  fleet.plain->is_holding = true;
+  std::future<Answer> answer = fleet.StartPlain("/unsafe/1", "held");
+  BOOST_REQUIRE(Eventually([&fleet] { return fleet.HasRun("held"); }));
+  fleet.Stop();
+  fleet.PutConfiguration(2, kShortMs);
+  BOOST_REQUIRE(Eventually([&fleet] {
+    return fleet.entries.front()->Log().find(R"("version":"2")") !=
+           std::string::npos;
+  }));
+  for (const std::unique_ptr<Process>& control : fleet.controls) {
+    control->Kill();
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(2 * kShortMs));
+  fleet.plain->is_holding = false;
+  BOOST_TEST(answer.get().status == 200);
+  BOOST_TEST(fleet.entries.front()->WaitExit() == 0);
+}
+
+// LOST: a request on a connection that was open before the stop got no answer.
+BOOST_AUTO_TEST_CASE(a_request_on_a_kept_connection_is_answered_at_the_end) {
+  ServingFleet fleet(126);
+  KeptConnection connection(kTestTimeout);
+  BOOST_REQUIRE(connection.Connect(fleet.CallerEndpoint()));
+  KeptConnection::Request request(http::verb::post, "/unsafe/1", 11);
+  request.set(http::field::host, "shop.example");
+  request.set(http::field::authorization, kKey);
+  request.set("X-Gooseberryturn-Attempt-Id", "kept");
+  request.set("X-Gooseberryturn-Deadline-Ms", std::to_string(kLongMs));
+  request.prepare_payload();
+  Answer answer;
+  BOOST_TEST((connection.Exchange(request, answer) == Ending::kComplete));
+  BOOST_REQUIRE(connection.is_kept);
+  fleet.plain->is_holding = true;
+  fleet.Stop();
+  BOOST_TEST((connection.Exchange(request, answer) == Ending::kComplete));
+  BOOST_TEST((answer.status == 502 || answer.status == 504));
+  BOOST_TEST(!connection.is_kept);
+  BOOST_TEST(fleet.entries.front()->WaitExit() == 0);
+}
+
 // LOST: requests ended without an answer at the end of the grace period.
 BOOST_AUTO_TEST_CASE(every_request_of_a_stop_is_answered) {
   ServingFleet fleet(124);
@@ -219,14 +264,14 @@
   }
   std::vector<StopAttempt> attempts;
   const auto send_all = [&fleet, &attempts](int after_ms) {
-    for (const char* path : {"/safe/", "/unsafe/", "/stream/"}) {
+    for (const char* path : {"/safe/", "/unsafe/", "/stream/", "/once/"}) {
       for (const int deadline_ms : {kLongMs, kShortMs}) {
         StopAttempt next = {path, after_ms, deadline_ms, {}};
         next.answer = std::async(
-            std::launch::async, [&fleet, path, deadline_ms, id = next.Id()] {
-              return fleet.SendRequest(path, id, kKey,
-                                       std::string(path) == "/stream/",
-                                       deadline_ms, "work 100");
+            std::launch::async, [&fleet, path, deadline_ms, id = next.Id(),
+                                 is_stream = next.IsStream()] {
+              return fleet.SendRequest(path, id, kKey, is_stream, deadline_ms,
+                                       "work 100");
             });
         attempts.push_back(std::move(next));
       }
