--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -89,6 +89,9 @@
   [[nodiscard]] bool IsTooLateFor(TimePoint deadline) const;
   /// Records by how much the event loop runs late.
   void RecordLoopDelay(TimePoint now);
+  /// When a request with that deadline ends at the latest: this entry may leave
+  /// before.
+  [[nodiscard]] TimePoint LatestEnd(TimePoint deadline) const;
   void Tick();
   /// Tries to dispatch the requests in the wait queue.
   void DispatchQueued();
