A second stop signal no longer ends a process with its requests

A host that was told to stop finishes what it has accepted within the grace period. The set of signals that it waited for was destroyed when the first one had been handled; destroying it restores the default action. A second SIGTERM or SIGINT within the grace period then ended the process at once, and all its callers' connections with it: requests that had been passed on got no answer. SIGHUP did the same to a process that had stopped and wrote the rest of its log.

--- a/include/gooseberryturn/app/program.h
+++ b/include/gooseberryturn/app/program.h
@@ -52,7 +52,10 @@
 void PrintFaults(const config::Faults& faults, const std::string& file);
 
 /// \brief Calls `on_stop` in the context's thread on the first SIGTERM or
-/// SIGINT. Also makes the process ignore SIGPIPE.
+/// SIGINT; later ones are only logged. Also makes the process ignore SIGPIPE.
+///
+/// \details Once `context` is destroyed, a signal ends the process. A program
+/// that may still get one then calls EndProcess before.
 void OnStopSignal(boost::asio::io_context& context,
                   std::function<void()> on_stop);
 
--- a/src/app/program.cc
+++ b/src/app/program.cc
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <exception>
 #include <memory>
+#include <string>
 #include <utility>
 
 #include "gooseberryturn/fwd.h"
@@ -14,6 +15,29 @@
 
 namespace options = boost::program_options;
 
+namespace {
+
+/// Calls `on_stop` on the first signal. The set is kept for those that follow:
+/// without it, the next one would end the process at once.
+void AwaitStopSignal(const std::shared_ptr<boost::asio::signal_set>& signals,
+                     std::function<void()> on_stop) {
+  signals->async_wait([signals, on_stop = std::move(on_stop)](
+                          const boost::system::error_code& error, int number) {
+    if (error) {
+      return;
+    }
+    AwaitStopSignal(signals, nullptr);
+    if (on_stop) {
+      on_stop();
+    } else {
+      observe::LogEvent(observe::Level::kInfo, "", "stop_signal_repeated",
+                        {{"signal", std::to_string(number)}});
+    }
+  });
+}
+
+}  // namespace
+
 CommandLine ParseCommandLine(int argc, char** argv, const std::string& program,
                              const std::string& purpose, bool has_bootstrap) {
   CommandLine command_line;
@@ -82,15 +106,9 @@
 void OnStopSignal(boost::asio::io_context& context,
                   std::function<void()> on_stop) {
   std::signal(SIGPIPE, SIG_IGN);
-  const std::shared_ptr<boost::asio::signal_set> signals =
-      std::make_shared<boost::asio::signal_set>(context, SIGTERM, SIGINT);
-  signals->async_wait(
-      [signals, on_stop = std::move(on_stop)](
-          const boost::system::error_code& error, int /*number*/) {
-        if (!error) {
-          on_stop();
-        }
-      });
+  AwaitStopSignal(
+      std::make_shared<boost::asio::signal_set>(context, SIGTERM, SIGINT),
+      std::move(on_stop));
 }
 
 void EndProcess(int exit_code) {
--- a/tests/platform_stop_test.cc
+++ b/tests/platform_stop_test.cc
@@ -1,8 +1,13 @@
 #define BOOST_TEST_MODULE platform_stop
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <csignal>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "platform_fake_target.h"
@@ -87,6 +92,50 @@
   BOOST_TEST(fleet.entries.front()->WaitExit() == 0);
 }
 
+// LOST: the second of two stop signals ended the process at once, with all
+// requests in progress.
+BOOST_AUTO_TEST_CASE(a_second_stop_signal_ends_no_request) {
+  ServingFleet fleet(102);
+  for (const std::unique_ptr<FakeTarget>& engine : fleet.engines) {
+    engine->event_interval_ms = 300;
+  }
+  std::future<Answer> stream = fleet.StartStream("held");
+  fleet.entries.front()->Signal(SIGTERM);
+  BOOST_REQUIRE(Eventually([&fleet] {
+    return fleet.entries.front()->Log().find("\"leaving\"") !=
+           std::string::npos;
+  }));
+  for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGTERM}) {
+    fleet.entries.front()->Signal(number);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  const Answer held = stream.get();
+  BOOST_TEST(held.status == 200);
+  BOOST_TEST(held.is_complete);
+  BOOST_TEST(fleet.entries.front()->WaitExit() == 0);
+}
+
+// A process that was stopped ended by a signal while it wrote the rest of its
+// log.
+BOOST_AUTO_TEST_CASE(signals_do_not_kill_a_process_that_ends) {
+  PlatformFleet fleet(103);
+  BOOST_REQUIRE(Eventually([&fleet] {
+    return Get(fleet.ControlEndpoint(1), "/metrics").status == 200;
+  }));
+  for (Process* host : {fleet.entries[0].get(), fleet.controls[0].get()}) {
+    host->Signal(SIGTERM);
+    std::optional<int> code;
+    BOOST_REQUIRE(Eventually([host, &code] {
+      for (int number = 0; number < 1000 && !code.has_value(); ++number) {
+        host->Signal(number % 2 == 0 ? SIGHUP : SIGTERM);
+        code = host->PollExit();
+      }
+      return code.has_value();
+    }));
+    BOOST_TEST(*code == 0);
+  }
+}
+
 // LOST: a stream was cut because its target was silent, long before its
 // deadline, although the target went on later.
 BOOST_AUTO_TEST_CASE(a_silent_target_is_kept_while_no_other_has_room) {
