A header field that is too long for the parser no longer ends the entry

Boost.Beast keeps the length of a field in 16 bits and throws std::length_error for a longer one. Where the configuration allowed headers of more than 64 KiB (max_header_bytes), one request with such a field threw out of the event loop: the entry ended by itself, with all requests in progress. The settings of the fleet with agents allow up to 1 MiB, so its sessions had the same fault.

The limit given to the parser is now never above what a field can hold; a longer header is refused with 431 (413 in the fleet with agents).

--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -10,6 +10,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "gooseberryturn/link/header_limit.h"
 #include "gooseberryturn/observe/log.h"
 
 namespace gooseberryturn::direct {
@@ -104,8 +105,7 @@
   this->received_at = Clock::now();
   this->is_idle = false;
   this->parser.emplace();
-  this->parser->header_limit(
-      static_cast<std::uint32_t>(this->limits.max_header_bytes));
+  this->parser->header_limit(link::HeaderLimit(this->limits.max_header_bytes));
   this->parser->body_limit(this->limits.max_body_bytes);
   this->StartTimer(this->received_at +
                        Milliseconds(this->limits.header_timeout_ms) +
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "gooseberryturn/core/id.h"
+#include "gooseberryturn/link/header_limit.h"
 
 namespace gooseberryturn::entry {
 
@@ -84,8 +85,7 @@
 
 void CallerSession::ReadHeader() {
   this->parser.emplace();
-  this->parser->header_limit(
-      static_cast<std::uint32_t>(this->limits.max_header_bytes));
+  this->parser->header_limit(link::HeaderLimit(this->limits.max_header_bytes));
   this->parser->body_limit(this->limits.max_body_bytes);
   this->request_id = RandomHexId();
   this->StartReadTimer(this->limits.header_timeout);
--- a/tests/caller_connection_test.cc
+++ b/tests/caller_connection_test.cc
@@ -296,3 +296,16 @@
   BOOST_REQUIRE(connected.causes.size() == 1);
   BOOST_TEST((connected.causes.front() == CloseCause::kIdleTimeout));
 }
+
+// The exception of a header field that is too long ended the entry.
+BOOST_AUTO_TEST_CASE(a_field_longer_than_the_parser_can_hold_is_refused) {
+  CallerLimits limits;
+  limits.max_header_bytes = 200'000;
+  Connected connected(limits);
+  connected.Write("GET / HTTP/1.1\r\nHost: shop.example\r\nX-Long: " +
+                  std::string(70'000, 'a') + "\r\n\r\n");
+  connected.RunFor(milliseconds(50));
+  BOOST_TEST(connected.requests == 0);
+  error_code error;
+  BOOST_TEST(connected.Read(12, error) == "HTTP/1.1 431");
+}
