A half-closed caller learns the outcome of a request that runs only once

An entry that reads the end of the input while a request is in progress can't tell a caller that has left from one that ended its sending side and waits: the kernel knows only once something is written. It took both for the caller's end, cancelled the attempt and closed the connection. A request that may run only once had run by then, and the only answer that told its outcome was lost.

Such a request now goes on once it was handed over. Its answer ends the connection, and no further attempt is begun.

--- a/include/gooseberryturn/direct/caller_connection.h
+++ b/include/gooseberryturn/direct/caller_connection.h
@@ -41,6 +41,12 @@
   /// \brief Called when the connection is closed while a request is in
   /// progress, by the caller or by this side.
   std::function<void(CloseCause)> on_disconnected;
+  /// \brief Called when the caller has ended its sending side while a request
+  /// is in progress: it has closed the connection, or only waits for its
+  /// answer. The connection is closed unless this returns true. It then ends
+  /// with the answer, and a caller that has left is noticed only when that is
+  /// written.
+  std::function<bool()> on_input_end;
   /// \brief Called when all queued bytes were sent and the answer is not
   /// complete yet.
   std::function<void()> on_writable;
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -113,6 +113,13 @@
   /// if no retry may be taken; the attempt then goes on.
   [[nodiscard]] bool TryLeaveTarget(TimePoint now);
   void LeaveQueue();
+  /// Called when the caller has ended its sending side: it has left, or waits
+  /// for its answer, which cannot be told apart before something is written. A
+  /// request that may run only once and was handed over goes on, as this answer
+  /// is the only way to learn its outcome. All others end, so that no target
+  /// works for a caller that has left; their callers may send them again.
+  /// \returns True if the request goes on.
+  [[nodiscard]] bool OnInputEnd();
   [[nodiscard]] bool MayRetry(bool may_have_executed) const;
   /// True if TryTakeRetry would take one.
   [[nodiscard]] bool HasRetry(bool may_have_executed) const;
@@ -171,8 +178,9 @@
   bool is_queued = false;
   bool is_sent_late = false;  ///< Last dispatched after `dispatch_by`.
   bool is_done = false;
-  bool is_head_sent = false;  ///< The caller got the head of a stream.
-  bool is_streaming = false;  ///< The current answer is an event stream.
+  bool has_input_ended = false;  ///< The caller sends nothing more.
+  bool is_head_sent = false;     ///< The caller got the head of a stream.
+  bool is_streaming = false;     ///< The current answer is an event stream.
   ResponseHead answer_head;
   std::string answer_body;
   EventSplitter splitter;
--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -183,6 +183,13 @@
             size < 0 && (errno == EAGAIN || errno == EINTR);
         if (is_nothing_there) {
           self->WatchForDisconnect();
+          return;
+        }
+        const bool is_kept =
+            size == 0 && self->on_input_end && self->on_input_end();
+        if (is_kept) {
+          // Nothing more can come, so the answer ends the connection.
+          self->EndKeepAlive();
         } else if (size <= 0) {
           self->Close(CloseCause::kCallerLeft);
         }
@@ -288,6 +295,7 @@
     return;
   }
   this->on_disconnected = nullptr;
+  this->on_input_end = nullptr;
   this->on_writable = nullptr;
   if (this->is_last_answer) {
     this->CloseAfterAnswer(this->is_aborted ? CloseCause::kAborted
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -64,6 +64,10 @@
       self->Finish("unanswered_" + std::string(kCloseCauseNames.Name(cause)));
     }
   };
+  this->caller->on_input_end = [weak] {
+    const std::shared_ptr<RequestFlow> self = weak.lock();
+    return self != nullptr && self->OnInputEnd();
+  };
   this->caller->on_writable = [weak] {
     const std::shared_ptr<RequestFlow> self = weak.lock();
     if (self != nullptr && self->connection != nullptr) {
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -244,7 +244,7 @@
        this->possible_executions + 1 >= this->route->max_executions)) {
     return false;
   }
-  return Clock::now() < this->deadline &&
+  return Clock::now() < this->deadline && !this->has_input_ended &&
          this->tried_targets.size() < kMaxAttempts;
 }
 
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -125,6 +125,7 @@
   this->is_done = true;
   this->CancelPendingWork();
   this->caller->on_disconnected = nullptr;
+  this->caller->on_input_end = nullptr;
   this->caller->on_writable = nullptr;
   const auto elapsed_ms = [this](TimePoint time) {
     return time == TimePoint()
@@ -160,6 +161,13 @@
   this->entry.RemoveFlow(this->flow_id);
 }
 
+bool RequestFlow::OnInputEnd() {
+  const bool is_handed_over = this->connection != nullptr;
+  this->has_input_ended = is_handed_over && !this->route->IsIdempotent() &&
+                          this->route->kind != RouteKind::kStreaming;
+  return this->has_input_ended;
+}
+
 void RequestFlow::Abort() {
   if (this->is_done) {
     return;
--- a/tests/caller_connection_test.cc
+++ b/tests/caller_connection_test.cc
@@ -309,3 +309,23 @@
   error_code error;
   BOOST_TEST(connected.Read(12, error) == "HTTP/1.1 431");
 }
+
+// LOST: a caller that had ended its sending side and waited for its answer.
+BOOST_AUTO_TEST_CASE(a_caller_that_only_ends_its_sending_side_is_answered) {
+  Connected connected;
+  connected.connection->on_input_end = [] { return true; };
+  connected.SendRequest();
+  connected.Turn();
+  connected.caller.shutdown(tcp::socket::shutdown_send);
+  connected.RunFor(milliseconds(50));
+  BOOST_TEST(connected.causes.empty());
+  connected.connection->SendAnswer(kAnswerHead, "done");
+  connected.RunFor(milliseconds(50));
+  error_code error;
+  const std::string answer = connected.Read(4096, error);
+  BOOST_TEST((error == asio::error::eof));
+  BOOST_TEST(answer.find(kAnswerHead) == 0U);
+  BOOST_TEST(answer.find("Connection: close\r\n") != std::string::npos);
+  BOOST_REQUIRE(connected.causes.size() == 1);
+  BOOST_TEST((connected.causes.front() == CloseCause::kAnswered));
+}
--- a/tests/platform_stop_test.cc
+++ b/tests/platform_stop_test.cc
@@ -48,6 +48,26 @@
     BOOST_REQUIRE(Eventually([this, &id] { return this->HasRun(id); }));
     return stream;
   }
+  /// Sends a whole request, ends the sending side and reads until the end.
+  [[nodiscard]] std::string SendHalfClosed(const std::string& path) const {
+    asio::io_context context;
+    asio::ip::tcp::socket caller(context);
+    caller.connect({asio::ip::make_address(this->CallerEndpoint().address),
+                    this->CallerEndpoint().port});
+    const std::string body = std::string(FakeTarget::kWorkPrefix) + "400";
+    asio::write(caller,
+                asio::buffer("POST " + path + " HTTP/1.1\r\nHost: " +
+                             "shop.example\r\nContent-Length: " +
+                             std::to_string(body.size()) +
+                             "\r\nX-Gooseberryturn-Attempt-Id: half\r\n" +
+                             "Authorization: " + kKey + "\r\n\r\n" + body));
+    BOOST_REQUIRE(Eventually([this] { return this->HasRun("half"); }));
+    caller.shutdown(asio::ip::tcp::socket::shutdown_send);
+    std::string answer;
+    error_code end;
+    asio::read(caller, asio::dynamic_buffer(answer), end);
+    return answer;
+  }
   [[nodiscard]] bool HasRun(const std::string& id) const {
     std::vector<std::string> runs = this->plain->Runs();
     for (const std::unique_ptr<FakeTarget>& engine : this->engines) {
@@ -120,7 +140,8 @@
 BOOST_AUTO_TEST_CASE(signals_do_not_kill_a_process_that_ends) {
   PlatformFleet fleet(103);
   BOOST_REQUIRE(Eventually([&fleet] {
-    return Get(fleet.ControlEndpoint(1), "/metrics").status == 200;
+    return Get(fleet.ControlEndpoint(1), "/metrics").status == 200 &&
+           Get(fleet.ReadinessEndpoint(), "/metrics").status == 200;
   }));
   for (Process* host : {fleet.entries[0].get(), fleet.controls[0].get()}) {
     host->Signal(SIGTERM);
@@ -157,3 +178,23 @@
   BOOST_TEST(Get(fleet.ReadinessEndpoint(), "/metrics")
                  .Contains("retries_total{reason=\"target_busy\"} 0"));
 }
+
+// LOST: the outcome of a request that may run only once, whose caller had ended
+// its sending side.
+BOOST_AUTO_TEST_CASE(
+    a_half_closed_caller_learns_the_outcome_of_an_unsafe_request) {
+  ServingFleet fleet(104);
+  const std::string answer = fleet.SendHalfClosed("/unsafe/1");
+  BOOST_TEST(answer.find("HTTP/1.1 200") == 0U);
+  BOOST_TEST(answer.find("answer of p-1") != std::string::npos);
+}
+
+// Its caller may have left, and may send it again.
+BOOST_AUTO_TEST_CASE(a_safe_request_ends_with_the_input_of_its_caller) {
+  ServingFleet fleet(105);
+  BOOST_TEST(fleet.SendHalfClosed("/safe/1") == "");
+  BOOST_TEST(Eventually([&fleet] {
+    return fleet.entries[0]->Log().find("unanswered_caller_left") !=
+           std::string::npos;
+  }));
+}
