--- a/src/app/program.cc
+++ b/src/app/program.cc
@@ -17,16 +17,23 @@
 
 namespace {
 
-/// Without a signal set that exists, the next signal would end the process.
-void IgnoreFurther(const std::shared_ptr<boost::asio::signal_set>& signals) {
-  signals->async_wait(
-      [signals](const boost::system::error_code& error, int number) {
-        if (!error) {
-          observe::LogEvent(observe::Level::kInfo, "", "stop_signal_ignored",
-                            {{"signal", std::to_string(number)}});
-          IgnoreFurther(signals);
-        }
-      });
+/// Calls `on_stop` on the first signal. The set is kept for those that follow:
+/// without it, the next one would end the process at once.
+void AwaitStopSignal(const std::shared_ptr<boost::asio::signal_set>& signals,
+                     std::function<void()> on_stop) {
+  signals->async_wait([signals, on_stop = std::move(on_stop)](
+                          const boost::system::error_code& error, int number) {
+    if (error) {
+      return;
+    }
+    AwaitStopSignal(signals, nullptr);
+    if (on_stop) {
+      on_stop();
+    } else {
+      observe::LogEvent(observe::Level::kInfo, "", "stop_signal_repeated",
+                        {{"signal", std::to_string(number)}});
+    }
+  });
 }
 
 }  // namespace
@@ -99,16 +106,9 @@
 void OnStopSignal(boost::asio::io_context& context,
                   std::function<void()> on_stop) {
   std::signal(SIGPIPE, SIG_IGN);
-  const std::shared_ptr<boost::asio::signal_set> signals =
-      std::make_shared<boost::asio::signal_set>(context, SIGTERM, SIGINT);
-  signals->async_wait(
-      [signals, on_stop = std::move(on_stop)](
-          const boost::system::error_code& error, int /*number*/) {
-        if (!error) {
-          IgnoreFurther(signals);
-          on_stop();
-        }
-      });
+  AwaitStopSignal(
+      std::make_shared<boost::asio::signal_set>(context, SIGTERM, SIGINT),
+      std::move(on_stop));
 }
 
 void EndProcess(int exit_code) {
--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -10,6 +10,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "gooseberryturn/link/header_limit.h"
 #include "gooseberryturn/observe/log.h"
 
 namespace gooseberryturn::direct {
@@ -104,8 +105,7 @@
   this->received_at = Clock::now();
   this->is_idle = false;
   this->parser.emplace();
-  this->parser->header_limit(
-      static_cast<std::uint32_t>(this->limits.max_header_bytes));
+  this->parser->header_limit(link::HeaderLimit(this->limits.max_header_bytes));
   this->parser->body_limit(this->limits.max_body_bytes);
   this->StartTimer(this->received_at +
                        Milliseconds(this->limits.header_timeout_ms) +
@@ -183,6 +183,13 @@
             size < 0 && (errno == EAGAIN || errno == EINTR);
         if (is_nothing_there) {
           self->WatchForDisconnect();
+          return;
+        }
+        const bool is_kept =
+            size == 0 && self->on_input_end && self->on_input_end();
+        if (is_kept) {
+          // Nothing more can come, so the answer ends the connection.
+          self->EndKeepAlive();
         } else if (size <= 0) {
           self->Close(CloseCause::kCallerLeft);
         }
@@ -288,6 +295,7 @@
     return;
   }
   this->on_disconnected = nullptr;
+  this->on_input_end = nullptr;
   this->on_writable = nullptr;
   if (this->is_last_answer) {
     this->CloseAfterAnswer(this->is_aborted ? CloseCause::kAborted
--- a/tests/platform_stop_test.cc
+++ b/tests/platform_stop_test.cc
@@ -1,9 +1,12 @@
 #define BOOST_TEST_MODULE platform_stop
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <csignal>
 #include <future>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -59,6 +62,26 @@
     BOOST_REQUIRE(this->HasRun(id));
     return stream;
   }
+  /// Sends a whole request, ends the sending side and reads until the end.
+  [[nodiscard]] std::string SendHalfClosed(const std::string& path) const {
+    asio::io_context context;
+    asio::ip::tcp::socket caller(context);
+    caller.connect({asio::ip::make_address(this->CallerEndpoint().address),
+                    this->CallerEndpoint().port});
+    const std::string body = std::string(FakeTarget::kWorkPrefix) + "400";
+    asio::write(caller,
+                asio::buffer("POST " + path + " HTTP/1.1\r\nHost: " +
+                             "shop.example\r\nContent-Length: " +
+                             std::to_string(body.size()) +
+                             "\r\nX-Gooseberryturn-Attempt-Id: half\r\n" +
+                             "Authorization: " + kKey + "\r\n\r\n" + body));
+    BOOST_REQUIRE(Eventually([this] { return this->HasRun("half"); }));
+    caller.shutdown(asio::ip::tcp::socket::shutdown_send);
+    std::string answer;
+    error_code end;
+    asio::read(caller, asio::dynamic_buffer(answer), end);
+    return answer;
+  }
   [[nodiscard]] bool HasRun(const std::string& id) const {
     std::vector<std::string> runs = this->plain->Runs();
     for (const std::unique_ptr<FakeTarget>& engine : this->engines) {
@@ -139,6 +162,51 @@
   BOOST_TEST(fleet.entries.front()->WaitExit() == 0);
 }
 
+// LOST: the second of two stop signals ended the process at once, with all
+// requests in progress.
+BOOST_AUTO_TEST_CASE(a_second_stop_signal_ends_no_request) {
+  ServingFleet fleet(102);
+  for (const std::unique_ptr<FakeTarget>& engine : fleet.engines) {
+    engine->event_interval_ms = 300;
+  }
+  std::future<Answer> stream = fleet.StartStream("held");
+  fleet.entries.front()->Signal(SIGTERM);
+  BOOST_REQUIRE(Eventually([&fleet] {
+    return fleet.entries.front()->Log().find("\"leaving\"") !=
+           std::string::npos;
+  }));
+  for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGTERM}) {
+    fleet.entries.front()->Signal(number);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  const Answer held = stream.get();
+  BOOST_TEST(held.status == 200);
+  BOOST_TEST(held.is_complete);
+  BOOST_TEST(fleet.entries.front()->WaitExit() == 0);
+}
+
+// A process that was stopped ended by a signal while it wrote the rest of its
+// log.
+BOOST_AUTO_TEST_CASE(signals_do_not_kill_a_process_that_ends) {
+  PlatformFleet fleet(103);
+  BOOST_REQUIRE(Eventually([&fleet] {
+    return Get(fleet.ControlEndpoint(1), "/metrics").status == 200 &&
+           Get(fleet.ReadinessEndpoint(), "/metrics").status == 200;
+  }));
+  for (Process* host : {fleet.entries[0].get(), fleet.controls[0].get()}) {
+    host->Signal(SIGTERM);
+    std::optional<int> code;
+    BOOST_REQUIRE(Eventually([host, &code] {
+      for (int number = 0; number < 1000 && !code.has_value(); ++number) {
+        host->Signal(number % 2 == 0 ? SIGHUP : SIGTERM);
+        code = host->PollExit();
+      }
+      return code.has_value();
+    }));
+    BOOST_TEST(*code == 0);
+  }
+}
+
 // LOST: a stream was cut because its target was silent, long before its
 // deadline, although the target went on later.
 BOOST_AUTO_TEST_CASE(a_silent_target_is_kept_while_no_other_has_room) {
@@ -300,3 +368,23 @@
   }
   BOOST_TEST(fleet.entries.front()->WaitExit() == 0);
 }
+
+// LOST: the outcome of a request that may run only once, whose caller had ended
+// its sending side.
+BOOST_AUTO_TEST_CASE(
+    a_half_closed_caller_learns_the_outcome_of_an_unsafe_request) {
+  ServingFleet fleet(104);
+  const std::string answer = fleet.SendHalfClosed("/unsafe/1");
+  BOOST_TEST(answer.find("HTTP/1.1 200") == 0U);
+  BOOST_TEST(answer.find("answer of p-1") != std::string::npos);
+}
+
+// Its caller may have left, and may send it again.
+BOOST_AUTO_TEST_CASE(a_safe_request_ends_with_the_input_of_its_caller) {
+  ServingFleet fleet(105);
+  BOOST_TEST(fleet.SendHalfClosed("/safe/1") == "");
+  BOOST_TEST(Eventually([&fleet] {
+    return fleet.entries[0]->Log().find("unanswered_caller_left") !=
+           std::string::npos;
+  }));
+}
