An answer at a stop says that its connection ends, in the fleet with agents

What callers saw at a planned stop of an entry of the fleet with agents: the last answer said Connection: keep-alive, and the connection was closed right after it. A caller that sent its next request got no answer to it.

Why it works: DecideKeepAlive is asked when the head is written and holds to the end of the answer.

--- a/include/gooseberryturn/entry/caller_session.h
+++ b/include/gooseberryturn/entry/caller_session.h
@@ -108,6 +108,9 @@
   void OnRequestRead();
   void OnReadError(const boost::system::error_code& error);
   void WatchForDisconnect();
+  /// Decides with the head of an answer whether the connection is kept after
+  /// it: the caller goes by what the head says.
+  void DecideKeepAlive();
   void Queue(std::string_view bytes);
   /// Writes `pending` unless a write is in progress. With nothing to write,
   /// ends the request or closes the connection if that was to follow.
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -263,9 +263,15 @@
   this->Write();
 }
 
+void CallerSession::DecideKeepAlive() {
+  this->keep_alive =
+      this->keep_alive && !(this->is_closing && this->is_closing());
+}
+
 void CallerSession::SendAnswer(int status, const std::string& content_type,
                                const std::string& body,
                                const std::string& extra_headers) {
+  this->DecideKeepAlive();
   std::string text =
       FormatHead(status, content_type, this->request_id, this->keep_alive);
   text += extra_headers;
@@ -288,6 +294,7 @@
 
 void CallerSession::StartStream(int status, const std::string& content_type) {
   this->is_stream_started = true;
+  this->DecideKeepAlive();
   this->stream_content_type = content_type;
   this->Queue(
       FormatHead(status, content_type, this->request_id, this->keep_alive) +
@@ -328,11 +335,9 @@
   this->is_stream_started = false;
   this->on_written = nullptr;
   this->on_disconnect = nullptr;
-  const bool stays_open =
-      this->keep_alive && !(this->is_closing && this->is_closing());
   error_code ignored;
   this->stream.socket().cancel(ignored);
-  if (stays_open) {
+  if (this->keep_alive) {
     this->WaitForNextRequest();
   } else {
     this->CloseAfterAnswer();
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -260,3 +260,26 @@
   }
   BOOST_TEST(connected.metrics.Get(observe::Metric::kConnections) == 0);
 }
+
+// A caller sent its next request on a connection that was kept by its answer
+// and closed after it by a stop.
+BOOST_AUTO_TEST_CASE(a_stop_is_said_in_the_head_of_the_last_answer) {
+  Connected connected;
+  connected.answer.clear();
+  connected.Write(MakeHead(0));
+  connected.Turn();
+  bool is_closing = false;
+  connected.session->is_closing = [&is_closing] { return is_closing; };
+  connected.session->StartStream(200, "text/plain");
+  is_closing = true;
+  connected.session->FinishStream();
+  connected.RunFor(kMargin);
+  connected.answer = "last";
+  connected.Write(MakeHead(0));
+  error_code error;
+  const std::string answers = connected.Read(1000, kIdleTimeout, error);
+  BOOST_TEST(connected.requests == 2);
+  BOOST_TEST(answers.find("Connection: keep-alive") != std::string::npos);
+  BOOST_TEST(answers.find("Connection: close") != std::string::npos);
+  BOOST_TEST((error == asio::error::eof));
+}
