--- a/tests/control_process_test.cc
+++ b/tests/control_process_test.cc
@@ -10,6 +10,9 @@
 
 namespace {
 
+constexpr std::chrono::seconds kFullTime(3);
+constexpr std::chrono::seconds kAckLimit(4);
+
 long ParseVersion(const std::string& json) {
   const std::string key = "\"version\":";
   const std::size_t found = json.find(key);
@@ -176,8 +179,6 @@
 }
 
 BOOST_AUTO_TEST_CASE(changes_go_on_after_each_disk_was_full_in_turn) {
-  constexpr std::chrono::seconds kFullTime(3);
-  constexpr std::chrono::seconds kAckLimit(4);
   std::signal(SIGXFSZ, SIG_IGN);
   Fleet fleet(136);
   fleet.StartControlHosts();
