A second of silence no longer dissolves a group

An entry whose target sends nothing for 0.32 s reports its group as stalled. The leader then probes the members every 120 ms, with a limit of 220 ms; two failed probes were enough to take a member for lost, about 0.7 s after its last byte, and the members were ordered to leave. That order takes effect at once: a sound server that is silent for a second and goes on lost its group, and with it the answers in progress. A server's silence is no reason to end an answer sooner.

A member with work is now lost only when its probes have failed for a further second, which is about 1.5 s of silence. A probe that is refused at once still counts as before: there nothing listens any more.

Plain targets and requests that may run only once were whole before the change, too.

--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -78,10 +78,11 @@
                           TimePoint now);
   /// \brief Records that an entry gets no more output from the group's head.
   void HandleGroupStall(const std::string& group, TimePoint now);
-  /// \brief Records the answer to a probe; no `report` means that it failed.
+  /// \brief Records the answer to a probe; no `report` means that it failed, at
+  /// once if the connection `is_refused`.
   void HandleProbeResult(const std::string& target,
                          const std::optional<EngineReport>& report,
-                         TimePoint now);
+                         bool is_refused, TimePoint now);
 
   [[nodiscard]] std::vector<GroupView> Groups() const;
   /// \brief Demand and supply of each model as of the last plan's counts.
@@ -103,6 +104,10 @@
   static constexpr Duration kSuspectProbeInterval =
       std::chrono::milliseconds(600);
   static constexpr int kFailedProbesToSuspect = 2;
+  /// A sound target may be silent for about a second. A member with work is
+  /// lost only when its probes have failed for longer, unless they are refused:
+  /// an order to leave would end the answers of its group.
+  static constexpr Duration kSilenceAllowance = std::chrono::milliseconds(1000);
   /// Entries repeat the report several times a second while a group is
   /// stalled.
   static constexpr Duration kStallReportLifetime =
@@ -217,7 +222,9 @@
 
   /// Failure detection for one target.
   struct ProbeState {
-    int failed_probes = 0;  ///< In a row.
+    int failed_probes = 0;       ///< In a row.
+    bool is_refused = false;     ///< The last one: nothing listens there.
+    TimePoint first_failure_at;  ///< Of these.
     TimePoint next_probe_at;
     TimePoint last_failure_at;
   };
--- a/src/direct/control_host_orders.cc
+++ b/src/direct/control_host_orders.cc
@@ -76,7 +76,10 @@
                  {{"target", target},
                   {"answered", report.has_value() ? "true" : "false"}});
         if (this->has_taken_over) {
-          this->planner.HandleProbeResult(target, report, Clock::now());
+          const bool is_refused = !response.has_value() &&
+                                  response.error().outcome == Outcome::kNotRun;
+          this->planner.HandleProbeResult(target, report, is_refused,
+                                          Clock::now());
           this->SchedulePlan();
         }
       });
--- a/src/direct/group_planner.cc
+++ b/src/direct/group_planner.cc
@@ -65,12 +65,16 @@
 
 void GroupPlanner::HandleProbeResult(const std::string& target,
                                      const std::optional<EngineReport>& report,
-                                     TimePoint now) {
+                                     bool is_refused, TimePoint now) {
   ProbeState& probe_state = this->probe_states[target];
+  probe_state.is_refused = is_refused;
   if (report.has_value()) {
     probe_state.failed_probes = 0;
     return;
   }
+  if (probe_state.failed_probes == 0) {
+    probe_state.first_failure_at = now;
+  }
   probe_state.failed_probes += 1;
   probe_state.last_failure_at = now;
 }
@@ -195,7 +199,12 @@
       in_flight != input.in_flight_work.end() && in_flight->second > 0;
   const Duration dead_after = FromSeconds(
       kDeadHeartbeats * std::chrono::duration<double>(input.heartbeat).count());
-  return is_stalled || (!has_work && now >= record.last_heard_at + dead_after);
+  const ProbeState& probe_state = this->probe_states.at(id);
+  const bool is_silent_for_long =
+      probe_state.is_refused ||
+      now >= probe_state.first_failure_at + kSilenceAllowance;
+  return (is_stalled && is_silent_for_long) ||
+         (!has_work && now >= record.last_heard_at + dead_after);
 }
 
 void GroupPlanner::ProbeMembers(const Group& group, const PlanInput& input,
--- a/tests/planned_fleet.h
+++ b/tests/planned_fleet.h
@@ -167,7 +167,8 @@
       if (!engine.is_dead && !engine.is_partitioned) {
         report = EngineReport{};
       }
-      this->planner.HandleProbeResult(id, report, At(this->now));
+      this->planner.HandleProbeResult(id, report, engine.is_dead,
+                                      At(this->now));
     }
     for (const Order& order : actions.orders) {
       this->SendOrder(order);
--- a/tests/platform_fake_target.h
+++ b/tests/platform_fake_target.h
@@ -97,10 +97,17 @@
     this->retry_after = text;
   }
 
+  /// Sends nothing at all for `time`, and goes on then: no answer, no event, no
+  /// report and no announcement.
+  void FallSilent(std::chrono::milliseconds time) {
+    this->silent_until = std::chrono::steady_clock::now() + time;
+  }
+
   std::atomic<Behaviour> behaviour = Behaviour::kServe;
   std::atomic<bool> says_leaving = false;  ///< In its answers only.
   std::atomic<int> born = 1;               ///< Start time that it announces.
   std::atomic<int> received = 0;   ///< Requests, also those that it refused.
+  std::atomic<int> leaves = 0;     ///< Orders to leave its group.
   std::atomic<int> cut_after = 3;  ///< Events before kCutStream breaks off.
   std::atomic<int> event_interval_ms = 10;
   std::atomic<int> pause_ms = 0;  ///< Silence after the first event.
@@ -113,6 +120,12 @@
   using Request = http::request<http::string_body>;
   using Response = http::response<http::string_body>;
 
+  void AwaitEndOfSilence() const {
+    while (std::chrono::steady_clock::now() < this->silent_until.load()) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+  }
+
   void AcceptConnections() {
     while (!this->is_stopped) {
       error_code error;
@@ -168,6 +181,7 @@
     }
     response.body() = body;
     response.prepare_payload();
+    this->AwaitEndOfSilence();
     error_code ignored;
     http::write(socket, response, ignored);
   }
@@ -220,6 +234,7 @@
     head += "X-Gooseberryturn-Server-Seal: seal-" + this->id +
             (this->says_leaving ? "\r\nServer-Leaving: 1" : "") +
             "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    this->AwaitEndOfSilence();
     error_code error;
     asio::write(socket, asio::buffer(head), error);
     const std::string last_event_id(request["Last-Event-Id"]);
@@ -233,6 +248,7 @@
                                 "\ndata: " + std::to_string(number) + "\n\n";
       char size[16];
       std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
+      this->AwaitEndOfSilence();
       asio::write(socket, asio::buffer(size + event + "\r\n"), error);
       std::this_thread::sleep_for(
           std::chrono::milliseconds(this->event_interval_ms));
@@ -269,6 +285,7 @@
     } else if (op == "open") {
       this->state = "open";
     } else if (op == "leave") {
+      this->leaves += 1;
       this->state.clear();
     }
     return 202;
@@ -297,6 +314,7 @@
 
   void SendAnnouncements() {
     while (!this->is_stopped) {
+      this->AwaitEndOfSilence();
       const int status =
           Call(this->controls[this->control_index], "PUT",
                "/api/instances/" + this->id, {}, this->StatusJson())
@@ -317,6 +335,8 @@
   asio::io_context context;
   asio::ip::tcp::acceptor acceptor;
   std::atomic<bool> is_stopped = false;
+  std::atomic<std::chrono::steady_clock::time_point> silent_until =
+      std::chrono::steady_clock::time_point();
   std::mutex mutex;
   std::vector<std::string> runs;
   std::string retry_after;
--- a/tests/platform_stop_test.cc
+++ b/tests/platform_stop_test.cc
@@ -21,6 +21,7 @@
 
 constexpr int kLongMs = 20'000;
 constexpr int kShortMs = 500;
+constexpr std::chrono::milliseconds kSilence(1200);
 
 /// A fleet with one group of two engines and one plain target.
 class ServingFleet : public PlatformFleet {
@@ -198,3 +199,34 @@
            std::string::npos;
   }));
 }
+
+// LOST: answers of sound targets that send nothing for a second and go on, in
+// health checks and announcements neither.
+BOOST_AUTO_TEST_CASE(a_second_of_silence_ends_no_answer) {
+  ServingFleet fleet(106);
+  for (const std::unique_ptr<FakeTarget>& engine : fleet.engines) {
+    engine->event_interval_ms = 100;
+  }
+  std::future<Answer> stream = fleet.StartStream("streamed");
+  fleet.plain->FallSilent(kSilence);
+  std::vector<std::future<Answer>> answers;
+  for (const std::string path : {"/safe/1", "/unsafe/1"}) {
+    answers.push_back(std::async(std::launch::async, [&fleet, path] {
+      return fleet.SendRequest(path, "silent" + path, kKey, false, kLongMs);
+    }));
+  }
+  for (const std::unique_ptr<FakeTarget>& engine : fleet.engines) {
+    engine->FallSilent(kSilence);
+  }
+  const Answer streamed = stream.get();
+  BOOST_TEST(streamed.is_complete);
+  BOOST_TEST(streamed.Contains("id: 6\n"));
+  for (std::future<Answer>& answer : answers) {
+    BOOST_TEST(answer.get().status == 200);
+  }
+  std::vector<std::string> runs = fleet.plain->Runs();
+  BOOST_TEST(std::count(runs.begin(), runs.end(), "silent/unsafe/1") == 1);
+  for (const std::unique_ptr<FakeTarget>& engine : fleet.engines) {
+    BOOST_TEST(engine->leaves == 0);
+  }
+}
