An answer without a valid status no longer ends a process

Cause: the status of an answer may come from another control host's message. The HTTP library throws for a number that is no status, and nothing catches it: the process that forwards the answer ends.

Such a status is answered with 500 now. Evidence: the new case of async_http_test on the code before: an exception out of the library for 5000. With this change all cases of async_http_test pass.

--- a/src/direct/http_server_session.cc
+++ b/src/direct/http_server_session.cc
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr int kTooLarge = 413;
+constexpr int kServerError = 500;
+constexpr int kMinStatus = 200;
+constexpr int kMaxStatus = 599;
 constexpr std::size_t kDropBytes = 16U * 1024U;
 
 }  // namespace
@@ -90,6 +93,10 @@
   }
   this->state = State::kWriting;
   keep_alive = keep_alive && !this->is_leaving;
+  // It may be another host's; the library throws for one that is no status.
+  if (reply.status < kMinStatus || reply.status > kMaxStatus) {
+    reply.status = kServerError;
+  }
   this->response = {};
   this->response.result(static_cast<unsigned>(reply.status));
   this->response.version(11);
--- a/tests/async_http_test.cc
+++ b/tests/async_http_test.cc
@@ -314,3 +314,17 @@
   error_code error;
   BOOST_TEST(HasStatus(Serving::ReadToEnd(caller, error), 200));
 }
+
+// The status of an answer that another host wrote ended the process.
+BOOST_AUTO_TEST_CASE(an_answer_without_a_valid_status_is_an_error) {
+  for (const int status : {5000, -1, 1}) {
+    Serving serving;
+    tcp::socket caller = serving.Connect();
+    Serving::Write(caller, kLastCall);
+    serving.RunFor(milliseconds(20));
+    BOOST_REQUIRE(serving.replies.size() == 1);
+    serving.replies.front()({status, "application/json", "{}"});
+    serving.RunFor(milliseconds(20));
+    BOOST_TEST(HasStatus(ReadReady(caller).text, 500));
+  }
+}
