Records without a head and spans out of range end no reader

Cause: the first member of a group is read without a look whether there is one. A group without members in the stored state, in a peer's update or formed of a model of no hosts ended its reader, and at the next start again. Spans that callers, targets and peers state were cast and added without a bound: a deadline far below 0, a count of tokens over 32 bits, a predicted time out of range.

A group without members or in no known phase is skipped and the others hold: by the stored state, which logs it, and by the entries' view. The planner forms no group of a model of no hosts, in case a stored configuration is older than the check. FromSeconds bounds its result, callers' deadlines and tokens are bounded, and a message may not state more elements than it has bytes.

Evidence: odd_input_test on the code before (a_group_without_members...): three groups instead of one in the state and after a restart, then a memory access violation in the view. The cases for spans and for stated elements passed before as well: on this processor the casts saturate, and such messages were refused after memory was reserved for them. The case for a model of no hosts was not run on the code before.

--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -65,6 +65,12 @@
   GroupPhase phase = GroupPhase::kForming;
   std::string closing_for;  ///< Model to reassign its members to, if any.
 
+  /// \brief False for a record that no leader writes: without a head, or in a
+  /// phase that does not exist.
+  [[nodiscard]] bool IsValid() const noexcept {
+    return !this->members.empty() && this->phase <= GroupPhase::kDissolving;
+  }
+
   MSGPACK_DEFINE(name, epoch, service, model, domain, members, phase,
                  closing_for)
 };
--- a/include/gooseberryturn/protocol/codec.h
+++ b/include/gooseberryturn/protocol/codec.h
@@ -9,6 +9,9 @@
 
 namespace gooseberryturn::protocol {
 
+/// \brief Nesting of the messages; the deepest has fewer than ten levels.
+inline constexpr std::size_t kMaxMessageDepth = 64;
+
 /// \brief Serializes a message with msgpack.
 template <typename Message>
 [[nodiscard]] std::string Encode(const Message& message) {
@@ -26,8 +29,13 @@
 template <typename Message>
 [[nodiscard]] std::optional<Message> Decode(std::string_view bytes) {
   try {
+    // Each element takes a byte at least: one that states more of them than
+    // there are bytes must not reserve memory for them.
+    const std::size_t most = bytes.size();
+    const msgpack::unpack_limit limit(most, most, most, most, most,
+                                      kMaxMessageDepth);
     const msgpack::object_handle handle =
-        msgpack::unpack(bytes.data(), bytes.size());
+        msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
     Message message;
     handle.get().convert(message);
     return message;
--- a/src/core/time.cc
+++ b/src/core/time.cc
@@ -4,6 +4,13 @@
 
 namespace gooseberryturn {
 
+namespace {
+
+/// About 30 years: a point in time plus this is far below the largest one.
+constexpr double kMaxSeconds = 1e9;
+
+}  // namespace
+
 TimePoint Clock::now() noexcept {
   timespec spec{};
   clock_gettime(CLOCK_BOOTTIME, &spec);
@@ -24,6 +31,9 @@
 }
 
 Duration FromSeconds(double seconds) noexcept {
+  if (!(seconds > -kMaxSeconds && seconds < kMaxSeconds)) {
+    seconds = seconds > 0 ? kMaxSeconds : -kMaxSeconds;
+  }
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(seconds));
 }
--- a/src/direct/fleet_state.cc
+++ b/src/direct/fleet_state.cc
@@ -14,6 +14,11 @@
 
 constexpr std::size_t kMaxSnapshotBytes = 64U * 1024U * 1024U;
 
+void LogSkipped(const GroupView& group) {
+  observe::LogEvent(observe::Level::kError, "", "group_not_readable",
+                    {{"group", group.name}});
+}
+
 }  // namespace
 
 void FleetState::Apply(const consensus::Entry& entry) {
@@ -72,7 +77,11 @@
     this->known_targets.erase(name);
   }
   for (const GroupView& group : delta.groups) {
-    this->known_groups[group.name] = group;
+    if (group.IsValid()) {
+      this->known_groups[group.name] = group;
+    } else {
+      LogSkipped(group);
+    }
   }
   for (const std::string& name : delta.removed_groups) {
     this->known_groups.erase(name);
@@ -97,6 +106,15 @@
     return false;
   }
   *this = *loaded;
+  for (auto entry = this->known_groups.begin();
+       entry != this->known_groups.end();) {
+    if (entry->second.IsValid()) {
+      ++entry;
+      continue;
+    }
+    LogSkipped(entry->second);
+    entry = this->known_groups.erase(entry);
+  }
   return true;
 }
 
--- a/src/direct/fleet_view.cc
+++ b/src/direct/fleet_view.cc
@@ -24,7 +24,9 @@
     this->targets.erase(name);
   }
   for (const GroupView& view : update.groups) {
-    this->groups[view.name] = view;
+    if (view.IsValid()) {
+      this->groups[view.name] = view;
+    }
   }
   for (const std::string& name : update.removed_groups) {
     this->groups.erase(name);
--- a/src/direct/group_planner_forming.cc
+++ b/src/direct/group_planner_forming.cc
@@ -117,6 +117,9 @@
     const ModelProfile& model, const std::string& domain,
     const std::vector<AvailableHost>& hosts, const PlanInput& input,
     TimePoint now) const {
+  if (model.size == 0) {
+    return std::nullopt;
+  }
   const bool is_reserved_for_other =
       this->IsReserved(domain, now) &&
       this->reservations.at(domain).model != model.name;
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -30,6 +30,9 @@
 /// not displace one that can.
 constexpr char kLatePriority[] = "7";
 constexpr double kPercent = 100;
+constexpr double kMsPerSecond = 1000;
+/// Of one prompt, whatever its caller claims.
+constexpr std::int64_t kMaxPromptTokens = 1'000'000'000;
 
 std::int64_t ReadNumber(std::string_view text, std::int64_t fallback) {
   std::int64_t value = 0;
@@ -127,13 +130,13 @@
   std::uniform_real_distribution<double> draw(0, 1);
   this->service = PickService(*this->route, draw(this->entry.random));
   this->model = std::string(this->message[names.model]);
-  this->prompt_tokens =
-      static_cast<double>(ReadNumber(ToView(this->message[names.tokens]), 0));
+  this->prompt_tokens = static_cast<double>(std::clamp<std::int64_t>(
+      ReadNumber(ToView(this->message[names.tokens]), 0), 0, kMaxPromptTokens));
   const std::int64_t caller_timeout_ms = ReadNumber(
       ToView(this->message[names.deadline]), this->route->timeout_ms);
   this->deadline =
-      this->received_at +
-      Milliseconds(std::min(caller_timeout_ms, this->route->timeout_ms));
+      this->received_at + Milliseconds(std::clamp<std::int64_t>(
+                              caller_timeout_ms, 0, this->route->timeout_ms));
   if (this->entry.IsTooLateFor(this->deadline)) {
     this->Refuse(kUnavailable, Reason::kLeaving);
     return false;
@@ -180,12 +183,12 @@
   if (model_profile == nullptr) {
     return objective;
   }
-  const Duration first_event = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(
-          this->entry.chooser.PredictFirstEventMs(
-              this->service, this->model,
-              FirstEventMs(*this->FindEngine(), *model_profile,
-                           this->prompt_tokens))));
+  const Duration first_event =
+      FromSeconds(this->entry.chooser.PredictFirstEventMs(
+                      this->service, this->model,
+                      FirstEventMs(*this->FindEngine(), *model_profile,
+                                   this->prompt_tokens)) /
+                  kMsPerSecond);
   return std::max(Duration(0), objective - first_event);
 }
 
--- a/tests/odd_input_test.cc
+++ b/tests/odd_input_test.cc
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE odd_input
 #include <boost/test/unit_test.hpp>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -7,7 +8,11 @@
 #include "../platform/settings.h"
 #include "../platform/wire.h"
 #include "direct_fixtures.h"
+#include "gooseberryturn/direct/fleet_state.h"
+#include "gooseberryturn/direct/fleet_view.h"
+#include "gooseberryturn/direct/group_planner.h"
 #include "gooseberryturn/direct/registry.h"
+#include "gooseberryturn/protocol/codec.h"
 
 using namespace gooseberryturn;          // NOLINT
 using namespace gooseberryturn::direct;  // NOLINT
@@ -248,3 +253,99 @@
                   MakeAnnouncement("i1", "10.0.0.1", kBornMs, 1), At(0), 0) ==
               AnnouncementResult::kNew));
 }
+
+// ------------------------------------------------- peers and the stored state
+
+namespace {
+
+GroupView MakeGroup(const std::string& name,
+                    const std::vector<std::string>& members) {
+  GroupView group;
+  group.name = name;
+  group.service = "engines";
+  group.model = "small";
+  group.members = members;
+  group.phase = GroupPhase::kOpen;
+  return group;
+}
+
+consensus::Entry MakeEntry(const std::string& data) {
+  consensus::Entry entry;
+  entry.index = 1;
+  entry.kind = consensus::EntryKind::kCommand;
+  entry.data = data;
+  return entry;
+}
+
+}  // namespace
+
+// The first member of a group without any was read, at each restart again.
+BOOST_AUTO_TEST_CASE(a_group_without_members_is_skipped_and_the_others_hold) {
+  FleetCommand command;
+  command.kind = FleetCommandKind::kFleetDelta;
+  command.delta.groups = {MakeGroup("odd", {}), MakeGroup("g1", {"i1"})};
+  command.delta.groups.push_back(MakeGroup("odd-2", {"i1"}));
+  command.delta.groups.back().phase = static_cast<GroupPhase>(77);
+  FleetState state;
+  state.Apply(MakeEntry(protocol::Encode(command)));
+  BOOST_TEST(state.groups().size() == 1U);
+  BOOST_TEST(state.groups().count("g1") == 1U);
+  FleetState restarted;
+  BOOST_TEST(restarted.Load(state.Save()));
+  BOOST_TEST(restarted.groups().size() == 1U);
+
+  FleetView view = MakeView({"i1"});
+  FleetUpdate update;
+  update.groups = command.delta.groups;
+  view.Apply(update, nullptr);
+  BOOST_TEST(view.GroupOfHead("i1") != nullptr);
+  BOOST_TEST(!view.IsBroken("other"));
+}
+
+// Such messages were refused before, but only after memory was reserved for
+// what they state.
+BOOST_AUTO_TEST_CASE(a_message_states_no_more_elements_than_it_has_bytes) {
+  const std::string stated = "\xdd\x08\x00\x00\x00";
+  const std::string nested(100'000, '\x91');
+  BOOST_TEST(!protocol::Decode<FleetUpdate>(stated).has_value());
+  BOOST_TEST(!protocol::Decode<std::vector<std::string>>(nested).has_value());
+  const FleetUpdate update;
+  BOOST_TEST(
+      protocol::Decode<FleetUpdate>(protocol::Encode(update)).has_value());
+}
+
+// A stored configuration may be older than the check of its sizes: groups were
+// formed without end.
+BOOST_AUTO_TEST_CASE(no_group_is_formed_of_a_model_of_no_hosts) {
+  Configuration configuration = MakeConfiguration();
+  configuration.services[1].engine->models[0].size = 0;
+  const std::set<std::string> evacuated;
+  Registry registry;
+  GroupPlanner planner;
+  planner.StartLeading(1, {}, At(0));
+  for (std::uint64_t number = 1; number < 100; ++number) {
+    const TimePoint now = At(static_cast<std::int64_t>(number) * kHeartbeatMs);
+    Announcement announcement =
+        MakeAnnouncement("i1", "10.0.0.1", kBornMs, number);
+    announcement.service = "engines";
+    announcement.engine = EngineReport();
+    (void)registry.HandleAnnouncement(announcement, now, kNowUnixMs);
+    const PlanInput input = {registry,
+                             configuration,
+                             evacuated,
+                             {},
+                             false,
+                             std::chrono::milliseconds(kHeartbeatMs),
+                             std::chrono::seconds(5),
+                             {}};
+    (void)planner.Plan(input, now);
+  }
+  BOOST_TEST(planner.Groups().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_span_out_of_range_is_bounded) {
+  const TimePoint now = At(1'000'000'000);
+  BOOST_TEST((now + FromSeconds(1e300) > now));
+  BOOST_TEST((now + FromSeconds(-1e300) < now));
+  BOOST_TEST((FromSeconds(1.5) == std::chrono::milliseconds(1500)));
+}
