An entry of the fleet with agents ends only when its last answers are written

What callers saw at a planned stop of an entry: the answer of a request that had run, also one that may not be repeated, broke off when its caller read slowly (LOST).

Cause: the entry left 0.3 s after its last request had finished. A request finished when its answer was queued, not when it was written.

Why it works: a session tells when its request has ended, by its last byte or the end of its connection, and the entry counts those that have not. The write time limit of the session bounds the wait. The direct entry waits for its callers' connections already.

--- a/include/gooseberryturn/entry/caller_session.h
+++ b/include/gooseberryturn/entry/caller_session.h
@@ -66,6 +66,9 @@
   /// \brief Called when the caller disconnects during a request, or when a
   /// write fails or times out.
   std::function<void()> on_disconnect;
+  /// \brief Called when a request has ended: its answer was written to the last
+  /// byte, or its connection has ended.
+  std::function<void()> on_request_ended;
   /// \brief Returns true when no further request may start on this connection.
   std::function<bool()> is_closing;
 
@@ -111,6 +114,7 @@
   /// Decides with the head of an answer whether the connection is kept after
   /// it: the caller goes by what the head says.
   void DecideKeepAlive();
+  void EndInRequest();
   void Queue(std::string_view bytes);
   /// Writes `pending` unless a write is in progress. With nothing to write,
   /// ends the request or closes the connection if that was to follow.
--- a/include/gooseberryturn/entry/entry.h
+++ b/include/gooseberryturn/entry/entry.h
@@ -31,7 +31,7 @@
   /// address cannot be listened on.
   [[nodiscard]] Result<void> Start();
   /// \brief Refuses new requests and calls `on_left` when the requests in
-  /// progress have finished.
+  /// progress have finished and their answers are written.
   void Leave(std::function<void()> on_left);
   /// \brief True when the entry is not leaving, the view lease is valid and
   /// the configuration has arrived.
@@ -48,6 +48,8 @@
                                           const config::Service*& service,
                                           const config::Route*& route);
   void OnRequestFinished(const std::string& team);
+  /// Calls `on_left` once a leaving entry has nothing left to do or to write.
+  void EndIfLeft();
   /// Limits of a new connection; its body limit is the largest of any service.
   [[nodiscard]] CallerLimits MakeLimits() const;
 
@@ -61,6 +63,7 @@
   std::map<std::string, routing::RetryBudget> retry_budgets;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
   std::int64_t active_requests = 0;
+  std::int64_t unwritten_answers = 0;  ///< Including those not begun.
   bool is_leaving = false;
   std::function<void()> on_left;
 };
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -329,8 +329,14 @@
 
 // ------------------------------------------------------------------- ending
 
+void CallerSession::EndInRequest() {
+  if (std::exchange(this->in_request, false) && this->on_request_ended) {
+    this->on_request_ended();
+  }
+}
+
 void CallerSession::EndRequest() {
-  this->in_request = false;
+  this->EndInRequest();
   this->request_ends_after_write = false;
   this->is_stream_started = false;
   this->on_written = nullptr;
@@ -363,6 +369,7 @@
   error_code ignored;
   this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
   this->stream.socket().close(ignored);
+  this->EndInRequest();
 }
 
 void CallerSession::CloseAfterAnswer() {
@@ -380,6 +387,7 @@
   });
   this->dropped_input.resize(kDropBytes);
   this->DropInput();
+  this->EndInRequest();
 }
 
 void CallerSession::DropInput() {
--- a/tests/at_most_once_test.cc
+++ b/tests/at_most_once_test.cc
@@ -1,5 +1,8 @@
 #define BOOST_TEST_MODULE at_most_once
 #include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <memory>
+#include <thread>
 
 #include "fleet.h"
 
@@ -226,3 +229,19 @@
   BOOST_TEST(huge.Contains("\"outcome\":\"ran\""));
   BOOST_TEST(fleet.CountRuns("o-15") == 1);
 }
+
+// LOST: at a planned stop an entry ended before it had written its last answer.
+BOOST_FIXTURE_TEST_CASE(a_slow_reader_gets_its_answer_at_a_planned_stop,
+                        OrderFixture) {
+  constexpr int kSmallBuffer = 4096;
+  const std::unique_ptr<Call> call = fleet.StartRequest(
+      1, "/order", "o-17 proof=100000", "k-17", "t1", kSmallBuffer);
+  WaitRunning("o-17");
+  Process& entry = fleet.GetProcess("entry-1");
+  entry.Signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  const Answer answer = call->ReadAll();
+  BOOST_TEST(answer.status == 200);
+  BOOST_TEST(answer.is_complete);
+  BOOST_TEST(entry.WaitExit() == 0);
+}
