--- a/tests/control_process_test.cc
+++ b/tests/control_process_test.cc
@@ -183,8 +183,7 @@
   Fleet fleet(136);
   fleet.StartControlHosts();
   int version = 0;
-  const auto change_for = [&fleet, &version,
-                           kAckLimit](std::chrono::seconds length) {
+  const auto change_for = [&fleet, &version](std::chrono::seconds length) {
     const std::chrono::steady_clock::time_point end =
         std::chrono::steady_clock::now() + length;
     while (std::chrono::steady_clock::now() < end) {
--- a/tests/platform_disk_test.cc
+++ b/tests/platform_disk_test.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <csignal>
 #include <filesystem>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <random>
@@ -132,6 +133,7 @@
       }
     }
     std::vector<int> counts;
+    counts.reserve(by_time.size());
     for (const std::pair<const std::string, int>& change : by_time) {
       counts.push_back(change.second);
     }
@@ -361,8 +363,9 @@
   const std::vector<int> counts = fleet.VoterCounts();
   BOOST_REQUIRE(counts.size() > joins);
   // At least one host was removed meanwhile.
-  BOOST_TEST((*std::min_element(counts.begin() + static_cast<long>(joins),
-                                counts.end()) < 5));
+  BOOST_TEST((*std::min_element(
+                  std::next(counts.begin(), static_cast<std::ptrdiff_t>(joins)),
+                  counts.end()) < 5));
   BOOST_TEST(Eventually([&fleet] { return fleet.HasVoters(5); }));
   fleet.StopChanges();
   fleet.CheckChanges();
