Soak: targets fall silent, stop signals are repeated, unasked ends are counted

Targets are silent for 0.4 to 1.2 s in answers, events, health reports and announcements alike and go on. A process that is told to stop gets SIGTERM and SIGHUP again every 0.3 s until it has ended. A process that has ended although nobody told it to is a failure of its own.

--- a/tests/platform_soak_test.cc
+++ b/tests/platform_soak_test.cc
@@ -25,7 +25,7 @@
 
 /// Callers with kept connections send whole requests through the real programs
 /// while configurations change, processes are told to reload and to stop, and
-/// targets say that they leave or ask for a pause.
+/// targets say that they leave, ask for a pause or are silent for a second.
 /// Every request is accounted for at its caller and at the targets. None of the
 /// disturbances breaks a target, so every request that reached one is owed its
 /// complete answer or a refusal (issue 26).
@@ -67,6 +67,11 @@
     while (this->active_disturbances > 0) {
       std::this_thread::sleep_for(milliseconds(10));
     }
+    for (const auto* hosts : {&this->entries, &this->controls}) {
+      for (const std::unique_ptr<Host>& host : *hosts) {
+        host->CheckAlive(this->failures);
+      }
+    }
     this->CheckConfiguration();
     this->CheckMetrics();
     this->StopEntries();
@@ -112,7 +117,7 @@
 
   std::vector<std::thread> StartDisturbances() {
     std::vector<std::thread> threads;
-    this->active_disturbances = 6;
+    this->active_disturbances = 7;
     threads.emplace_back([this] {
       this->Repeat(2, 20, 1800, [this](Random& /*random*/) {
         this->op.Vary();
@@ -154,6 +159,13 @@
         }
       });
     });
+    threads.emplace_back([this] {
+      this->Repeat(8, 1500, 5000, [this](Random& random) {
+        this->targets[static_cast<std::size_t>(Draw(random, 0, 4))]->FallSilent(
+            milliseconds(Draw(random, 400, 1200)));
+        this->silences += 1;
+      });
+    });
     return threads;
   }
 
@@ -312,7 +324,7 @@
     }
     summary << ", entries stopped " << entry_stops << ", control hosts stopped "
             << control_stops << ", pauses " << this->pauses << ", leaves "
-            << this->leaves;
+            << this->leaves << ", silences " << this->silences;
     for (const auto& count : this->counts) {
       summary << ", " << count.first << ": " << count.second;
     }
@@ -323,6 +335,7 @@
     BOOST_TEST(control_stops > 0);
     BOOST_TEST(this->pauses > 0);
     BOOST_TEST(this->leaves > 0);
+    BOOST_TEST(this->silences > 0);
     for (const Kind kind : {Kind::kSafe, Kind::kUnsafe, Kind::kStream}) {
       BOOST_TEST(this->successes[kind] > 0);
     }
@@ -373,6 +386,7 @@
   std::atomic<int> active_disturbances = 0;
   std::atomic<int> pauses = 0;  ///< Asked for by targets.
   std::atomic<int> leaves = 0;  ///< Told by targets in their answers.
+  std::atomic<int> silences = 0;
   std::atomic<bool> is_checked = false;
   Accounts accounts;
   std::map<std::string, int> counts;
--- a/tests/soak_fleet.h
+++ b/tests/soak_fleet.h
@@ -27,6 +27,8 @@
 using std::chrono::milliseconds;
 
 inline constexpr milliseconds kGrace(6000);  ///< bounds.grace_s of the fleet.
+/// The signals of a stop are repeated so often.
+inline constexpr milliseconds kRepeatTime(300);
 inline constexpr milliseconds kApplyTime(2000);  ///< bounds.config_apply_ms.
 inline constexpr milliseconds kSilenceLimit(60'000);
 inline constexpr int kDeadlineMs = 8000;
@@ -174,10 +176,16 @@
     this->generation += 1;
     this->process.Signal(SIGTERM);
     const Moment told_at = Now();
+    Moment repeat_at = told_at + kRepeatTime;
     std::optional<int> code;
     while (!code.has_value() && Now() < told_at + kTestTimeout) {
       std::this_thread::sleep_for(milliseconds(5));
       const std::lock_guard<std::mutex> guard(this->mutex);
+      if (Now() >= repeat_at) {
+        this->process.Signal(SIGTERM);
+        this->process.Signal(SIGHUP);
+        repeat_at = Now() + kRepeatTime;
+      }
       code = this->process.PollExit();
       this->is_up = this->is_up && !code.has_value();
     }
@@ -196,6 +204,15 @@
     this->generation += 1;
   }
 
+  /// Adds a failure if the process has ended although nobody told it to.
+  void CheckAlive(Failures& failures) {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (this->is_up && this->process.HasExited()) {
+      failures.Add(this->name + " has ended by itself");
+      this->is_up = false;
+    }
+  }
+
   [[nodiscard]] std::string Log() const { return this->process.Log(); }
   [[nodiscard]] const std::string& Name() const { return this->name; }
 
