Soak: some callers end their sending side after a whole request

One request in twenty. One that may run only once and ran still gets its answer; the others may end with their input, and are counted.

--- a/tests/kept_connection.h
+++ b/tests/kept_connection.h
@@ -66,8 +66,10 @@
     return size < 0 && errno == EAGAIN ? IdleState::kOpen : IdleState::kClosed;
   }
 
-  /// Sends a whole request and reads its answer.
-  [[nodiscard]] Ending Exchange(const Request& request, Answer& answer) {
+  /// Sends a whole request and reads its answer. With `ends_input`, the sending
+  /// side is ended in between.
+  [[nodiscard]] Ending Exchange(const Request& request, Answer& answer,
+                                bool ends_input = false) {
     this->request_began_at = std::chrono::steady_clock::now();
     http::response_parser<http::string_body> parser;
     parser.body_limit(1ULL << 32U);
@@ -77,6 +79,10 @@
           [on_end](const error_code& error, std::size_t) { on_end(error); });
     });
     this->request_sent_at = std::chrono::steady_clock::now();
+    if (ends_input) {
+      this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send,
+                                     this->ignored);
+    }
     // The answer may have arrived even where writing has failed.
     const error_code error = this->Run([this, &parser](const auto& on_end) {
       http::async_read(
--- a/tests/platform_soak_test.cc
+++ b/tests/platform_soak_test.cc
@@ -300,8 +300,9 @@
     if (attempt.ending == Ending::kComplete) {
       this->counts["status " + std::to_string(attempt.answer.status)] += 1;
     } else if (attempt.ending == Ending::kUnanswered) {
-      this->counts[attempt.is_entry_leaving ? "crossed a stop"
-                                            : "crossed an idle close"] += 1;
+      this->counts[attempt.is_half_closed     ? "ended with its input"
+                   : attempt.is_entry_leaving ? "crossed a stop"
+                                              : "crossed an idle close"] += 1;
     } else {
       this->counts[names.at(attempt.ending)] += 1;
     }
--- a/tests/soak_accounts.h
+++ b/tests/soak_accounts.h
@@ -88,6 +88,13 @@
   if (attempt.ending == Ending::kSilent) {
     return "no answer and no end";
   }
+  // Only what may run once goes on without its caller's input.
+  const bool may_end =
+      attempt.is_half_closed &&
+      (attempt.kind != Kind::kUnsafe || accounts.RunsOf(attempt.id) == 0);
+  if (may_end) {
+    return "";
+  }
   if (attempt.ending == Ending::kCut) {
     return attempt.waited_ms >= kMinTimeoutMs ? "" : "LOST: cut answer";
   }
--- a/tests/soak_caller.h
+++ b/tests/soak_caller.h
@@ -30,6 +30,7 @@
   int work = 0;
   int entry = 0;
   bool is_entry_leaving = false;  ///< Or it has been told since.
+  bool is_half_closed = false;    ///< By its caller, once it was sent.
   Ending ending = Ending::kComplete;
   Answer answer;
   std::int64_t idle_ms = 0;  ///< At most, before it was sent.
@@ -147,13 +148,14 @@
     attempt.work = this->DrawWork(attempt.kind);
     attempt.entry = kept.entry;
     const Moment idle_since = kept.connection->request_began_at;
-    attempt.ending =
-        kept.connection->Exchange(this->MakeRequest(attempt), attempt.answer);
+    attempt.is_half_closed = DrawChance(this->random, 5);
+    attempt.ending = kept.connection->Exchange(
+        this->MakeRequest(attempt), attempt.answer, attempt.is_half_closed);
     attempt.idle_ms = MsBetween(idle_since, kept.connection->request_sent_at);
     attempt.idle_limit_ms = this->scene.idle_limits.SmallestSince(idle_since);
     attempt.waited_ms = MsBetween(kept.connection->request_sent_at, Now());
     attempt.is_entry_leaving = this->IsLeaving(kept);
-    if (attempt.ending != Ending::kComplete) {
+    if (attempt.ending != Ending::kComplete || attempt.is_half_closed) {
       kept.connection = nullptr;
     }
     this->attempts.push_back(std::move(attempt));
