--- a/include/gooseberryturn/core/time.h
+++ b/include/gooseberryturn/core/time.h
@@ -33,8 +33,8 @@
 /// \brief Milliseconds of a duration, rounded towards zero.
 [[nodiscard]] std::int64_t WholeMs(Duration duration) noexcept;
 
-/// \brief Converts fractional seconds to a duration of at most 30 years; what is
-/// no number becomes -30 years.
+/// \brief Converts fractional seconds to a duration of at most 30 years; what
+/// is no number becomes -30 years.
 [[nodiscard]] Duration FromSeconds(double seconds) noexcept;
 
 }  // namespace gooseberryturn
