platform_stop_test: the fleet serves streams before a case begins

The fixture waited until the answer to a stream was complete, whatever its status; a refusal (503, no group is open yet) is complete, too. A case then sent its one stream too early: it was refused, never reached a target, and StartStream waited in vain. The fixture now waits for a whole answer with status 200.

Seen: a_second_of_silence_ends_no_answer failed so in one run of the whole program (StartStream, "streamed"); the whole program passes once with the change. The status of the refused stream was not printed, so that this was the cause is read from the code.

--- a/tests/platform_stop_test.cc
+++ b/tests/platform_stop_test.cc
@@ -36,7 +36,8 @@
           this->ControlEndpoint(number), "engines"));
     }
     BOOST_REQUIRE(Eventually([this] {
-      return this->SendRequest("/stream/1", "warm", kKey, true).is_complete &&
+      const Answer stream = this->SendRequest("/stream/1", "warm", kKey, true);
+      return stream.status == 200 && stream.is_complete &&
              this->SendRequest("/safe/1", "warm").status == 200;
     }));
   }
