An agent survives answers that end when they are resumed

Cause: PauseAnswers resumed each answer within a loop over the set of requests in progress. An answer whose last bytes had arrived while it was paused ends as soon as it is resumed, and its end takes the request out of that set, so the loop went on from a freed node. All requests of the agent were lost with the process.

PauseAnswers also asked only for the number of unsent bytes.

The loop now goes over a copy that also keeps each exchange, and the same question, IsBufferFull, decides in OnBody and in PauseAnswers. The entry's side of the fixture no longer returns window by itself, so that bytes can stay unsent. A call that changes nothing does nothing.

--- a/include/gooseberryturn/agent/request_executor.h
+++ b/include/gooseberryturn/agent/request_executor.h
@@ -43,8 +43,8 @@
   /// \brief Resets the concurrency limit to its cold value, for a target that
   /// was restarted or returns to service.
   void StartCold();
-  /// \brief Pauses or resumes all answers; they are paused while the group is
-  /// not whole.
+  /// \brief Pauses or resumes all answers; they are paused while this host
+  /// leads a group that is not whole. Does nothing when nothing changes.
   void PauseAnswers(bool paused);
   /// \brief Aborts all requests in progress if the service is a model; entries
   /// receive `reason` and `message`.
@@ -90,6 +90,8 @@
   /// too long to keep.
   static void AppendToKeptAnswer(const ExecutionPtr& execution,
                                  std::string_view bytes);
+  /// True while the entry takes the answer more slowly than it arrives.
+  [[nodiscard]] static bool IsBufferFull(const Execution& execution);
   void OnDone(const ExecutionPtr& execution, const Result<void>& result);
   void Refuse(const ExecutionPtr& execution, Error error);
   void SendEnd(const ExecutionPtr& execution, const Error& error);
--- a/src/agent/request_executor.cc
+++ b/src/agent/request_executor.cc
@@ -250,6 +250,12 @@
   kept.body.append(bytes);
 }
 
+bool RequestExecutor::IsBufferFull(const Execution& execution) {
+  // The bytes of a closed stream are never sent.
+  return !execution.stream->is_closed() &&
+         execution.stream->unsent_bytes() >= link::Stream::kHighWaterBytes;
+}
+
 void RequestExecutor::OnBody(const ExecutionPtr& execution,
                              std::string_view bytes) {
   if (execution->sent_bytes == 0) {
@@ -259,10 +265,7 @@
   execution->stream->Send(protocol::EncodeChunk(execution->sent_bytes, bytes));
   execution->sent_bytes += bytes.size();
   execution->digest.Update(bytes);
-  const bool is_buffer_full =
-      !execution->stream->is_closed() &&
-      execution->stream->unsent_bytes() >= link::Stream::kHighWaterBytes;
-  if (is_buffer_full || this->is_paused) {
+  if (IsBufferFull(*execution) || this->is_paused) {
     execution->exchange->Pause();
   }
 }
@@ -350,13 +353,22 @@
 // -------------------------------------------------------------------- group
 
 void RequestExecutor::PauseAnswers(bool paused) {
+  if (paused == this->is_paused) {
+    return;
+  }
   this->is_paused = paused;
-  for (const ExecutionPtr& execution : this->executions) {
-    if (!paused &&
-        execution->stream->unsent_bytes() < link::Stream::kHighWaterBytes) {
-      execution->exchange->Resume();
-    } else if (paused) {
-      execution->exchange->Pause();
+  // An answer may end when it is resumed, which changes `executions`.
+  const std::vector<ExecutionPtr> changed(this->executions.begin(),
+                                          this->executions.end());
+  for (const ExecutionPtr& execution : changed) {
+    const std::shared_ptr<target::Exchange> exchange = execution->exchange;
+    if (exchange == nullptr) {
+      continue;
+    }
+    if (paused) {
+      exchange->Pause();
+    } else if (!IsBufferFull(*execution)) {
+      exchange->Resume();
     }
   }
 }
--- a/tests/request_executor_test.cc
+++ b/tests/request_executor_test.cc
@@ -85,6 +85,9 @@
                [this, hand_over](Result<std::shared_ptr<link::Stream>> opened) {
                  BOOST_REQUIRE(opened.has_value());
                  const std::shared_ptr<link::Stream> stream = *opened;
+                 this->run = stream;
+                 // The entry takes no more than the window of the stream.
+                 stream->EnableManualFlowControl();
                  stream->on_frame = [this](FrameType type,
                                            std::string_view payload) {
                    if (type == FrameType::kEnd) {
@@ -125,6 +128,20 @@
     return text;
   }
 
+  /// Writes a part of the answer of the target and runs the loops.
+  void Answer(const std::string& bytes) {
+    this->accepted->non_blocking(true);
+    const TimePoint give_up_at = Clock::now() + kTestTimeout;
+    std::size_t sent = 0;
+    while (sent < bytes.size() && Clock::now() < give_up_at) {
+      error_code error;
+      sent += this->accepted->write_some(
+          asio::buffer(bytes.data() + sent, bytes.size() - sent), error);
+      this->Run();
+    }
+    BOOST_REQUIRE(sent == bytes.size());
+  }
+
   asio::io_context context;
   asio::io_context entry_context;
   observe::Metrics metrics;
@@ -136,9 +153,15 @@
   RequestExecutor executor;
   link::Listener listener;
   link::ChannelPool channels;
+  std::shared_ptr<link::Stream> run;  ///< The entry's side of the request.
   std::optional<protocol::AnswerEnd> end;
 };
 
+std::string AnswerHead(std::size_t body_bytes) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body_bytes) +
+         "\r\n\r\n";
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(an_admitted_request_is_sent) {
@@ -171,3 +194,37 @@
   BOOST_TEST((executor.end->error.reason == Reason::kStaleFence));
   BOOST_TEST((executor.end->error.outcome == Outcome::kNotRun));
 }
+
+// The answer ends within the loop that resumes all answers.
+BOOST_AUTO_TEST_CASE(an_answer_that_is_whole_while_paused_ends_when_resumed) {
+  Executor executor;
+  executor.HandOver();
+  executor.Run();
+  executor.Received();
+  executor.Answer(AnswerHead(2));
+  executor.executor.PauseAnswers(true);
+  executor.Answer("ok");
+  BOOST_TEST(executor.executor.running() == 1);
+  executor.executor.PauseAnswers(false);
+  executor.Run();
+  BOOST_TEST(executor.executor.running() == 0);
+  BOOST_REQUIRE(executor.end.has_value());
+  BOOST_TEST((executor.end->error.reason == Reason::kNone));
+}
+
+// Its unsent bytes are never sent, so nothing else would resume it.
+BOOST_AUTO_TEST_CASE(a_pause_leaves_no_request_without_its_entry_paused) {
+  constexpr std::size_t kPartBytes = 128U * 1024U;
+  Executor executor;
+  executor.HandOver();
+  executor.Run();
+  executor.Received();
+  executor.Answer(AnswerHead(kPartBytes + 2));
+  executor.Answer(std::string(kPartBytes, 'a'));
+  executor.run->Cancel();
+  executor.Run();
+  executor.executor.PauseAnswers(true);
+  executor.executor.PauseAnswers(false);
+  executor.Answer("ok");
+  BOOST_TEST(executor.executor.running() == 0);
+}
