Answers do not stay paused when an agent's leadership ends

Cause: the agent paused and resumed answers only when the group became whole or not whole while it led the group. When its group was taken from it while the answers were paused, nothing changed in that sense any more: a plain service's answers stayed paused until their deadline. (Those of a model are aborted when the assignment changes.)

Answers are now paused exactly while this host leads a group that is not whole, asked at each tick; the executor ignores a call that changes nothing.

Found by reading. There is no test of its own: the rule is one line of the agent's tick, and no fixture runs an agent without processes.

--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -156,10 +156,9 @@
   if (is_whole != this->was_whole) {
     this->was_whole = is_whole;
     this->abort_at = now + kMissingMemberTimeout;
-    if (this->lease_manager.is_leader()) {
-      this->executor.PauseAnswers(!is_whole);
-    }
   }
+  // Leadership can end while the group is not whole.
+  this->executor.PauseAnswers(this->lease_manager.is_leader() && !is_whole);
   if (!is_whole && this->executor.running() > 0 && now >= this->abort_at) {
     this->executor.AbortModelRequests(Reason::kGroupNotWhole,
                                       "a member of the group is missing");
