An answer says whether its connection stays open

Cause: the head of an answer said keep-alive by what the caller had asked for, while the end of the request also asked whether the entry was leaving. A caller of a leaving entry read that the connection stays open, sent its next request on it and lost it to the close.

It is now decided once, when the head is made, and the end of the request goes by that. A connection that was promised to stay open takes one more request, which the leaving entry refuses with "Connection: close".

--- a/include/gooseberryturn/entry/caller_session.h
+++ b/include/gooseberryturn/entry/caller_session.h
@@ -108,6 +108,10 @@
   void OnRequestRead();
   void OnReadError(const boost::system::error_code& error);
   void WatchForDisconnect();
+  /// Makes the head of an answer and decides whether the connection stays open
+  /// after it; a caller relies on what the head says.
+  [[nodiscard]] std::string MakeHead(int status,
+                                     const std::string& content_type);
   void Queue(std::string_view bytes);
   /// Writes `pending` unless a write is in progress. With nothing to write,
   /// ends the request or closes the connection if that was to follow.
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -263,11 +263,17 @@
   this->Write();
 }
 
+std::string CallerSession::MakeHead(int status,
+                                    const std::string& content_type) {
+  this->keep_alive =
+      this->keep_alive && !(this->is_closing && this->is_closing());
+  return FormatHead(status, content_type, this->request_id, this->keep_alive);
+}
+
 void CallerSession::SendAnswer(int status, const std::string& content_type,
                                const std::string& body,
                                const std::string& extra_headers) {
-  std::string text =
-      FormatHead(status, content_type, this->request_id, this->keep_alive);
+  std::string text = this->MakeHead(status, content_type);
   text += extra_headers;
   text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
   text += body;
@@ -289,9 +295,8 @@
 void CallerSession::StartStream(int status, const std::string& content_type) {
   this->is_stream_started = true;
   this->stream_content_type = content_type;
-  this->Queue(
-      FormatHead(status, content_type, this->request_id, this->keep_alive) +
-      "Transfer-Encoding: chunked\r\n\r\n");
+  this->Queue(this->MakeHead(status, content_type) +
+              "Transfer-Encoding: chunked\r\n\r\n");
 }
 
 void CallerSession::SendChunk(std::string_view bytes) {
@@ -328,11 +333,9 @@
   this->is_stream_started = false;
   this->on_written = nullptr;
   this->on_disconnect = nullptr;
-  const bool stays_open =
-      this->keep_alive && !(this->is_closing && this->is_closing());
   error_code ignored;
   this->stream.socket().cancel(ignored);
-  if (stays_open) {
+  if (this->keep_alive) {
     this->WaitForNextRequest();
   } else {
     this->CloseAfterAnswer();
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -260,3 +260,38 @@
   }
   BOOST_TEST(connected.metrics.Get(observe::Metric::kConnections) == 0);
 }
+
+BOOST_AUTO_TEST_CASE(an_answer_of_a_leaving_entry_says_that_it_closes) {
+  Connected connected;
+  connected.answer.clear();
+  connected.Write(MakeHead(4) + "body");
+  connected.Turn();
+  connected.session->is_closing = [] { return true; };
+  connected.session->SendAnswer(200, "text/plain", "done", "");
+  error_code error;
+  const std::string text =
+      connected.Read(kLargeBytes, milliseconds(300), error);
+  BOOST_TEST(text.find("Connection: close\r\n") != std::string::npos);
+  BOOST_TEST(error == asio::error::eof);
+}
+
+// The caller may send its next request as soon as it has read the answer.
+BOOST_AUTO_TEST_CASE(a_connection_promised_to_stay_open_takes_a_request) {
+  Connected connected;
+  connected.answer.clear();
+  connected.Write(MakeHead(4) + "body");
+  connected.Turn();
+  connected.session->StartStream(200, "text/plain");
+  connected.session->is_closing = [] { return true; };
+  connected.session->FinishStream();
+  error_code error;
+  connected.Read(kLargeBytes, milliseconds(100), error);
+  connected.Write(MakeHead(4) + "body");
+  connected.RunFor(milliseconds(100));
+  BOOST_TEST(connected.requests == 2);
+  connected.session->SendAnswer(200, "text/plain", "done", "");
+  const std::string text =
+      connected.Read(kLargeBytes, milliseconds(300), error);
+  BOOST_TEST(text.find("Connection: close\r\n") != std::string::npos);
+  BOOST_TEST(error == asio::error::eof);
+}
