A request is not handed over after its caller has left

Cause: when the caller of a request that may not be repeated left, the flow went on in all cases, so that the outcome of a request that was handed over is recorded. A request that no agent had seen yet went on as well: while it waited for capacity, for its claim, for its stream, or for a retry after an attempt that did not run. It was run for nobody, up to its whole deadline after the caller had gone and may have decided what to do instead.

Seen on the code before, build/request_flow_test: after the caller had closed, the granted claim led to a hand-over (1, must be 0) and nothing was settled; after an attempt that a busy target refused as not run, a second claim was sent.

Each step before a hand-over now asks whether the caller is still there. If not, a claim that was granted is settled as not run, which frees the key for a resend, and the request ends. A claim whose reply is on its way is awaited first, so that it does not stay held. A request that was handed over still continues. No retry is counted or taken from the retry budget for a caller that has left.

--- a/include/gooseberryturn/entry/request_flow.h
+++ b/include/gooseberryturn/entry/request_flow.h
@@ -127,6 +127,9 @@
   // End of the request.
   void Refuse(Error error);
   void OnCallerDisconnect();
+  /// Ends a non-idempotent request whose caller has left and of which no
+  /// attempt ran; a claim that was granted is settled as not run.
+  void EndWithoutCaller();
   void FinishRequest();
 
   /// Calls `next` after `delay`, unless the request has finished by then.
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -101,6 +101,10 @@
 // ---------------------------------------------------------- group selection
 
 void RequestFlow::StartAttempt() {
+  if (this->is_caller_disconnected) {
+    this->EndWithoutCaller();
+    return;
+  }
   const TimePoint now = Clock::now();
   if (!this->context.view_client.HasLease(now)) {
     this->WaitForCapacity();
@@ -189,6 +193,11 @@
     this->OnDeadline();
     return;
   }
+  if (this->is_caller_disconnected) {
+    opened->Cancel();
+    this->EndWithoutCaller();
+    return;
+  }
   this->stream = opened;
   const std::shared_ptr<RequestFlow> self = this->shared_from_this();
   const std::uint64_t sent_attempt_id = this->attempt_id;
@@ -389,7 +398,9 @@
     this->replaced_attempt_id = this->attempt_id;
     this->may_have_run =
         this->may_have_run || error.outcome != Outcome::kNotRun;
-    if (IsBusy(error.reason) && now < this->capacity_deadline) {
+    const bool may_wait =
+        now < this->capacity_deadline && !this->is_caller_disconnected;
+    if (IsBusy(error.reason) && may_wait) {
       // A busy target refuses before it does any work, so the attempt does not
       // count against the limit on attempts.
       this->retry_state.attempts -= 1;
@@ -406,6 +417,10 @@
 }
 
 void RequestFlow::RetryOrRefuse(const Error& error) {
+  if (this->is_caller_disconnected) {
+    this->EndWithoutCaller();
+    return;
+  }
   this->excluded_groups.insert(this->group.name);
   const Result<void> decision = routing::DecideRetry(
       this->retry_state, error, this->context.retry_budgets[this->service.name],
@@ -480,7 +495,20 @@
     this->CloseAttempt();
     this->FinishRequest();
   }
-  // A non-idempotent request continues, so that its outcome is recorded.
+  // A non-idempotent request that was handed over continues, so that its
+  // outcome is recorded; another one ends before its next step.
+}
+
+void RequestFlow::EndWithoutCaller() {
+  this->CloseAttempt();
+  if (this->attempt_id == 0) {
+    this->FinishRequest();
+    return;
+  }
+  this->RecordOutcome(this->MakeSettle(this->attempt_id, Outcome::kNotRun,
+                                       protocol::KeptAnswer{}),
+                      Clock::now() + kSettleTimeout,
+                      [this] { this->FinishRequest(); });
 }
 
 void RequestFlow::FinishRequest() {
--- a/src/entry/request_flow_claims.cc
+++ b/src/entry/request_flow_claims.cc
@@ -61,6 +61,10 @@
           protocol::ClaimReply{});
   switch (reply.verdict) {
     case protocol::ClaimVerdict::kGranted:
+      if (this->is_caller_disconnected) {
+        this->EndWithoutCaller();
+        return;
+      }
       this->OpenStream();
       return;
     case protocol::ClaimVerdict::kNotLeader:
--- a/tests/request_flow_test.cc
+++ b/tests/request_flow_test.cc
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -44,13 +45,13 @@
   return {"127.0.0.1", acceptor.local_endpoint().port()};
 }
 
-config::Service OrderService() {
+config::Service OrderService(milliseconds deadline = kDeadline) {
   config::Service service;
   service.name = "orders";
   service.kind = config::ServiceKind::kPlain;
   service.limits.in_flight = 8;
   service.limits.cold_in_flight = 8;
-  service.routes = {{"/order", false, kDeadline.count()}};
+  service.routes = {{"/order", false, deadline.count()}};
   return service;
 }
 
@@ -68,8 +69,11 @@
     };
     serve(protocol::kRenewPath, &Peers::OnRenew);
     serve(protocol::kClaimPath, &Peers::OnClaim);
-    serve(protocol::kSettlePath, &Peers::OnSettle);
     serve(protocol::kAttemptPath, &Peers::OnAttemptQuery);
+    this->listener.ServeMessage(
+        protocol::kSettlePath,
+        [this](const std::shared_ptr<link::Stream>& stream,
+               std::string_view payload) { this->OnSettle(stream, payload); });
     this->listener.Serve(
         protocol::kRunPath,
         [this](const std::shared_ptr<link::Stream>& stream) {
@@ -96,7 +100,11 @@
     this->run->Send(protocol::EncodeFrame(
         FrameType::kMessage,
         protocol::Encode(protocol::AnswerHead{200, "text/plain"})));
+    this->SendEnd(Error{});
+  }
+  void SendEnd(const Error& error) {
     protocol::AnswerEnd end;
+    end.error = protocol::ToWire(error);
     end.digest = StreamDigest().Hex();
     this->run->Send(
         protocol::EncodeFrame(FrameType::kEnd, protocol::Encode(end)));
@@ -111,6 +119,7 @@
   std::shared_ptr<link::Stream> run;
   int hand_overs = 0;
   int settled = 0;
+  std::optional<protocol::Settle> settle;  ///< The last one.
 
  private:
   void OnRenew(const std::shared_ptr<link::Stream>& stream) {
@@ -138,8 +147,10 @@
   void OnClaim(const std::shared_ptr<link::Stream>& stream) {
     this->claim = stream;
   }
-  void OnSettle(const std::shared_ptr<link::Stream>& stream) {
+  void OnSettle(const std::shared_ptr<link::Stream>& stream,
+                std::string_view payload) {
     this->settled += 1;
+    this->settle = protocol::Decode<protocol::Settle>(payload);
     link::Reply(*stream, protocol::SettleReply{true, true});
   }
   void OnAttemptQuery(const std::shared_ptr<link::Stream>& stream) {
@@ -153,7 +164,7 @@
 /// An entry with one caller, whose request starts a flow.
 class Entry {
  public:
-  Entry()
+  explicit Entry(milliseconds deadline = kDeadline)
       : peers(FreeEndpoint()),
         channels(context),
         view_client(context, this->channels, {this->peers.endpoint},
@@ -183,9 +194,10 @@
     const std::shared_ptr<CallerSession> session =
         std::make_shared<CallerSession>(this->acceptor.accept(), limits,
                                         this->metrics);
-    session->on_request = [this](const std::shared_ptr<CallerSession>& from,
-                                 const CallerRequest& request) {
-      const config::Service service = OrderService();
+    session->on_request = [this, deadline](
+                              const std::shared_ptr<CallerSession>& from,
+                              const CallerRequest& request) {
+      const config::Service service = OrderService(deadline);
       const std::shared_ptr<RequestFlow> flow = std::make_shared<RequestFlow>(
           FlowContext{this->context, this->channels, this->view_client,
                       this->chooser, this->retry_budgets, this->metrics},
@@ -221,12 +233,15 @@
   void SleepPastDeadline() {
     std::this_thread::sleep_until(this->started_at + kDeadline + kMargin);
   }
-  /// Runs both loops for a while and returns what the caller has received.
-  std::string ReadAll() {
+  void TurnBoth() {
     for (int turn = 0; turn < 40; ++turn) {
       this->Turn();
       this->peers.Turn();
     }
+  }
+  /// Runs both loops for a while and returns what the caller has received.
+  std::string ReadAll() {
+    this->TurnBoth();
     error_code error;
     std::string text(16U * 1024U, '\0');
     this->caller.non_blocking(true);
@@ -299,3 +314,34 @@
   BOOST_TEST(text.find("\"not_run\"") != std::string::npos);
   BOOST_TEST(entry.finished == 1);
 }
+
+// Its caller may send it again through another entry.
+BOOST_AUTO_TEST_CASE(a_request_is_not_handed_over_after_its_caller_left) {
+  Entry entry(kTestTimeout);
+  entry.SendRequest();
+  entry.caller.close();
+  entry.TurnBoth();
+  entry.peers.GrantClaim();
+  entry.TurnBoth();
+  BOOST_TEST(entry.peers.hand_overs == 0);
+  BOOST_REQUIRE(entry.peers.settle.has_value());
+  BOOST_TEST((entry.peers.settle->outcome == Outcome::kNotRun));
+  BOOST_TEST(entry.finished == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_is_not_retried_after_its_caller_left) {
+  Entry entry(kTestTimeout);
+  entry.SendRequest();
+  entry.peers.GrantClaim();
+  entry.TurnUntil([&entry] { return entry.peers.hand_overs == 1; });
+  entry.caller.close();
+  entry.TurnBoth();
+  entry.peers.claim = nullptr;
+  entry.peers.SendEnd({Reason::kTargetBusy, Step::kAdmit, Outcome::kNotRun,
+                       std::string(), "busy"});
+  entry.TurnBoth();
+  BOOST_TEST((entry.peers.claim == nullptr));
+  BOOST_REQUIRE(entry.peers.settle.has_value());
+  BOOST_TEST((entry.peers.settle->outcome == Outcome::kNotRun));
+  BOOST_TEST(entry.finished == 1);
+}
