An agent that leaves waits until its answers are sent

Cause: a leaving agent counted exchanges with its target. An exchange ends when the target has written its answer; up to 16 KB of it may still wait in the agent for window from the entry, when the caller reads slowly. The agent then reported itself drained, and its process ended shortly after, with the rest of a complete answer.

Seen in request_executor_test, an_answer_counts_until_its_entry_has_taken_it: after an answer of 40 KB to an entry that returns no window, running() is 0 and the entry has no end of the answer; running() was all that the drain asked for.

An answer whose stream is still open now also keeps the agent from being drained, at most until the deadline of its request, so an entry that stands still cannot hold a stop for longer than it could hold the request.

A planned stop of a whole process with a slow caller was not run.

--- a/include/gooseberryturn/agent/request_executor.h
+++ b/include/gooseberryturn/agent/request_executor.h
@@ -54,6 +54,9 @@
   [[nodiscard]] std::size_t running() const noexcept {
     return this->executions.size();
   }
+  /// \brief True while an answer that the target has finished is not completely
+  /// sent and its deadline has not passed.
+  [[nodiscard]] bool HasUnsentAnswer(TimePoint now) const;
   [[nodiscard]] protocol::Load load() const noexcept {
     return this->admission_controller.load();
   }
@@ -111,6 +114,8 @@
   admission::AdmissionController admission_controller;
   admission::AttemptTable attempt_table;
   std::set<ExecutionPtr> executions;
+  /// Finished at the target; their streams are still open.
+  std::set<ExecutionPtr> unsent_answers;
   bool is_paused = false;
 };
 
--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -180,7 +180,8 @@
   }
   const bool may_leave =
       this->lease_manager.is_leader() || this->lease_manager.IsReleased(now);
-  const bool is_now_drained = this->IsLeaving() && is_idle && may_leave;
+  const bool is_now_drained = this->IsLeaving() && is_idle && may_leave &&
+                              !this->executor.HasUnsentAnswer(now);
   if (is_now_drained != this->is_drained) {
     this->is_drained = is_now_drained;
     this->view_client.RenewNow();
--- a/src/agent/request_executor.cc
+++ b/src/agent/request_executor.cc
@@ -302,12 +302,22 @@
   this->metrics.Set(observe::Metric::kConcurrencyLimit,
                     this->admission_controller.load().limit);
   this->SendEnd(execution, error);
+  if (!execution->stream->is_closed()) {
+    this->unsent_answers.insert(execution);
+  }
   execution->exchange = nullptr;
   if (this->on_request_finished) {
     this->on_request_finished();
   }
 }
 
+bool RequestExecutor::HasUnsentAnswer(TimePoint now) const {
+  return std::any_of(this->unsent_answers.begin(), this->unsent_answers.end(),
+                     [now](const ExecutionPtr& execution) {
+                       return now < execution->deadline;
+                     });
+}
+
 void RequestExecutor::Refuse(const ExecutionPtr& execution, Error error) {
   execution->is_finished = true;
   execution->body.clear();
@@ -335,6 +345,7 @@
 }
 
 void RequestExecutor::OnStreamClose(const ExecutionPtr& execution) {
+  this->unsent_answers.erase(execution);
   const std::shared_ptr<target::Exchange> exchange = execution->exchange;
   if (execution->is_finished || exchange == nullptr) {
     execution->is_finished = true;
--- a/tests/request_executor_test.cc
+++ b/tests/request_executor_test.cc
@@ -228,3 +228,22 @@
   executor.Answer("ok");
   BOOST_TEST(executor.executor.running() == 0);
 }
+
+// An agent that leaves would drop what the entry has not taken yet.
+BOOST_AUTO_TEST_CASE(an_answer_counts_until_its_entry_has_taken_it) {
+  constexpr std::size_t kBytes = 40U * 1024U;  // More than a window.
+  Executor executor;
+  executor.HandOver();
+  executor.Run();
+  executor.Received();
+  executor.Answer(AnswerHead(kBytes));
+  executor.Answer(std::string(kBytes, 'a'));
+  BOOST_TEST(executor.executor.running() == 0);
+  BOOST_TEST(!executor.end.has_value());
+  BOOST_TEST(executor.executor.HasUnsentAnswer(Clock::now()));
+  BOOST_TEST(!executor.executor.HasUnsentAnswer(Clock::now() + kTestTimeout));
+  executor.run->Consume(kBytes / 2);
+  executor.Run();
+  BOOST_TEST(executor.end.has_value());
+  BOOST_TEST(!executor.executor.HasUnsentAnswer(Clock::now()));
+}
