An entry that leaves waits until its answers are written

Cause: a flow ends when its answer is queued at the caller's session, and a leaving entry stopped once no flow was left. What a slow caller had not read by the end of the process, a fraction of a second later, was dropped, although the answer was complete and its outcome recorded.

The session now tells the entry when a request's answer is completely written or its connection has ended, once for each request, and the entry leaves when neither flows nor such answers are left. Each write has the session's write timeout, so a caller that does not read cannot hold a stop for ever.

A planned stop of a whole entry with a slow caller was not run.

--- a/include/gooseberryturn/entry/caller_session.h
+++ b/include/gooseberryturn/entry/caller_session.h
@@ -66,6 +66,9 @@
   /// \brief Called when the caller disconnects during a request, or when a
   /// write fails or times out.
   std::function<void()> on_disconnect;
+  /// \brief Called once for each `on_request`, when its answer was completely
+  /// written or the connection ended.
+  std::function<void()> on_request_end;
   /// \brief Returns true when no further request may start on this connection.
   std::function<bool()> is_closing;
 
@@ -117,6 +120,7 @@
   /// ends the request or closes the connection if that was to follow.
   void Write();
   void OnWritten();
+  void ReportRequestEnd();
   void EndRequest();
   void OnDisconnect();
   void CloseSocket();
--- a/include/gooseberryturn/entry/entry.h
+++ b/include/gooseberryturn/entry/entry.h
@@ -48,6 +48,9 @@
                                           const config::Service*& service,
                                           const config::Route*& route);
   void OnRequestFinished(const std::string& team);
+  void OnAnswerWritten();
+  /// Calls `on_left` once no request is in progress and no answer is unwritten.
+  void CheckLeft();
   /// Limits of a new connection; its body limit is the largest of any service.
   [[nodiscard]] CallerLimits MakeLimits() const;
 
@@ -61,6 +64,7 @@
   std::map<std::string, routing::RetryBudget> retry_budgets;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
   std::int64_t active_requests = 0;
+  std::int64_t open_answers = 0;  ///< Received, answer not yet written.
   bool is_leaving = false;
   std::function<void()> on_left;
 };
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -327,8 +327,18 @@
 
 // ------------------------------------------------------------------- ending
 
-void CallerSession::EndRequest() {
+void CallerSession::ReportRequestEnd() {
+  if (!this->in_request) {
+    return;
+  }
   this->in_request = false;
+  if (this->on_request_end) {
+    this->on_request_end();
+  }
+}
+
+void CallerSession::EndRequest() {
+  this->ReportRequestEnd();
   this->request_ends_after_write = false;
   this->is_stream_started = false;
   this->on_written = nullptr;
@@ -356,6 +366,7 @@
     return;
   }
   this->is_closed = true;
+  this->ReportRequestEnd();
   this->on_written = nullptr;
   this->on_disconnect = nullptr;
   error_code ignored;
@@ -368,6 +379,7 @@
     return;
   }
   this->is_closed = true;
+  this->ReportRequestEnd();
   this->on_written = nullptr;
   this->on_disconnect = nullptr;
   error_code ignored;
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -98,6 +98,7 @@
                                    const CallerRequest& request) {
         this->OnRequest(caller, request);
       };
+      session->on_request_end = [this] { this->OnAnswerWritten(); };
       session->is_closing = [this] { return this->is_leaving; };
       session->Start();
     } else if (!error) {
@@ -153,6 +154,7 @@
 void Entry::OnRequest(const std::shared_ptr<CallerSession>& caller,
                       const CallerRequest& request) {
   this->metrics.Add(observe::Metric::kRequests);
+  this->open_answers += 1;
   const config::Service* service = nullptr;
   const config::Route* route = nullptr;
   const Result<void> admitted = this->AdmitRequest(request, service, route);
@@ -178,22 +180,31 @@
   this->team_limiter.Release(team);
   this->active_requests -= 1;
   this->metrics.Set(observe::Metric::kInFlight, this->active_requests);
-  if (this->is_leaving && this->active_requests == 0 && this->on_left) {
-    const std::function<void()> callback = std::move(this->on_left);
-    this->on_left = nullptr;
-    callback();
+  this->CheckLeft();
+}
+
+void Entry::OnAnswerWritten() {
+  this->open_answers -= 1;
+  this->CheckLeft();
+}
+
+void Entry::CheckLeft() {
+  const bool has_left =
+      this->is_leaving && this->active_requests == 0 && this->open_answers == 0;
+  if (!has_left || !this->on_left) {
+    return;
   }
+  const std::function<void()> callback = std::move(this->on_left);
+  this->on_left = nullptr;
+  callback();
 }
 
 void Entry::Leave(std::function<void()> callback) {
   this->is_leaving = true;
   LogEvent(Level::kInfo, "", "leaving",
            {{"in_flight", std::to_string(this->active_requests)}});
-  if (this->active_requests == 0) {
-    callback();
-    return;
-  }
   this->on_left = std::move(callback);
+  this->CheckLeft();
 }
 
 }  // namespace gooseberryturn::entry
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -295,3 +295,36 @@
   BOOST_TEST(text.find("Connection: close\r\n") != std::string::npos);
   BOOST_TEST(error == asio::error::eof);
 }
+
+// A process that stops earlier would drop the rest of the answer.
+BOOST_AUTO_TEST_CASE(a_request_ends_when_its_answer_is_written) {
+  Connected connected;
+  connected.answer.clear();
+  connected.Write(MakeHead(4) + "body");
+  connected.Turn();
+  int ends = 0;
+  connected.session->on_request_end = [&ends] { ends += 1; };
+  connected.session->SendAnswer(200, "text/plain",
+                                std::string(kLargeBytes, 'a'), "");
+  connected.RunFor(milliseconds(50));
+  BOOST_TEST(ends == 0);
+  error_code error;
+  connected.Read(kLargeBytes, std::chrono::seconds(10), error);
+  connected.RunFor(milliseconds(50));
+  BOOST_TEST(ends == 1);
+  connected.caller.close();
+  connected.RunFor(milliseconds(50));
+  BOOST_TEST(ends == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_ends_when_its_caller_leaves) {
+  Connected connected;
+  connected.answer.clear();
+  connected.Write(MakeHead(4) + "body");
+  connected.Turn();
+  int ends = 0;
+  connected.session->on_request_end = [&ends] { ends += 1; };
+  connected.caller.close();
+  connected.RunFor(milliseconds(50));
+  BOOST_TEST(ends == 1);
+}
