--- a/include/gooseberryturn/agent/request_executor.h
+++ b/include/gooseberryturn/agent/request_executor.h
@@ -43,8 +43,8 @@
   /// \brief Resets the concurrency limit to its cold value, for a target that
   /// was restarted or returns to service.
   void StartCold();
-  /// \brief Pauses or resumes all answers; they are paused while the group is
-  /// not whole.
+  /// \brief Pauses or resumes all answers; they are paused while this host
+  /// leads a group that is not whole. Does nothing when nothing changes.
   void PauseAnswers(bool paused);
   /// \brief Aborts all requests in progress if the service is a model; entries
   /// receive `reason` and `message`.
@@ -54,6 +54,9 @@
   [[nodiscard]] std::size_t running() const noexcept {
     return this->executions.size();
   }
+  /// \brief True while an answer that the target has finished is not completely
+  /// sent and its deadline has not passed.
+  [[nodiscard]] bool HasUnsentAnswer(TimePoint now) const;
   [[nodiscard]] protocol::Load load() const noexcept {
     return this->admission_controller.load();
   }
@@ -90,6 +93,8 @@
   /// too long to keep.
   static void AppendToKeptAnswer(const ExecutionPtr& execution,
                                  std::string_view bytes);
+  /// True while the entry takes the answer more slowly than it arrives.
+  [[nodiscard]] static bool IsBufferFull(const Execution& execution);
   void OnDone(const ExecutionPtr& execution, const Result<void>& result);
   void Refuse(const ExecutionPtr& execution, Error error);
   void SendEnd(const ExecutionPtr& execution, const Error& error);
@@ -109,6 +114,8 @@
   admission::AdmissionController admission_controller;
   admission::AttemptTable attempt_table;
   std::set<ExecutionPtr> executions;
+  /// Finished at the target; their streams are still open.
+  std::set<ExecutionPtr> unsent_answers;
   bool is_paused = false;
 };
 
