--- a/tests/odd_input_fuzz_test.cc
+++ b/tests/odd_input_fuzz_test.cc
@@ -66,27 +66,27 @@
 
  private:
   [[nodiscard]] std::string AnyFragment() {
-    static const std::vector<std::string> kFragments = {"1e300",
-                                                        "-1e300",
-                                                        "18446744073709551615",
-                                                        "-1",
-                                                        "0",
-                                                        "null",
-                                                        "true",
-                                                        "\"\"",
-                                                        "{}",
-                                                        "[]",
-                                                        "\"x\":",
-                                                        ":65536",
-                                                        "\n",
-                                                        "\xff\xff\xff",
-                                                        "\xdd\xff\xff\xff\xff",
-                                                        "\xc0",
-                                                        "\xcf\xff\xff\xff",
-                                                        "\x28\xb5\x2f\xfd",
-                                                        "\xcb\x7f\xf8\x00",
-                                                        "nan",
-                                                        std::string(300, 'x')};
+    static const std::vector<std::string> fragments = {"1e300",
+                                                       "-1e300",
+                                                       "18446744073709551615",
+                                                       "-1",
+                                                       "0",
+                                                       "null",
+                                                       "true",
+                                                       "\"\"",
+                                                       "{}",
+                                                       "[]",
+                                                       "\"x\":",
+                                                       ":65536",
+                                                       "\n",
+                                                       "\xff\xff\xff",
+                                                       "\xdd\xff\xff\xff\xff",
+                                                       "\xc0",
+                                                       "\xcf\xff\xff\xff",
+                                                       "\x28\xb5\x2f\xfd",
+                                                       "\xcb\x7f\xf8\x00",
+                                                       "nan",
+                                                       std::string(300, 'x')};
     const std::uint64_t kind = this->random() % 8;
     if (kind == 0) {
       return std::string(this->random() % kMaxDepth, '[');
@@ -94,7 +94,7 @@
     if (kind == 1) {
       return std::string(this->random() % kMaxDepth, '\x91');
     }
-    return kFragments[this->random() % kFragments.size()];
+    return fragments[this->random() % fragments.size()];
   }
 
   void ChangeOnce(std::string& text) {
