--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -140,7 +140,7 @@
       ToView(this->message[names.deadline]), this->route->timeout_ms);
   this->deadline =
       this->received_at + Milliseconds(std::clamp<std::int64_t>(
-                               caller_timeout_ms, 0, this->route->timeout_ms));
+                              caller_timeout_ms, 0, this->route->timeout_ms));
   if (this->RefuseIfTooLate()) {
     return false;
   }
