Say what becomes of streams whose caller ends its sending side

The comment and CALLERS.md said that all other requests can be sent again; a stream that may not be resumed ends as well and cannot.

--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -123,9 +123,9 @@
   void LeaveQueue();
   /// Called when the caller has ended its sending side: it has left, or waits
   /// for its answer, which cannot be told apart before something is written. A
-  /// request that may run only once and was handed over goes on, as this answer
-  /// is the only way to learn its outcome. All others end, so that no target
-  /// works for a caller that has left; their callers may send them again.
+  /// request that may run only once, is no stream and was handed over goes on,
+  /// as this answer is the only way to learn its outcome. Streams and requests
+  /// that may be repeated end, so that no target works for a caller that left.
   /// \returns True if the request goes on.
   [[nodiscard]] bool OnInputEnd();
   [[nodiscard]] bool MayRetry(bool may_have_executed) const;
