Say in the logs which parts a request has and what is reported of cuts

Change: `parts` in `request_ended` (all but the last, cut off at 128 bytes), `cut_reported` and `target_ended` at the leader. No change of logic.

--- a/include/gooseberryturn/direct/dialect.h
+++ b/include/gooseberryturn/direct/dialect.h
@@ -27,6 +27,7 @@
   std::string leaving;   ///< Set to kLeavingValue by a target that leaves.
   std::string model;     ///< Requested model.
   std::string tokens;    ///< Prompt tokens and maximum output tokens.
+  std::string prompt_parts;  ///< Parts of the prompt, in order.
   std::string priority;  ///< Priority at the engine; 0 goes first.
 };
 
@@ -98,6 +99,8 @@
   /// Decodes the answer to `write_report_call`.
   std::function<Result<EngineReport>(std::string_view)> read_report;
   std::function<ControlCall(const HttpRequest&)> read_control_call;
+  /// Decodes the header `prompt_parts`: ids of the parts, in order.
+  std::function<std::vector<std::string>(std::string_view)> read_prompt_parts;
   /// `next` is the address for the target's further announcements.
   std::function<std::string(const Endpoint& next)> write_announcement_reply;
   std::function<std::string(const std::string& message)> write_error;
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -62,11 +62,15 @@
   static constexpr Duration kStreamStallTimeout =
       std::chrono::milliseconds(1100);
   static constexpr std::size_t kMaxAttempts = 5;
+  /// Parts of one prompt that are kept; a longer list is cut off.
+  static constexpr std::size_t kMaxSharedParts = 32;
   /// Longest body of an answer that is not streamed.
   static constexpr std::size_t kMaxBufferedBytes = 4U * 1024U * 1024U;
 
  private:
   [[nodiscard]] bool Admit();
+  /// Reads `shared_parts`, at most kMaxSharedParts.
+  void ReadSharedParts();
   /// Digest of path, team and body; a request sent again has the same one.
   [[nodiscard]] std::string Fingerprint() const;
   /// Ends a request that found no target in time or may not be retried.
@@ -156,6 +160,9 @@
   std::string service;
   std::string model;
   double prompt_tokens = 0;
+  /// Ids of the parts of the prompt that other requests may have too: all but
+  /// the last.
+  std::vector<std::string> shared_parts;
   /// Prompt tokens of the current attempt that wait for their prefill.
   std::uint32_t pending_prefill_tokens = 0;
   TimePoint received_at;
--- a/src/direct/control_host_calls.cc
+++ b/src/direct/control_host_calls.cc
@@ -159,6 +159,8 @@
   }
   for (const std::string& removed : this->registry.TakeRemoved()) {
     this->crash_tracker.RecordCrash(removed, Clock::now());
+    LogEvent(Level::kInfo, "", "target_ended",
+             {{"target", removed}, {"superseded_by", target}});
     this->PublishTarget(removed);
   }
   const std::string body =
--- a/src/direct/control_host_followers.cc
+++ b/src/direct/control_host_followers.cc
@@ -73,6 +73,10 @@
       now);
   this->has_traffic |= report.has_received_request;
   for (const CutRequest& cut : report.cut_requests) {
+    LogEvent(Level::kInfo, "", "cut_reported",
+             {{"host", follower.hello.host},
+              {"target", cut.target},
+              {"fingerprint", cut.fingerprint}});
     this->crash_tracker.ReportCutOff(cut.fingerprint, cut.target, now);
   }
   for (const std::string& group : report.stalled_groups) {
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -91,6 +91,27 @@
   return Digest(text);
 }
 
+void RequestFlow::ReadSharedParts() {
+  const std::string& name = this->entry.dialect.headers.prompt_parts;
+  std::string text;
+  for (const http::fields::value_type& field : this->message) {
+    if (IsSameHeaderName(ToView(field.name_string()), name)) {
+      text.append(text.empty() ? "" : ",").append(ToView(field.value()));
+    }
+  }
+  if (text.empty()) {
+    return;
+  }
+  std::vector<std::string> parts = this->entry.dialect.read_prompt_parts(text);
+  if (!parts.empty()) {
+    parts.pop_back();
+  }
+  parts.resize(std::min(parts.size(), kMaxSharedParts));
+  std::sort(parts.begin(), parts.end());
+  parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
+  this->shared_parts = std::move(parts);
+}
+
 void RequestFlow::RefuseByConfiguration(int status, Reason reason) {
   if (this->entry.view.IsBehind()) {
     this->Refuse(kUnavailable, Reason::kNoView);
@@ -102,6 +123,7 @@
 bool RequestFlow::Admit() {
   const HeaderNames& names = this->entry.dialect.headers;
   this->caller_attempt_id = std::string(this->message[names.attempt]);
+  this->ReadSharedParts();
   if (this->route_table == nullptr) {
     this->Refuse(kUnavailable, Reason::kNoView);
     return false;
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -29,6 +29,17 @@
 /// Upper bound of the Retry-After as a share of the remaining time. Callers
 /// honour one of at most a third of their remaining time.
 constexpr double kRetryAfterShare = 0.25;
+/// Longest list of prompt parts in a log line.
+constexpr std::size_t kMaxLoggedPartBytes = 128;
+
+std::string JoinParts(const std::vector<std::string>& parts) {
+  std::string text;
+  for (const std::string& part : parts) {
+    text += (text.empty() ? "" : ",") + part;
+  }
+  text.resize(std::min(text.size(), kMaxLoggedPartBytes));
+  return text;
+}
 
 }  // namespace
 
@@ -138,6 +149,7 @@
       {{"outcome", outcome},
        {"route", this->route == nullptr ? "" : this->route->name},
        {"model", this->model},
+       {"parts", JoinParts(this->shared_parts)},
        {"target", this->target},
        {"tries", std::to_string(this->tried_targets.size())},
        {"runs", std::to_string(this->possible_executions)},
