--- a/tests/platform_fake_target.h
+++ b/tests/platform_fake_target.h
@@ -66,8 +66,8 @@
     for (std::thread& thread : this->threads) {
       thread.join();
     }
-    for (const std::shared_ptr<asio::ip::tcp::socket>& open : this->sockets) {
-      open->shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    for (const std::shared_ptr<Connection>& open : this->connections) {
+      open->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     }
     for (std::thread& thread : this->connection_threads) {
       thread.join();
@@ -103,7 +103,41 @@
     this->silent_until = std::chrono::steady_clock::now() + time;
   }
 
+  /// Sets a part of prompts on which the target crashes as soon as it begins to
+  /// write, unless it is the last part; empty for none.
+  void SetCrashingPart(const std::string& part) {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->crashing_part = part;
+  }
+  /// When requests with the crashing part arrived.
+  [[nodiscard]] std::vector<std::chrono::steady_clock::time_point>
+  CrashingArrivals() {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->crashing_arrivals;
+  }
+  /// When the target crashed.
+  [[nodiscard]] std::vector<std::chrono::steady_clock::time_point> Crashes() {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->crashes;
+  }
+  /// Ends this run: all work in progress is gone. The target starts again after
+  /// `down_ms`, under its id and without a group.
+  void Crash() {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    const std::chrono::steady_clock::time_point now =
+        std::chrono::steady_clock::now();
+    this->crashes.push_back(now);
+    this->down_until = now + std::chrono::milliseconds(this->down_ms);
+    this->run += 1;
+    this->born += 1;
+    this->sequence = 0;
+    this->state.clear();
+  }
+
   std::atomic<Behaviour> behaviour = Behaviour::kServe;
+  std::atomic<int> down_ms = 1500;  ///< Time from a crash to the next start.
+  /// Connections of a run that crashed stay open and silent while it is down.
+  std::atomic<bool> crashes_silently = false;
   std::atomic<bool> says_leaving = false;  ///< In its answers only.
   std::atomic<int> born = 1;               ///< Start time that it announces.
   std::atomic<int> received = 0;   ///< Requests, also those that it refused.
@@ -121,6 +155,31 @@
   using Request = http::request<http::string_body>;
   using Response = http::response<http::string_body>;
 
+  struct Connection {
+    asio::ip::tcp::socket socket;
+    int run =
+        0;  ///< The run that accepted it; kNoRun while the target is down.
+  };
+  static constexpr int kNoRun = -1;
+
+  [[nodiscard]] bool IsDown() const {
+    return std::chrono::steady_clock::now() < this->down_until.load();
+  }
+
+  /// Waits while the target is silent.
+  /// \returns False when the run of the connection has ended: it is to be
+  /// closed.
+  [[nodiscard]] bool MayWrite(const Connection& connection) const {
+    this->AwaitEndOfSilence();
+    if (connection.run == this->run) {
+      return true;
+    }
+    while (this->crashes_silently && this->IsDown() && !this->is_stopped) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return false;
+  }
+
   void AwaitEndOfSilence() const {
     while (std::chrono::steady_clock::now() < this->silent_until.load()) {
       std::this_thread::sleep_for(std::chrono::milliseconds(5));
@@ -130,41 +189,44 @@
   void AcceptConnections() {
     while (!this->is_stopped) {
       error_code error;
-      const std::shared_ptr<asio::ip::tcp::socket> socket =
-          std::make_shared<asio::ip::tcp::socket>(this->context);
-      this->acceptor.accept(*socket, error);
+      const std::shared_ptr<Connection> connection =
+          std::make_shared<Connection>(
+              Connection{asio::ip::tcp::socket(this->context)});
+      this->acceptor.accept(connection->socket, error);
       if (!error && !this->is_stopped) {
-        this->sockets.push_back(socket);
-        this->connection_threads.emplace_back([this, socket] {
-          this->ServeConnection(*socket);
+        connection->run = this->IsDown() ? kNoRun : this->run.load();
+        this->connections.push_back(connection);
+        this->connection_threads.emplace_back([this, connection] {
+          this->ServeConnection(*connection);
           error_code ignored;
-          socket->shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+          connection->socket.shutdown(asio::ip::tcp::socket::shutdown_both,
+                                      ignored);
         });
       }
     }
   }
 
-  void ServeConnection(asio::ip::tcp::socket& socket) {
+  void ServeConnection(Connection& connection) {
     boost::beast::flat_buffer buffer;
     error_code error;
     while (!error && !this->is_stopped) {
       Request request;
-      http::read(socket, buffer, request, error);
-      if (error) {
+      http::read(connection.socket, buffer, request, error);
+      if (error || !this->MayWrite(connection)) {
         return;
       }
       const std::string path(request.target());
       if (path == "/api/order") {
-        this->Reply(socket, request, this->TakeOrder(request.body()), "{}");
+        this->Reply(connection, request, this->TakeOrder(request.body()), "{}");
       } else if (path == "/api/report") {
-        this->Reply(socket, request, 200, this->StatusJson());
-      } else if (!this->HandleRequest(socket, request)) {
+        this->Reply(connection, request, 200, this->StatusJson());
+      } else if (!this->HandleRequest(connection, request)) {
         return;
       }
     }
   }
 
-  void Reply(asio::ip::tcp::socket& socket, const Request& request, int status,
+  void Reply(Connection& connection, const Request& request, int status,
              const std::string& body, bool is_not_run = false) {
     Response response(http::int_to_status(static_cast<unsigned>(status)), 11);
     response.set("X-Gooseberryturn-Attempt-Id",
@@ -182,21 +244,25 @@
     }
     response.body() = body;
     response.prepare_payload();
-    this->AwaitEndOfSilence();
     error_code ignored;
-    http::write(socket, response, ignored);
+    if (this->MayWrite(connection)) {
+      http::write(connection.socket, response, ignored);
+    }
   }
 
   /// \returns False when the connection is to be closed.
-  bool HandleRequest(asio::ip::tcp::socket& socket, const Request& request) {
+  bool HandleRequest(Connection& connection, const Request& request) {
     this->received += 1;
     if (this->behaviour == Behaviour::kShed) {
-      this->Reply(socket, request, 503, "", true);
+      this->Reply(connection, request, 503, "", true);
       return true;
     }
     {
       const std::lock_guard<std::mutex> guard(this->mutex);
       this->runs.emplace_back(request["X-Gooseberryturn-Attempt-Id"]);
+      if (this->HasPart(request, this->crashing_part)) {
+        this->crashing_arrivals.push_back(std::chrono::steady_clock::now());
+      }
       this->last_headers.clear();
       for (const auto& field : request) {
         this->last_headers[std::string(field.name_string())] =
@@ -208,7 +274,7 @@
     }
     if (this->behaviour == Behaviour::kFailResumed &&
         request.find("Last-Event-Id") != request.end()) {
-      this->Reply(socket, request, 500, "id: 7\ndata: an error\n\n");
+      this->Reply(connection, request, 500, "id: 7\ndata: an error\n\n");
       return true;
     }
     const int work = WorkOf(request.body());
@@ -217,10 +283,25 @@
       while (this->is_holding && !this->is_stopped) {
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
       }
-      this->Reply(socket, request, 200, "answer of " + this->id);
+      this->Reply(connection, request, 200, "answer of " + this->id);
       return true;
     }
-    return this->StreamEvents(socket, request, work > 0 ? work : kEventCount);
+    return this->StreamEvents(connection, request,
+                              work > 0 ? work : kEventCount);
+  }
+
+  [[nodiscard]] bool HasCrashingPart(const Request& request) {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->HasPart(request, this->crashing_part);
+  }
+  /// True when `part` is a part of the prompt other than the last.
+  [[nodiscard]] static bool HasPart(const Request& request,
+                                    const std::string& part) {
+    const std::string parts =
+        "," + std::string(request["X-Gooseberryturn-Prefix-Hash"]);
+    const std::size_t at = parts.find("," + part + ":");
+    return !part.empty() && at != std::string::npos &&
+           parts.find(',', at + 1) != std::string::npos;
   }
 
   /// \returns 0 when the body states none.
@@ -230,17 +311,23 @@
                : 0;
   }
 
-  bool StreamEvents(asio::ip::tcp::socket& socket, const Request& request,
+  bool StreamEvents(Connection& connection, const Request& request,
                     int event_count) {
+    asio::ip::tcp::socket& socket = connection.socket;
     std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
     head += "X-Gooseberryturn-Attempt-Id: " +
             std::string(request["X-Gooseberryturn-Attempt-Id"]) + "\r\n";
     head += "X-Gooseberryturn-Server-Seal: seal-" + this->id +
             (this->says_leaving ? "\r\nServer-Leaving: 1" : "") +
             "\r\nTransfer-Encoding: chunked\r\n\r\n";
-    this->AwaitEndOfSilence();
+    if (!this->MayWrite(connection)) {
+      return false;
+    }
     error_code error;
     asio::write(socket, asio::buffer(head), error);
+    if (this->HasCrashingPart(request)) {
+      this->Crash();
+    }
     const std::string last_event_id(request["Last-Event-Id"]);
     int number = last_event_id.empty() ? 0 : std::stoi(last_event_id);
     const bool is_cut = this->behaviour == Behaviour::kCutStream ||
@@ -252,7 +339,9 @@
                                 "\ndata: " + std::to_string(number) + "\n\n";
       char size[16];
       std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
-      this->AwaitEndOfSilence();
+      if (!this->MayWrite(connection)) {
+        return false;
+      }
       asio::write(socket, asio::buffer(size + event + "\r\n"), error);
       std::this_thread::sleep_for(
           std::chrono::milliseconds(this->event_interval_ms));
@@ -319,6 +408,10 @@
   void SendAnnouncements() {
     while (!this->is_stopped) {
       this->AwaitEndOfSilence();
+      if (this->IsDown()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        continue;
+      }
       const int status =
           Call(this->controls[this->control_index], "PUT",
                "/api/instances/" + this->id, {}, this->StatusJson())
@@ -341,7 +434,13 @@
   std::atomic<bool> is_stopped = false;
   std::atomic<std::chrono::steady_clock::time_point> silent_until =
       std::chrono::steady_clock::time_point();
+  std::atomic<std::chrono::steady_clock::time_point> down_until =
+      std::chrono::steady_clock::time_point();
+  std::atomic<int> run = 0;  ///< Number of crashes so far.
   std::mutex mutex;
+  std::string crashing_part;
+  std::vector<std::chrono::steady_clock::time_point> crashing_arrivals;
+  std::vector<std::chrono::steady_clock::time_point> crashes;
   std::vector<std::string> runs;
   std::string retry_after;
   std::map<std::string, std::string> last_headers;
@@ -353,7 +452,7 @@
   int rank = 0;
   std::list<std::thread> threads;
   std::list<std::thread> connection_threads;
-  std::list<std::shared_ptr<asio::ip::tcp::socket>> sockets;
+  std::list<std::shared_ptr<Connection>> connections;
 };
 
 }  // namespace gooseberryturn::fleet
