A target that breaks off is probed at once, not only one that is silent

Cause: entries told the leader only of heads that hold requests and are silent. A head whose requests all broke off holds none; nothing probed it until its announcements were overdue. Besides, a stream that ends inside an event counted as a sign of health. Change: entries name groups whose head broke off or could not be reached in the last second and has sent nothing since; the leader probes them as it does stalled ones, and a refused probe settles it. A target that answers its probes keeps its group. Why it works: the new input goes the way that stalls go already.

--- a/include/gooseberryturn/direct/target_tracker.h
+++ b/include/gooseberryturn/direct/target_tracker.h
@@ -57,6 +57,9 @@
   /// \brief Targets with requests in flight that sent nothing for
   /// kStallTimeout.
   [[nodiscard]] std::vector<std::string> StalledTargets(TimePoint now) const;
+  /// \brief Targets at which an exchange broke off or could not begin in the
+  /// last kBrokenTime and that sent nothing since: they may have crashed.
+  [[nodiscard]] std::vector<std::string> BrokenTargets(TimePoint now) const;
   /// \brief True if `target` is one of the StalledTargets.
   [[nodiscard]] bool IsStalled(const std::string& target, TimePoint now) const;
   /// \brief True while the target is stalled, and for kMinAvoidTime after
@@ -78,6 +81,7 @@
   }
 
   static constexpr Duration kStallTimeout = std::chrono::milliseconds(320);
+  static constexpr Duration kBrokenTime = std::chrono::milliseconds(1000);
   static constexpr Duration kMinAvoidTime = std::chrono::milliseconds(500);
   static constexpr Duration kMaxAvoidTime = std::chrono::seconds(4);
   static constexpr int kFailuresToAvoid = 2;
@@ -92,6 +96,7 @@
     std::uint32_t reported_pending_prefill_tokens = 0;
     std::uint32_t total_pending_prefill_tokens = 0;
     TimePoint last_progress_at;
+    TimePoint last_broken_at;
     int consecutive_failures = 0;
     TimePoint avoid_until;
     double cold_credit = 0;  ///< Token bucket of a cold target.
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -271,7 +271,11 @@
 
 void EntryHost::SendReport(TimePoint now) {
   EntryReport report;
-  for (const std::string& target : this->target_tracker.StalledTargets(now)) {
+  std::vector<std::string> suspects = this->target_tracker.StalledTargets(now);
+  for (std::string& target : this->target_tracker.BrokenTargets(now)) {
+    suspects.push_back(std::move(target));
+  }
+  for (const std::string& target : suspects) {
     const GroupView* group = this->view.GroupOfHead(target);
     if (group != nullptr) {
       report.stalled_groups.push_back(group->name);
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -158,10 +158,13 @@
       !this->answer_head[this->entry.dialect.headers.not_executed].empty();
   const bool is_too_late = end == ExchangeEnd::kNotSent &&
                            now >= this->entry.LatestEnd(this->deadline);
+  const bool is_broken_off = this->is_streaming &&
+                             end == ExchangeEnd::kComplete &&
+                             !this->splitter.incomplete_event().empty();
   HealthSignal signal = HealthSignal::kBad;
   if (end == ExchangeEnd::kCancelled || is_rejected || is_too_late) {
     signal = HealthSignal::kNone;
-  } else if (end == ExchangeEnd::kComplete) {
+  } else if (end == ExchangeEnd::kComplete && !is_broken_off) {
     signal = HealthSignal::kGood;
   }
   this->EndPrefill();
--- a/src/direct/target_tracker.cc
+++ b/src/direct/target_tracker.cc
@@ -38,6 +38,7 @@
     state.consecutive_failures = 0;
     state.last_progress_at = now;
   } else if (signal == HealthSignal::kBad) {
+    state.last_broken_at = now;
     state.consecutive_failures += 1;
     if (state.consecutive_failures >= kFailuresToAvoid) {
       const int doublings =
@@ -121,6 +122,19 @@
   return stalled;
 }
 
+std::vector<std::string> TargetTracker::BrokenTargets(TimePoint now) const {
+  std::vector<std::string> broken;
+  for (const std::pair<const std::string, TargetState>& item : this->targets) {
+    const TargetState& state = item.second;
+    const bool is_recent = state.last_broken_at != TimePoint() &&
+                           now < state.last_broken_at + kBrokenTime;
+    if (is_recent && state.last_progress_at <= state.last_broken_at) {
+      broken.push_back(item.first);
+    }
+  }
+  return broken;
+}
+
 bool TargetTracker::IsAvoided(const std::string& target, TimePoint now) const {
   const auto found = this->targets.find(target);
   return found != this->targets.end() &&
--- a/tests/direct_decision_test.cc
+++ b/tests/direct_decision_test.cc
@@ -11,6 +11,7 @@
 #include "gooseberryturn/direct/fleet_view.h"
 #include "gooseberryturn/direct/quorum_planner.h"
 #include "gooseberryturn/direct/registry.h"
+#include "gooseberryturn/direct/target_tracker.h"
 #include "gooseberryturn/protocol/codec.h"
 
 using namespace gooseberryturn;          // NOLINT
@@ -172,6 +173,20 @@
   BOOST_TEST(crashes.Quarantined(At(20)).empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_target_that_breaks_off_is_told_until_it_sends_again) {
+  TargetTracker tracker;
+  tracker.BeginRequest("i1", 10, At(0));
+  BOOST_TEST(tracker.BrokenTargets(At(50)).empty());
+  tracker.EndRequest("i1", HealthSignal::kBad, At(100));
+  BOOST_TEST(tracker.BrokenTargets(At(150)) == std::vector<std::string>{"i1"},
+             boost::test_tools::per_element());
+  tracker.RecordProgress("i1", At(200));
+  BOOST_TEST(tracker.BrokenTargets(At(250)).empty());
+  tracker.EndRequest("i1", HealthSignal::kBad, At(300));
+  BOOST_TEST(tracker.BrokenTargets(At(350)).size() == 1U);
+  BOOST_TEST(tracker.BrokenTargets(At(1400)).empty());
+}
+
 // ------------------------------------------------------------------ streams
 
 BOOST_AUTO_TEST_CASE(only_whole_events_pass_however_bytes_are_split) {
