--- a/include/gooseberryturn/core/reason.h
+++ b/include/gooseberryturn/core/reason.h
@@ -39,9 +39,10 @@
   kTombstone,      ///< The attempt was seen before or is refused for good.
   kAnswerNotKept,  ///< The request ran, but its answer was not stored.
   kTargetPaused,   ///< All targets asked for a pause that still lasts.
+  kSuspect,  ///< Waited because targets crashed while they ran its content.
 };
 
-inline constexpr std::size_t kReasonCount = 29;
+inline constexpr std::size_t kReasonCount = 30;
 
 inline constexpr NameTable<Reason, kReasonCount> kReasonNames = {
     {"none",
@@ -72,7 +73,8 @@
      "slow_caller",
      "tombstone",
      "answer_not_kept",
-     "target_paused"}};
+     "target_paused",
+     "suspect"}};
 
 /// \brief HTTP status that the caller gets for `reason`.
 [[nodiscard]] int HttpStatusOf(Reason reason) noexcept;
--- /dev/null
+++ b/include/gooseberryturn/direct/answered_contents.h
@@ -0,0 +1,72 @@
+#ifndef GOOSEBERRYTURN_DIRECT_ANSWERED_CONTENTS_H_
+#define GOOSEBERRYTURN_DIRECT_ANSWERED_CONTENTS_H_
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "gooseberryturn/core/time.h"
+#include "gooseberryturn/direct/crash_report.h"
+#include "gooseberryturn/direct/target_notices.h"
+
+namespace gooseberryturn::direct {
+
+/// \brief The content that targets have answered whole and outlived, as one
+/// entry saw it, and what of it is due for a report to the leader.
+///
+/// \details Such content does not crash targets. An answer counts only once its
+/// target has lived for kOutliveTime since it began to write: one without a
+/// length may look whole although its target crashed. The request is reported
+/// as cut when its target did not live so long.
+class AnsweredContents {
+ public:
+  /// \brief Records a whole answer to `request` that its target began to write
+  /// at `began_at`.
+  void Record(CutRequest request, TimePoint began_at, TimePoint now);
+  /// \brief Counts the answers that are old enough.
+  /// \returns The requests whose targets are no longer alive, to be reported.
+  [[nodiscard]] std::vector<CutRequest> Settle(
+      TimePoint now,
+      const std::function<bool(const TargetIncarnation&)>& is_alive);
+  /// \brief True for content that was answered in the last kSoundTime.
+  [[nodiscard]] bool IsSound(const std::string& content, TimePoint now) const;
+  /// \brief Answers that are due: of each content one per kReportInterval, but
+  /// each of those that are urgent; at most kMaxReported.
+  [[nodiscard]] std::vector<AnsweredContent> TakeReport(
+      TimePoint now, const std::function<bool(const std::string&)>& is_urgent);
+  /// \brief Makes all content due again, for a leader that knows none of it.
+  void ReportAgain();
+
+  static constexpr Duration kOutliveTime = std::chrono::milliseconds(2000);
+  static constexpr Duration kSoundTime = std::chrono::seconds(60);
+  static constexpr Duration kReportInterval = std::chrono::seconds(5);
+  static constexpr std::size_t kMaxContents = 8192;
+  static constexpr std::size_t kMaxPending = 8192;
+  static constexpr std::size_t kMaxReported = 256;
+
+ private:
+  struct PendingAnswer {
+    CutRequest request;
+    TimePoint answered_at;
+    TimePoint settles_at;
+  };
+  struct Answer {
+    TimePoint answered_at;     ///< The latest.
+    TimePoint reported_at;     ///< TimePoint() if it was never reported.
+    bool is_reported = false;  ///< The latest one.
+  };
+
+  void Count(const PendingAnswer& pending);
+  void Expire(TimePoint now);
+
+  std::deque<PendingAnswer> pending_answers;
+  std::map<std::string, Answer> answers;
+  TimePoint next_expiry_at;
+};
+
+}  // namespace gooseberryturn::direct
+
+#endif  // GOOSEBERRYTURN_DIRECT_ANSWERED_CONTENTS_H_
--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -162,13 +162,27 @@
   void Probe(const std::string& target);
   void OnFollower(const std::shared_ptr<link::Stream>& stream);
   void OnReport(Follower& follower, const EntryReport& report);
+  /// Records what a report says of content that may crash targets.
+  void RecordContents(const Follower& follower, const EntryReport& report,
+                      TimePoint now);
+  /// Decides which content is held or quarantined, and logs the changes.
+  /// \returns Whether followers have to be told.
+  [[nodiscard]] bool UpdateSuspects(TimePoint now);
+  void LogSuspicion(const SuspicionEvent& event);
+  /// Proposes the suspects to the log if they have changed.
+  void ProposeSuspects(TimePoint now);
+  /// Answers an operator who lists quarantined content.
+  void ListQuarantine(const AsyncHttpServer::Reply& reply) const;
+  /// Ends the quarantine of a content by an operator's order.
+  void ClearQuarantine(const std::string& content,
+                       const AsyncHttpServer::Reply& reply);
   /// True while this host is elected and cannot prove that it still leads. Its
   /// followers are then left waiting: sent away, all would come back at once
   /// and ask for everything.
   [[nodiscard]] bool IsAwaitingLease() const;
   void SendUpdates(TimePoint now);
   /// The fields of an update that are the same for all followers.
-  [[nodiscard]] FleetUpdate MakeCommonUpdate(TimePoint now);
+  [[nodiscard]] FleetUpdate MakeCommonUpdate();
   /// Sends an update if one is due for this follower.
   void SendUpdate(Follower& follower, const FleetUpdate& common, TimePoint now);
   /// Link of the leader if it is another host, else an empty endpoint.
@@ -215,6 +229,10 @@
   GroupPlanner planner;
   QuorumPlanner quorum_planner;
   CrashTracker crash_tracker;
+  std::uint64_t sent_suspects_revision = 0;      ///< Of the crash tracker.
+  std::uint64_t proposed_suspects_revision = 0;  ///< Of the crash tracker.
+  std::string proposed_suspects;                 ///< Encoded.
+  TimePoint next_suspects_at;
   DemandAggregator demand;
   std::list<std::shared_ptr<Follower>> followers;
   control::VersionedMap<TargetView> targets;
--- a/include/gooseberryturn/direct/dialect.h
+++ b/include/gooseberryturn/direct/dialect.h
@@ -24,11 +24,11 @@
   std::string target_marker;  ///< Present on a target's own answers.
   /// Set by a target that did not execute the request.
   std::string not_executed;
-  std::string leaving;   ///< Set to kLeavingValue by a target that leaves.
-  std::string model;     ///< Requested model.
-  std::string tokens;    ///< Prompt tokens and maximum output tokens.
+  std::string leaving;       ///< Set to kLeavingValue by a target that leaves.
+  std::string model;         ///< Requested model.
+  std::string tokens;        ///< Prompt tokens and maximum output tokens.
   std::string prompt_parts;  ///< Parts of the prompt, in order.
-  std::string priority;  ///< Priority at the engine; 0 goes first.
+  std::string priority;      ///< Priority at the engine; 0 goes first.
 };
 
 /// \brief Value of the header `leaving` of a target that leaves.
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -12,8 +12,10 @@
 #include <set>
 #include <string>
 
+#include "gooseberryturn/direct/answered_contents.h"
 #include "gooseberryturn/direct/async_http.h"
 #include "gooseberryturn/direct/caller_connection.h"
+#include "gooseberryturn/direct/cut_reports.h"
 #include "gooseberryturn/direct/dialect.h"
 #include "gooseberryturn/direct/fleet_view.h"
 #include "gooseberryturn/direct/follow_client.h"
@@ -53,7 +55,6 @@
 
   static constexpr Duration kTickInterval = std::chrono::milliseconds(50);
   static constexpr Duration kReportInterval = std::chrono::milliseconds(100);
-  static constexpr std::size_t kMaxCutRequests = 512;
   /// The load balancer sends no new connections after two failed readiness
   /// checks, unless too few other entries are ready.
   static constexpr Duration kAcceptTimeAfterLeave =
@@ -107,8 +108,20 @@
   void RemoveFlow(std::uint64_t flow_id);
   /// Milliseconds since the last update from a leader.
   [[nodiscard]] std::int64_t ViewAgeMs() const;
-  /// Adds a request that was cut off to the next report to the leader.
-  void ReportCutOff(CutRequest cut);
+  /// True while the target of this incarnation is known to serve and, as far as
+  /// this entry sees, not silent.
+  [[nodiscard]] bool IsAlive(const TargetIncarnation& target,
+                             TimePoint now) const;
+  /// Counts the answers whose targets have outlived them.
+  void SettleAnswers(TimePoint now);
+  /// Takes a trial that was granted to this entry.
+  /// \returns False if it was granted to another or taken before.
+  [[nodiscard]] bool TakeTrial(const HeldContent& held);
+  /// Lets all requests act on content that is newly held, cleared or
+  /// quarantined.
+  void RecheckContents();
+  /// Forgets the trials of content that is no longer held.
+  void ForgetTrials();
 
   boost::asio::io_context& context;
   boost::asio::steady_timer timer;
@@ -136,7 +149,13 @@
   TimePoint next_report_at;
   TimePoint next_tick_at;
   std::size_t reported_stall_count = 0;
-  std::vector<CutRequest> cut_requests;
+  CutReports cut_reports;
+  AnsweredContents answered_contents;
+  std::set<std::string> held_contents;     ///< For the next report.
+  std::set<std::string> refused_contents;  ///< For the next report.
+  /// Number of the last trial taken, by content.
+  std::map<std::string, std::uint64_t> taken_trials;
+  std::uint64_t leader_term = 0;  ///< Of the last update.
   bool has_received_request = false;
   bool is_leaving = false;
   bool is_dispatching_queued = false;
--- a/include/gooseberryturn/direct/fleet_state.h
+++ b/include/gooseberryturn/direct/fleet_state.h
@@ -19,10 +19,11 @@
   kPutConfiguration,
   kEvacuate,
   kFleetDelta,  ///< Changes of targets and groups.
+  kSuspects,    ///< All content that is suspected or quarantined.
 };
 
-inline constexpr NameTable<FleetCommandKind, 3> kFleetCommandKindNames = {
-    {"put_configuration", "evacuate", "note"}};
+inline constexpr NameTable<FleetCommandKind, 4> kFleetCommandKindNames = {
+    {"put_configuration", "evacuate", "note", "suspects"}};
 
 /// \brief Changes of the leader's targets and groups.
 ///
@@ -50,12 +51,14 @@
   std::string data_centre;
   bool is_evacuated = false;
   FleetDelta delta;
+  std::vector<SuspectRecord> suspects;
 
-  MSGPACK_DEFINE(kind, version, text, data_centre, is_evacuated, delta)
+  MSGPACK_DEFINE(kind, version, text, data_centre, is_evacuated, delta,
+                 suspects)
 };
 
 /// \brief The replicated state: configuration, data centres out of service,
-/// targets and groups.
+/// targets, groups and content that crashes targets.
 ///
 /// \details A configuration with the same or a lower version than the current
 /// one is ignored, whatever its content.
@@ -90,6 +93,9 @@
       const noexcept {
     return this->known_groups;
   }
+  [[nodiscard]] const std::vector<SuspectRecord>& suspects() const noexcept {
+    return this->known_suspects;
+  }
 
  private:
   void PutConfiguration(const FleetCommand& command);
@@ -101,10 +107,11 @@
   std::set<std::string> evacuated_data_centres;
   std::map<std::string, TargetView> known_targets;
   std::map<std::string, GroupView> known_groups;
+  std::vector<SuspectRecord> known_suspects;
 
  public:
   MSGPACK_DEFINE(applied, config_version, config_text, evacuated_data_centres,
-                 known_targets, known_groups)
+                 known_targets, known_groups, known_suspects)
 };
 
 }  // namespace gooseberryturn::direct
--- a/include/gooseberryturn/direct/fleet_view.h
+++ b/include/gooseberryturn/direct/fleet_view.h
@@ -54,13 +54,21 @@
   /// \brief True when the group whose head is `target` is being dissolved and
   /// `target` heads no other, so that its requests should continue elsewhere.
   [[nodiscard]] bool IsBroken(const std::string& target) const;
-  [[nodiscard]] bool HasQuarantine() const noexcept {
-    return !this->quarantined.empty();
+  /// \brief True while any content is quarantined or held.
+  [[nodiscard]] bool HasSuspects() const noexcept {
+    return !this->quarantined.empty() || !this->held.empty();
   }
-  /// \brief True when the request has crashed several targets.
-  [[nodiscard]] bool IsQuarantined(const std::string& fingerprint) const {
-    return this->quarantined.count(fingerprint) > 0;
+  /// \brief True while a whole request is quarantined.
+  [[nodiscard]] bool HasQuarantinedRequests() const noexcept {
+    return this->has_quarantined_requests;
   }
+  /// \brief True when requests with this content have crashed several targets.
+  [[nodiscard]] bool IsQuarantined(const std::string& content) const {
+    return this->quarantined.count(content) > 0;
+  }
+  /// \brief The state of a content that is suspected of crashing targets, or
+  /// null.
+  [[nodiscard]] const HeldContent* FindHeld(const std::string& content) const;
   /// \brief Number of entries that follow the leader.
   [[nodiscard]] std::uint32_t entries() const noexcept {
     return this->entry_count;
@@ -74,6 +82,8 @@
   std::map<std::string, GroupView> groups;
   std::set<std::string> evacuated;
   std::set<std::string> quarantined;
+  std::map<std::string, HeldContent> held;
+  bool has_quarantined_requests = false;
   std::uint32_t entry_count = 1;
 };
 
--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -22,7 +22,9 @@
 struct PlannedActions {
   std::vector<Order> orders;
   std::vector<std::string> probes;  ///< Ids of targets to ask for a report.
-  std::vector<std::string> lost_members;  ///< Members found dead by this call.
+  /// Members found dead by this call, without those whose end the registry
+  /// knows.
+  std::vector<std::string> lost_members;
 };
 
 /// \brief State of the fleet on which a plan is based.
--- a/include/gooseberryturn/direct/registry.h
+++ b/include/gooseberryturn/direct/registry.h
@@ -24,6 +24,12 @@
   bool is_unconfirmed = false;
 };
 
+/// \brief An incarnation of a target that is no longer registered.
+struct EndedIncarnation {
+  TargetIncarnation incarnation;
+  bool was_leaving = false;  ///< It had said that it would leave.
+};
+
 /// \brief Effect of an announcement on the registry.
 enum class AnnouncementResult : std::uint8_t {
   kNew,      ///< First announcement of a target or, after a restart, of a run.
@@ -72,6 +78,9 @@
   }
   /// \brief Returns the ids removed since the last call.
   [[nodiscard]] std::vector<std::string> TakeRemoved();
+  /// \brief Returns the incarnations that ended since the last call: removed,
+  /// or followed by a later one under the same id.
+  [[nodiscard]] std::vector<EndedIncarnation> TakeEnded();
 
   static constexpr Duration kSilentRetention = std::chrono::seconds(30);
   static constexpr Duration kLeavingRetention = std::chrono::seconds(12);
@@ -129,6 +138,7 @@
   std::map<std::string, Tombstone> tombstones;
   std::map<std::string, Contender> contenders;  ///< By id.
   std::vector<std::string> removed;
+  std::vector<EndedIncarnation> ended;
 };
 
 }  // namespace gooseberryturn::direct
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -53,6 +53,9 @@
   /// its own is stalled or broken. The attempt in progress goes on until
   /// another target takes the request: silence alone does not end an answer.
   void Tick(TimePoint now);
+  /// \brief Acts on content that is newly held, cleared or quarantined: ends
+  /// the request, or goes on with one that was held.
+  void RecheckContents(TimePoint now);
   /// \brief Ends the request because the entry shuts down.
   void Abort();
 
@@ -62,6 +65,15 @@
   static constexpr Duration kStreamStallTimeout =
       std::chrono::milliseconds(1100);
   static constexpr std::size_t kMaxAttempts = 5;
+  /// Longest time that a request is held for content under suspicion. Callers
+  /// give a stream up that has not begun after two seconds.
+  static constexpr Duration kMaxHoldTime = std::chrono::milliseconds(1500);
+  /// Time in which the leader learns of a broken attempt and tells all entries
+  /// what is suspected for it.
+  static constexpr Duration kSuspicionDelay = std::chrono::milliseconds(200);
+  /// A target that crashes on some content does so within this time from when
+  /// it begins to write.
+  static constexpr Duration kRecentTime = std::chrono::seconds(1);
   /// Parts of one prompt that are kept; a longer list is cut off.
   static constexpr std::size_t kMaxSharedParts = 32;
   /// Longest body of an answer that is not streamed.
@@ -71,6 +83,33 @@
   [[nodiscard]] bool Admit();
   /// Reads `shared_parts`, at most kMaxSharedParts.
   void ReadSharedParts();
+  /// Quarantined content of this request, or an empty string.
+  [[nodiscard]] std::string QuarantinedContent() const;
+  /// Ends the request if its content is quarantined.
+  /// \returns Whether it was ended.
+  [[nodiscard]] bool EndIfQuarantined();
+  /// True once the target of the attempt in progress has begun to write.
+  [[nodiscard]] bool IsBeingWritten() const noexcept {
+    return this->IsMoving() && this->attempt_began_at != TimePoint();
+  }
+  /// True if the request must not be sent now: content of it is suspected of
+  /// crashing targets, or may be in a moment. Takes a trial if one is granted.
+  [[nodiscard]] bool MustHold(TimePoint now);
+  /// Lets the request wait, outside the wait queue, for what becomes of its
+  /// content.
+  void Hold(TimePoint now);
+  /// Goes on with a held request, or ends it when it was held for too long.
+  void TickHeld(TimePoint now);
+  /// True if all shared parts were answered whole lately.
+  [[nodiscard]] bool IsKnownSound(TimePoint now) const;
+  /// The attempt in progress or ended last, as reports name it.
+  [[nodiscard]] CutRequest DescribeAttempt() const;
+  /// Reports that the attempt in progress was cut: `is_observed` if its target
+  /// broke off or fell silent. Once for each attempt, and once more when it is
+  /// observed later.
+  void ReportCut(bool is_observed);
+  /// Records that the target answered the shared parts whole.
+  void RecordAnswered(TimePoint now);
   /// Digest of path, team and body; a request sent again has the same one.
   [[nodiscard]] std::string Fingerprint() const;
   /// Ends a request that found no target in time or may not be retried.
@@ -186,6 +225,14 @@
   TimePoint last_event_at;
   Duration longest_event_gap = Duration(0);
   TimePoint last_progress_at;  ///< Last bytes from the target.
+  /// First bytes of the body in the current attempt; TimePoint() before.
+  TimePoint attempt_began_at;
+  bool is_cut_reported = false;           ///< Of the current attempt.
+  bool is_observed_cut_reported = false;  ///< Of the current attempt.
+  bool is_held = false;
+  bool is_trial = false;  ///< Sent although its content is suspected.
+  TimePoint held_until;   ///< While it is held.
+  TimePoint not_before;   ///< Is not sent again until then.
   /// Grows with each attempt and each cancellation, so that the end of an
   /// earlier attempt is recognised.
   std::uint64_t attempt_number = 0;
--- a/include/gooseberryturn/direct/target_notices.h
+++ b/include/gooseberryturn/direct/target_notices.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "gooseberryturn/core/name_table.h"
 #include "gooseberryturn/core/time.h"
@@ -41,6 +42,12 @@
 struct TargetIncarnation {
   std::string target;              ///< Id.
   std::int64_t start_time_ms = 0;  ///< Unix time.
+
+  friend bool operator<(const TargetIncarnation& a,
+                        const TargetIncarnation& b) {
+    return std::tie(a.target, a.start_time_ms) <
+           std::tie(b.target, b.start_time_ms);
+  }
 };
 
 /// \brief What targets have said of themselves in their answers to this entry:
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -9,6 +9,7 @@
 #include "gooseberryturn/core/endpoint.h"
 #include "gooseberryturn/direct/announcement.h"
 #include "gooseberryturn/direct/configuration_text.h"
+#include "gooseberryturn/direct/crash_report.h"
 #include "gooseberryturn/direct/model_demand.h"
 #include "gooseberryturn/direct/target_notices.h"
 
@@ -98,14 +99,6 @@
                  takes_compressed)
 };
 
-/// \brief A request that broke off at a target, which it may have crashed.
-struct CutRequest {
-  std::string fingerprint;
-  std::string target;
-
-  MSGPACK_DEFINE(fingerprint, target)
-};
-
 /// \brief Report of an entry to the leader, sent several times a second.
 struct EntryReport {
   std::vector<InFlightWork> in_flight_work;
@@ -115,9 +108,14 @@
   bool has_received_request = false;
   std::uint64_t config_version = 0;
   std::vector<ModelWork> model_work;  ///< Totals since this entry started.
+  std::vector<AnsweredContent> answered_contents;
+  std::vector<std::string> held_contents;  ///< Requests wait for a trial.
+  /// Quarantined; requests with them were refused.
+  std::vector<std::string> refused_contents;
 
   MSGPACK_DEFINE(in_flight_work, stalled_groups, cut_requests,
-                 has_received_request, config_version, model_work)
+                 has_received_request, config_version, model_work,
+                 answered_contents, held_contents, refused_contents)
 };
 
 /// \brief Changes since the previous update, sent by the leader to followers.
@@ -135,15 +133,16 @@
   std::vector<std::string> removed_groups;
   std::vector<std::string> evacuated;  ///< All data centres out of service.
   std::vector<InFlightWork> in_flight_work;  ///< Sum over all entries.
-  std::vector<std::string> quarantined;      ///< Fingerprints of requests.
+  std::vector<std::string> quarantined;      ///< All quarantined content.
   std::vector<Endpoint> control_hosts;
   std::uint32_t entries = 1;  ///< Number of entries that follow.
   ConfigurationPatch config_patch;
+  std::vector<HeldContent> held;  ///< All held content.
 
   MSGPACK_DEFINE(is_leader, leader, term, is_full, config_version, config_text,
                  targets, removed_targets, groups, removed_groups, evacuated,
                  in_flight_work, quarantined, control_hosts, entries,
-                 config_patch)
+                 config_patch, held)
 };
 
 /// \brief A control request that a control host forwards to the leader.
--- a/include/gooseberryturn/observe/metrics.h
+++ b/include/gooseberryturn/observe/metrics.h
@@ -47,9 +47,13 @@
   kTargetPauses,    ///< Asked for by targets.
   kTargetPausesBounded,
   kTargetPausesIgnored,
+  kContentsHeld,         ///< Content that came under suspicion.
+  kContentsCleared,      ///< Content that is suspected no longer.
+  kContentsQuarantined,  ///< Content that was quarantined.
+  kQuarantinesEnded,
 };
 
-inline constexpr std::size_t kMetricCount = 20;
+inline constexpr std::size_t kMetricCount = 24;
 
 /// \brief Exported names, without the prefix `gooseberryturn_`.
 inline constexpr NameTable<Metric, kMetricCount> kMetricNames = {
@@ -72,7 +76,11 @@
      "targets_leaving_total",
      "target_pauses_total",
      "target_pauses_bounded_total",
-     "target_pauses_ignored_total"}};
+     "target_pauses_ignored_total",
+     "contents_held_total",
+     "contents_cleared_total",
+     "contents_quarantined_total",
+     "quarantines_ended_total"}};
 
 /// \brief Durations that are exported as summaries with quantiles.
 enum class Timing : std::uint8_t {
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -277,7 +277,9 @@
     }
     this->UpdateQuorum(now);
     this->PlanGroups(now);
+    (void)this->UpdateSuspects(now);
     this->ProposeFleetDelta(now);
+    this->ProposeSuspects(now);
   } else if (!is_leader) {
     this->RequestToJoin(now);
   }
--- a/src/direct/control_host_calls.cc
+++ b/src/direct/control_host_calls.cc
@@ -1,5 +1,6 @@
 #include <chrono>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 #include "gooseberryturn/core/compression.h"
@@ -16,6 +17,8 @@
 namespace {
 
 constexpr char kMetricsPath[] = "/metrics";
+constexpr std::string_view kQuarantinePath = "/quarantine";
+constexpr std::string_view kQuarantinePrefix = "/quarantine/";
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -27,6 +30,10 @@
       .count();
 }
 
+bool StartsWith(std::string_view text, std::string_view prefix) {
+  return text.substr(0, prefix.size()) == prefix;
+}
+
 /// Summary of an engine's state for the log.
 std::string Describe(const std::optional<EngineReport>& report) {
   if (!report.has_value()) {
@@ -97,6 +104,14 @@
                                  AsyncHttpServer::Reply caller_reply) {
   AsyncHttpServer::Reply reply = this->pending_calls.Add(
       std::move(caller_reply), Clock::now() + kCommitTimeout);
+  if (call.path == kQuarantinePath && call.method == "GET") {
+    this->ListQuarantine(reply);
+    return;
+  }
+  if (StartsWith(call.path, kQuarantinePrefix) && call.method == "DELETE") {
+    this->ClearQuarantine(call.path.substr(kQuarantinePrefix.size()), reply);
+    return;
+  }
   const ControlCall decoded = this->dialect.read_control_call(call);
   switch (decoded.kind) {
     case ControlCallKind::kAnnounce:
@@ -152,13 +167,7 @@
               {"engine", Describe(announcement->engine)},
               {"leaving", announcement->is_leaving ? "true" : "false"}});
   }
-  if (result == AnnouncementResult::kNew) {
-    // A new run of a target means that the previous one has ended, perhaps by a
-    // crash. The first run of a target is not told apart from later ones.
-    this->crash_tracker.RecordCrash(target, Clock::now());
-  }
   for (const std::string& removed : this->registry.TakeRemoved()) {
-    this->crash_tracker.RecordCrash(removed, Clock::now());
     LogEvent(Level::kInfo, "", "target_ended",
              {{"target", removed}, {"superseded_by", target}});
     this->PublishTarget(removed);
--- a/src/direct/control_host_followers.cc
+++ b/src/direct/control_host_followers.cc
@@ -43,7 +43,7 @@
       locked->sent_config_version = hello->config_version;
       locked->last_heard_at = Clock::now();
       if (!this->IsAwaitingLease()) {
-        this->SendUpdate(*locked, this->MakeCommonUpdate(locked->last_heard_at),
+        this->SendUpdate(*locked, this->MakeCommonUpdate(),
                          locked->last_heard_at);
       }
       return;
@@ -72,17 +72,14 @@
       {follower.hello.host, follower.hello.incarnation, report.model_work},
       now);
   this->has_traffic |= report.has_received_request;
-  for (const CutRequest& cut : report.cut_requests) {
-    LogEvent(Level::kInfo, "", "cut_reported",
-             {{"host", follower.hello.host},
-              {"target", cut.target},
-              {"fingerprint", cut.fingerprint}});
-    this->crash_tracker.ReportCutOff(cut.fingerprint, cut.target, now);
-  }
+  this->RecordContents(follower, report, now);
   for (const std::string& group : report.stalled_groups) {
     this->planner.HandleGroupStall(group, now);
     this->SchedulePlan();
   }
+  if (this->IsLeading() && this->UpdateSuspects(now)) {
+    this->SendUpdates(now);
+  }
 }
 
 const std::vector<InFlightWork>& ControlHost::SumInFlightWork(TimePoint now) {
@@ -117,7 +114,7 @@
   if (this->IsAwaitingLease()) {
     return;
   }
-  const FleetUpdate common = this->MakeCommonUpdate(now);
+  const FleetUpdate common = this->MakeCommonUpdate();
   const std::list<std::shared_ptr<Follower>> all = this->followers;
   for (const std::shared_ptr<Follower>& follower : all) {
     if (!follower->hello.host.empty()) {
@@ -126,7 +123,7 @@
   }
 }
 
-FleetUpdate ControlHost::MakeCommonUpdate(TimePoint now) {
+FleetUpdate ControlHost::MakeCommonUpdate() {
   FleetUpdate update;
   update.is_leader = this->IsLeading();
   if (!update.is_leader) {
@@ -137,7 +134,8 @@
   update.config_version = this->state.version();
   update.evacuated.assign(this->state.evacuated().begin(),
                           this->state.evacuated().end());
-  update.quarantined = this->crash_tracker.Quarantined(now);
+  update.quarantined = this->crash_tracker.Quarantined();
+  update.held = this->crash_tracker.Held();
   update.control_hosts = this->MemberLinks();
   update.entries = std::max<std::uint32_t>(
       1, static_cast<std::uint32_t>(this->FollowingEntries().size()));
--- a/src/direct/control_host_leader.cc
+++ b/src/direct/control_host_leader.cc
@@ -52,6 +52,8 @@
   this->settled_at = now + kSettleTime;
   this->followers.clear();
   this->registry = Registry();
+  this->crash_tracker.Restore(this->state.suspects(), node.term(), now);
+  this->proposed_suspects = protocol::Encode(this->state.suspects());
   this->demand = DemandAggregator();
   this->targets = {};
   this->groups = {};
@@ -206,7 +208,11 @@
   this->last_plan_at = now;
   const PlannedActions actions = this->planner.Plan(input, now);
   for (const std::string& lost : actions.lost_members) {
-    this->crash_tracker.RecordCrash(lost, now);
+    const TargetRecord* record = this->registry.Find(lost);
+    if (record != nullptr) {
+      this->crash_tracker.RecordEnd(record->view.Incarnation(),
+                                    TargetEnd::kCrashed, now);
+    }
   }
   for (const Order& order : actions.orders) {
     this->SendOrder(order);
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -202,9 +202,52 @@
   return WholeMs(Clock::now() - this->follow_client.last_heard_at());
 }
 
-void EntryHost::ReportCutOff(CutRequest cut) {
-  if (this->cut_requests.size() < kMaxCutRequests) {
-    this->cut_requests.push_back(std::move(cut));
+bool EntryHost::IsAlive(const TargetIncarnation& target, TimePoint now) const {
+  const TargetView* known = this->view.FindTarget(target.target);
+  if (known == nullptr || known->start_time_ms != target.start_time_ms ||
+      this->target_tracker.IsStalled(target.target, now)) {
+    return false;
+  }
+  const bool is_plain = known->engine.domain.empty();
+  return is_plain || this->view.GroupOfHead(target.target) != nullptr;
+}
+
+void EntryHost::SettleAnswers(TimePoint now) {
+  std::vector<CutRequest> cut = this->answered_contents.Settle(
+      now, [this, now](const TargetIncarnation& target) {
+        return this->IsAlive(target, now);
+      });
+  for (CutRequest& request : cut) {
+    this->cut_reports.Add(std::move(request), now);
+  }
+}
+
+bool EntryHost::TakeTrial(const HeldContent& held) {
+  std::uint64_t& taken = this->taken_trials[held.content];
+  if (held.trial_entry != this->settings.host || taken == held.trial_number) {
+    return false;
+  }
+  taken = held.trial_number;
+  return true;
+}
+
+void EntryHost::ForgetTrials() {
+  for (auto trial = this->taken_trials.begin();
+       trial != this->taken_trials.end();) {
+    const bool is_held = this->view.FindHeld(trial->first) != nullptr;
+    trial = is_held ? std::next(trial) : this->taken_trials.erase(trial);
+  }
+}
+
+void EntryHost::RecheckContents() {
+  if (!this->view.HasSuspects()) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  const std::map<std::uint64_t, std::shared_ptr<RequestFlow>> open =
+      this->flows;
+  for (const auto& entry : open) {
+    entry.second->RecheckContents(now);
   }
 }
 
@@ -254,6 +297,13 @@
   for (const std::string& removed : update.removed_targets) {
     this->target_pool.CloseIdle(removed);
   }
+  if (update.term != this->leader_term) {
+    this->leader_term = update.term;
+    this->cut_reports.SendAgain();
+    this->answered_contents.ReportAgain();
+  }
+  this->ForgetTrials();
+  this->RecheckContents();
   this->DispatchQueued();
   return true;
 }
@@ -283,18 +333,33 @@
   }
   const bool is_new_stall =
       report.stalled_groups.size() > this->reported_stall_count;
-  if (now < this->next_report_at && !is_new_stall) {
+  if (now < this->next_report_at && !is_new_stall &&
+      !this->cut_reports.IsUrgent()) {
     return;
   }
   this->next_report_at = now + kReportInterval;
   this->reported_stall_count = report.stalled_groups.size();
   report.in_flight_work = this->target_tracker.ReportInFlightWork();
-  report.cut_requests = this->cut_requests;
+  report.cut_requests = this->cut_reports.Waiting(now);
   report.has_received_request = this->has_received_request;
   report.config_version = this->view.version();
   report.model_work = this->demand.Totals();
+  if (!this->follow_client.is_connected()) {
+    return;
+  }
+  report.answered_contents = this->answered_contents.TakeReport(
+      now, [this](const std::string& content) {
+        return this->view.FindHeld(content) != nullptr ||
+               this->view.IsQuarantined(content);
+      });
+  report.held_contents.assign(this->held_contents.begin(),
+                              this->held_contents.end());
+  report.refused_contents.assign(this->refused_contents.begin(),
+                                 this->refused_contents.end());
   if (this->follow_client.Send(report)) {
-    this->cut_requests.clear();
+    this->cut_reports.RecordSent(now);
+    this->held_contents.clear();
+    this->refused_contents.clear();
   }
 }
 
@@ -339,6 +404,7 @@
 void EntryHost::Tick() {
   const TimePoint now = Clock::now();
   this->RecordLoopDelay(now);
+  this->SettleAnswers(now);
   this->SendReport(now);
   this->target_pool.Expire(now);
   std::vector<std::shared_ptr<RequestFlow>> open;
--- a/src/direct/fleet_state.cc
+++ b/src/direct/fleet_state.cc
@@ -47,6 +47,9 @@
     case FleetCommandKind::kFleetDelta:
       this->ApplyDelta(command->delta);
       break;
+    case FleetCommandKind::kSuspects:
+      this->known_suspects = command->suspects;
+      break;
   }
 }
 
--- a/src/direct/fleet_view.cc
+++ b/src/direct/fleet_view.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gooseberryturn/direct/request_content.h"
+
 namespace gooseberryturn::direct {
 
 void FleetView::Apply(const FleetUpdate& update,
@@ -33,9 +35,21 @@
   }
   this->evacuated = {update.evacuated.begin(), update.evacuated.end()};
   this->quarantined = {update.quarantined.begin(), update.quarantined.end()};
+  this->has_quarantined_requests = std::any_of(
+      this->quarantined.begin(), this->quarantined.end(),
+      [](const std::string& content) { return !IsPartContentId(content); });
+  this->held.clear();
+  for (const HeldContent& suspect : update.held) {
+    this->held[suspect.content] = suspect;
+  }
   this->entry_count = update.entries;
 }
 
+const HeldContent* FleetView::FindHeld(const std::string& content) const {
+  const auto found = this->held.find(content);
+  return found == this->held.end() ? nullptr : &found->second;
+}
+
 const TargetView* FleetView::FindTarget(const std::string& id) const {
   const auto found = this->targets.find(id);
   return found == this->targets.end() ? nullptr : &found->second;
--- a/src/direct/group_planner_phases.cc
+++ b/src/direct/group_planner_phases.cc
@@ -94,7 +94,9 @@
   for (const std::string& id : group.view.members) {
     if (this->IsMemberDead(group, id, input, now)) {
       is_broken = true;
-      actions.lost_members.push_back(id);
+      if (!this->IsMemberGone(group, id, input)) {
+        actions.lost_members.push_back(id);
+      }
       LogEvent(Level::kWarn, "", "member_lost",
                {{"group", group.view.name}, {"target", id}});
     } else {
--- a/src/direct/registry.cc
+++ b/src/direct/registry.cc
@@ -133,7 +133,9 @@
 
 std::map<std::string, TargetRecord>::iterator Registry::Remove(
     std::map<std::string, TargetRecord>::iterator entry) {
+  const TargetView& view = entry->second.view;
   this->ClearAddress(entry->second);
+  this->ended.push_back({view.Incarnation(), view.is_leaving});
   this->removed.push_back(entry->first);
   return this->records.erase(entry);
 }
@@ -168,6 +170,10 @@
   const bool is_new_run =
       known == this->records.end() ||
       known->second.view.start_time_ms != announcement.start_time_ms;
+  if (known != this->records.end() && is_new_run) {
+    const TargetView& view = known->second.view;
+    this->ended.push_back({view.Incarnation(), view.is_leaving});
+  }
   TargetRecord& record = this->records[announcement.id];
   const TargetView before = record.view;
   record.view.name = announcement.id;
@@ -272,4 +278,8 @@
   return std::exchange(this->removed, {});
 }
 
+std::vector<EndedIncarnation> Registry::TakeEnded() {
+  return std::exchange(this->ended, {});
+}
+
 }  // namespace gooseberryturn::direct
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -6,6 +6,7 @@
 
 #include "gooseberryturn/core/id.h"
 #include "gooseberryturn/direct/entry_host.h"
+#include "gooseberryturn/direct/request_content.h"
 #include "gooseberryturn/observe/log.h"
 #include "header_text.h"
 
@@ -112,6 +113,26 @@
   this->shared_parts = std::move(parts);
 }
 
+std::string RequestFlow::QuarantinedContent() const {
+  const FleetView& view = this->entry.view;
+  if (!view.HasSuspects()) {
+    return "";
+  }
+  for (const std::string& part : this->shared_parts) {
+    const std::string content = PartContentId(part);
+    if (view.IsQuarantined(content)) {
+      return content;
+    }
+  }
+  if (view.HasQuarantinedRequests()) {
+    const std::string content = RequestContentId(this->Fingerprint());
+    if (view.IsQuarantined(content)) {
+      return content;
+    }
+  }
+  return "";
+}
+
 void RequestFlow::RefuseByConfiguration(int status, Reason reason) {
   if (this->entry.view.IsBehind()) {
     this->Refuse(kUnavailable, Reason::kNoView);
@@ -148,9 +169,7 @@
       return false;
     }
   }
-  if (this->entry.view.HasQuarantine() &&
-      this->entry.view.IsQuarantined(this->Fingerprint())) {
-    this->Refuse(kUnavailable, Reason::kQuarantined);
+  if (this->EndIfQuarantined()) {
     return false;
   }
   std::uniform_real_distribution<double> draw(0, 1);
@@ -235,10 +254,17 @@
 // ----------------------------------------------------------------- dispatch
 
 void RequestFlow::Dispatch() {
+  if (this->EndIfQuarantined()) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  if (this->MustHold(now)) {
+    this->Hold(now);
+    return;
+  }
   const int priority = this->team != nullptr && this->team->priority
                            ? *this->team->priority
                            : this->route->priority;
-  const TimePoint now = Clock::now();
   // Requests with the same queue key that rank higher go first.
   const bool must_wait =
       !this->is_head_sent &&
@@ -271,6 +297,15 @@
   if (this->is_done || this->RefuseIfTooLate()) {
     return true;
   }
+  const TimePoint now = Clock::now();
+  if (this->EndIfQuarantined()) {
+    return true;
+  }
+  if (this->MustHold(now)) {
+    this->LeaveQueue();
+    this->Hold(now);
+    return true;
+  }
   if (this->IsMoving() && !this->HasRetry(true)) {
     this->LeaveQueue();
     return true;
@@ -281,7 +316,6 @@
   request.tried_targets = this->tried_targets;
   request.prompt_tokens = this->prompt_tokens;
   const double objective_ms = static_cast<double>(this->route->objective_ms);
-  const TimePoint now = Clock::now();
   const bool is_late = now >= this->dispatch_by;
   request.is_resumed = this->last_event_id.has_value();
   if (!is_late) {
@@ -378,6 +412,9 @@
     this->first_attempt_at = now;
   }
   this->last_progress_at = now;
+  this->attempt_began_at = TimePoint();
+  this->is_cut_reported = false;
+  this->is_observed_cut_reported = false;
   this->is_streaming = false;
   this->answer_body.clear();
   this->splitter.Reset();
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr unsigned kFirstRedirection = 300;
 constexpr int kMisdirected = 421;
 constexpr int kServerError = 500;
 constexpr int kServiceUnavailable = 503;
@@ -98,8 +99,12 @@
 }
 
 void RequestFlow::OnBody(std::string_view bytes) {
-  this->OnProgress(Clock::now());
+  const TimePoint now = Clock::now();
+  this->OnProgress(now);
   this->EndPrefill();
+  if (this->attempt_began_at == TimePoint()) {
+    this->attempt_began_at = now;
+  }
   if (!this->is_streaming) {
     this->answer_body.append(bytes);
     if (this->answer_body.size() > kMaxBufferedBytes) {
@@ -174,8 +179,11 @@
   if (this->is_done) {
     return;
   }
-  if (end == ExchangeEnd::kCut) {
-    this->entry.ReportCutOff({this->Fingerprint(), this->target});
+  if (end == ExchangeEnd::kCut || is_broken_off) {
+    this->ReportCut(true);
+  } else if (end == ExchangeEnd::kComplete && !is_rejected &&
+             this->answer_head.result_int() < kFirstRedirection) {
+    this->RecordAnswered(now);
   }
   if (this->is_streaming) {
     this->OnStreamEnd(end, cause);
@@ -243,7 +251,7 @@
 
 bool RequestFlow::MayRetry(bool may_have_executed) const {
   if (may_have_executed &&
-      (!this->route->IsIdempotent() ||
+      (!this->route->IsIdempotent() || this->is_trial ||
        this->possible_executions + 1 >= this->route->max_executions)) {
     return false;
   }
@@ -268,6 +276,10 @@
 
 void RequestFlow::OnAttemptFailed(const std::string& cause,
                                   bool may_have_executed) {
+  const TimePoint now = Clock::now();
+  if (may_have_executed && !this->IsKnownSound(now)) {
+    this->not_before = now + kSuspicionDelay;
+  }
   const bool is_retried =
       !this->tried_targets.empty() && this->TryTakeRetry(may_have_executed);
   LogEvent(Level::kInfo, this->caller_attempt_id, "try_failed",
@@ -281,7 +293,7 @@
     this->GiveUp();
     return;
   }
-  this->queue_deadline = std::min(this->deadline, Clock::now() + kMaxQueueTime);
+  this->queue_deadline = std::min(this->deadline, now + kMaxQueueTime);
   this->Dispatch();
 }
 
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -3,7 +3,9 @@
 #include <cstdio>
 #include <utility>
 
+#include "gooseberryturn/direct/crash_tracker.h"
 #include "gooseberryturn/direct/entry_host.h"
+#include "gooseberryturn/direct/request_content.h"
 #include "gooseberryturn/direct/request_flow.h"
 #include "gooseberryturn/observe/log.h"
 
@@ -29,18 +31,6 @@
 /// Upper bound of the Retry-After as a share of the remaining time. Callers
 /// honour one of at most a third of their remaining time.
 constexpr double kRetryAfterShare = 0.25;
-/// Longest list of prompt parts in a log line.
-constexpr std::size_t kMaxLoggedPartBytes = 128;
-
-std::string JoinParts(const std::vector<std::string>& parts) {
-  std::string text;
-  for (const std::string& part : parts) {
-    text += (text.empty() ? "" : ",") + part;
-  }
-  text.resize(std::min(text.size(), kMaxLoggedPartBytes));
-  return text;
-}
-
 }  // namespace
 
 // --------------------------------------------------------------- completion
@@ -85,6 +75,9 @@
     // Another entry may take at once what this one no longer takes.
     return 0;
   }
+  if (reason == Reason::kQuarantined) {
+    return std::chrono::duration<double>(CrashTracker::kQuarantineTime).count();
+  }
   const double remaining_s =
       std::chrono::duration<double>(this->deadline - now).count();
   std::uniform_real_distribution<double> draw(kMinRetryAfterS, kMaxRetryAfterS);
@@ -113,6 +106,10 @@
 }
 
 void RequestFlow::CancelAttempt(HealthSignal signal) {
+  if (this->connection != nullptr) {
+    this->ReportCut(
+        this->entry.target_tracker.IsStalled(this->target, Clock::now()));
+  }
   const std::shared_ptr<TargetConnection> used =
       std::exchange(this->connection, nullptr);
   if (used != nullptr) {
@@ -149,7 +146,7 @@
       {{"outcome", outcome},
        {"route", this->route == nullptr ? "" : this->route->name},
        {"model", this->model},
-       {"parts", JoinParts(this->shared_parts)},
+       {"parts", JoinNames(this->shared_parts)},
        {"target", this->target},
        {"tries", std::to_string(this->tried_targets.size())},
        {"runs", std::to_string(this->possible_executions)},
@@ -206,6 +203,14 @@
     }
     return;
   }
+  if (this->is_held) {
+    this->TickHeld(now);
+    return;
+  }
+  if (this->connection != nullptr &&
+      this->entry.target_tracker.IsStalled(this->target, now)) {
+    this->ReportCut(true);
+  }
   const bool may_move = this->connection != nullptr && !this->is_queued &&
                         this->route->IsIdempotent();
   if (may_move && this->IsAttemptLost(now) && this->HasRetry(true)) {
@@ -238,7 +243,6 @@
        {"events", std::to_string(this->event_count)},
        {"silent_ms", std::to_string(WholeMs(now - this->last_progress_at))}});
   this->possible_executions += 1;
-  this->entry.ReportCutOff({this->Fingerprint(), this->target});
   this->CancelAttempt(HealthSignal::kBad);
   return true;
 }
--- a/tests/direct_decision_test.cc
+++ b/tests/direct_decision_test.cc
@@ -156,21 +156,24 @@
   CrashTracker crashes;
   for (int number = 0; number < 3; ++number) {
     const std::string target = "i" + std::to_string(number);
-    crashes.ReportCutOff("poison", target, At(100 * number));
-    crashes.ReportCutOff("bystander" + target, target, At(100 * number));
-    crashes.RecordCrash(target, At(100 * number + 50));
+    crashes.RecordCut(MakeCut("poison", target), At(100 * number));
+    crashes.RecordCut(MakeCut("bystander" + target, target), At(100 * number));
+    crashes.RecordEnd({target, 1}, TargetEnd::kCrashed, At(100 * number + 50));
   }
-  const std::vector<std::string> found = crashes.Quarantined(At(400));
-  BOOST_TEST(found == std::vector<std::string>{"poison"},
+  crashes.Update(At(400));
+  const std::vector<std::string> found = crashes.Quarantined();
+  BOOST_TEST(found == std::vector<std::string>{"request:poison"},
              boost::test_tools::per_element());
 }
 
 BOOST_AUTO_TEST_CASE(answers_lost_without_a_crash_quarantine_nothing) {
   CrashTracker crashes;
   for (int number = 0; number < 9; ++number) {
-    crashes.ReportCutOff("unlucky", "i" + std::to_string(number), At(number));
+    crashes.RecordCut(MakeCut("unlucky", "i" + std::to_string(number)),
+                      At(number));
   }
-  BOOST_TEST(crashes.Quarantined(At(20)).empty());
+  crashes.Update(At(20));
+  BOOST_TEST(crashes.Quarantined().empty());
 }
 
 BOOST_AUTO_TEST_CASE(a_target_that_breaks_off_is_told_until_it_sends_again) {
--- a/tests/direct_fixtures.h
+++ b/tests/direct_fixtures.h
@@ -8,6 +8,7 @@
 #include "gooseberryturn/consensus/types.h"
 #include "gooseberryturn/direct/announcement.h"
 #include "gooseberryturn/direct/configuration.h"
+#include "gooseberryturn/direct/crash_report.h"
 #include "gooseberryturn/direct/fleet_view.h"
 #include "gooseberryturn/direct/quorum_planner.h"
 #include "gooseberryturn/direct/target_chooser.h"
@@ -31,6 +32,14 @@
   return announcement;
 }
 
+/// A request that was cut when its target, whose run began at 1, had just begun
+/// to write.
+inline CutRequest MakeCut(const std::string& fingerprint,
+                          const std::string& target,
+                          const std::vector<std::string>& parts = {}) {
+  return {fingerprint, target, 1, parts, true, true, 0};
+}
+
 inline Configuration MakeConfiguration() {
   Configuration configuration;
   configuration.version = 3;
--- a/tests/platform_crash_test.cc
+++ b/tests/platform_crash_test.cc
@@ -208,3 +208,56 @@
 BOOST_AUTO_TEST_CASE(requests_with_a_crashing_part_end_target_after_target) {
   CheckCrashingPart(140, true, "first:40,", [](CrashingFleet&) {});
 }
+
+BOOST_AUTO_TEST_CASE(a_crashing_part_that_comes_first_and_resets_is_found) {
+  CheckCrashingPart(141, false, "", [](CrashingFleet&) {});
+}
+
+BOOST_AUTO_TEST_CASE(a_new_leader_finds_a_crashing_part_too) {
+  CheckCrashingPart(142, true, "first:40,", [](CrashingFleet& scene) {
+    for (int number = 1; number <= 3; ++number) {
+      if (Get(scene.fleet.ControlEndpoint(number), "/metrics")
+              .Contains("gooseberryturn_is_leader 1")) {
+        scene.fleet.controls[static_cast<std::size_t>(number - 1)]->Kill();
+        return;
+      }
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_was_restarted_knows_a_crashing_part) {
+  CheckCrashingPart(143, true, "first:40,", [](CrashingFleet& scene) {
+    scene.fleet.entries[1]->Kill();
+    scene.fleet.entries[1]->Start();
+  });
+}
+
+BOOST_AUTO_TEST_CASE(targets_that_crash_for_other_reasons_cost_no_part) {
+  std::vector<Outcome> sound;
+  CrashingFleet scene(144);
+  scene.CrashOn("", true);
+  for (int caller = 0; caller < 4; ++caller) {
+    scene.SendOften(
+        milliseconds(60),
+        [&scene, caller] {
+          const std::string own = scene.NextId();
+          return (caller % 2 == 0 ? "popular:40,own-" : "first:40,own-") + own +
+                 ":9";
+        },
+        &sound);
+  }
+  std::this_thread::sleep_for(kBaselineTime);
+  for (std::size_t number = 0; number < 12; ++number) {
+    FakeTarget& target = *scene.targets[(5 * number) % scene.targets.size()];
+    target.crashes_silently = number % 2 == 0;
+    target.Crash();
+    std::this_thread::sleep_for(milliseconds(700));
+  }
+  scene.Stop();
+  for (int entry = 0; entry < 2; ++entry) {
+    const Answer page = Get(scene.fleet.ReadinessEndpoint(entry), "/metrics");
+    BOOST_REQUIRE(page.status == 200);
+    BOOST_TEST(page.Contains("refusals_total{reason=\"quarantined\"} 0\n"));
+    BOOST_TEST(page.Contains("refusals_total{reason=\"suspect\"} 0\n"));
+  }
+}
--- a/tests/platform_fake_target.h
+++ b/tests/platform_fake_target.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -120,6 +121,11 @@
     const std::lock_guard<std::mutex> guard(this->mutex);
     return this->crashes;
   }
+  /// Ids of the attempts that a crash interrupted.
+  [[nodiscard]] std::set<std::string> Interrupted() {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->interrupted;
+  }
   /// Ends this run: all work in progress is gone. The target starts again after
   /// `down_ms`, under its id and without a group.
   void Crash() {
@@ -127,6 +133,9 @@
     const std::chrono::steady_clock::time_point now =
         std::chrono::steady_clock::now();
     this->crashes.push_back(now);
+    this->interrupted.insert(this->in_progress.begin(),
+                             this->in_progress.end());
+    this->in_progress.clear();
     this->down_until = now + std::chrono::milliseconds(this->down_ms);
     this->run += 1;
     this->born += 1;
@@ -220,8 +229,14 @@
         this->Reply(connection, request, this->TakeOrder(request.body()), "{}");
       } else if (path == "/api/report") {
         this->Reply(connection, request, 200, this->StatusJson());
-      } else if (!this->HandleRequest(connection, request)) {
-        return;
+      } else {
+        const bool is_kept = this->HandleRequest(connection, request);
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        this->in_progress.erase(
+            std::string(request["X-Gooseberryturn-Attempt-Id"]));
+        if (!is_kept) {
+          return;
+        }
       }
     }
   }
@@ -260,6 +275,7 @@
     {
       const std::lock_guard<std::mutex> guard(this->mutex);
       this->runs.emplace_back(request["X-Gooseberryturn-Attempt-Id"]);
+      this->in_progress.insert(this->runs.back());
       if (this->HasPart(request, this->crashing_part)) {
         this->crashing_arrivals.push_back(std::chrono::steady_clock::now());
       }
@@ -442,6 +458,8 @@
   std::vector<std::chrono::steady_clock::time_point> crashing_arrivals;
   std::vector<std::chrono::steady_clock::time_point> crashes;
   std::vector<std::string> runs;
+  std::set<std::string> in_progress;
+  std::set<std::string> interrupted;
   std::string retry_after;
   std::map<std::string, std::string> last_headers;
   std::string group;
--- a/tests/platform_soak_test.cc
+++ b/tests/platform_soak_test.cc
@@ -25,10 +25,10 @@
 
 /// Callers with kept connections send whole requests through the real programs
 /// while configurations change, processes are told to reload and to stop, and
-/// targets say that they leave, ask for a pause or are silent for a second.
-/// Every request is accounted for at its caller and at the targets. None of the
-/// disturbances breaks a target, so every request that reached one is owed its
-/// complete answer or a refusal (issue 26).
+/// targets say that they leave, ask for a pause, are silent for a second or
+/// crash, some of them on a part of prompts. Every request is accounted for at
+/// its caller and at the targets: one that reached a target which did not crash
+/// is owed its complete answer or a refusal (issues 26 and 37).
 ///
 /// The seed and the size come from the environment: GOOSEBERRYTURN_SOAK_SEED,
 /// _SECONDS, _CALLERS, _ENTRIES, _NET (addresses 127.NET.0.*) and _KEEP, a
@@ -39,6 +39,17 @@
 
 namespace {
 
+constexpr int kPlainTargets = 3;
+constexpr int kEngines = 8;
+/// A part of prompts that crashes targets.
+constexpr char kCrashingPart[] = "bad0";
+/// `stable_window_ms` of the users' pages.
+constexpr milliseconds kStableWindow(3000);
+/// The requests with it that may end a target before it has to be known, and
+/// those that may reach one later.
+constexpr std::size_t kCrashesToKnow = 5;
+constexpr int kAllowedArrivals = 3;
+
 /// A fleet with targets, callers and disturbances.
 class Soak {
  public:
@@ -103,21 +114,26 @@
           this->fleet.ReadinessEndpoint(entry), "/api/readyz"));
       BOOST_REQUIRE(this->entries.back()->AwaitReady());
     }
-    for (int number = 0; number < 5; ++number) {
-      const bool is_engine = number >= 3;
+    for (int number = 0; number < kPlainTargets + kEngines; ++number) {
+      const bool is_engine = number >= kPlainTargets;
       this->targets.push_back(std::make_unique<FakeTarget>(
           (is_engine ? "e-" : "i-") + std::to_string(number),
           this->fleet.EndpointAt(20 + number, 9000), control_endpoints,
           is_engine ? "engines" : "plain"));
+      this->targets.back()->SetCrashingPart(kCrashingPart);
+      this->targets.back()->crashes_silently = number % 2 == 0;
     }
     BOOST_REQUIRE(Eventually([this] {
-      return this->targets[3]->IsOpen() || this->targets[4]->IsOpen();
+      return std::any_of(this->targets.begin(), this->targets.end(),
+                         [](const std::unique_ptr<FakeTarget>& target) {
+                           return target->IsOpen();
+                         });
     }));
   }
 
   std::vector<std::thread> StartDisturbances() {
     std::vector<std::thread> threads;
-    this->active_disturbances = 7;
+    this->active_disturbances = 9;
     threads.emplace_back([this] {
       this->Repeat(2, 20, 1800, [this](Random& /*random*/) {
         this->op.Vary();
@@ -138,7 +154,9 @@
     });
     threads.emplace_back([this] {
       this->Repeat(5, 1500, 8000, [this](Random& random) {
+        this->unrest.Add(Now());
         DrawHost(random, this->controls).Restart(random, this->failures);
+        this->unrest.Add(Now());
       });
     });
     threads.emplace_back([this] {
@@ -166,9 +184,66 @@
         this->silences += 1;
       });
     });
+    threads.emplace_back([this] {
+      this->Repeat(9, 800, 4000, [this](Random& random) {
+        // The first target is spared here too.
+        this->targets[static_cast<std::size_t>(
+                          Draw(random, 1, kPlainTargets + kEngines - 1))]
+            ->Crash();
+        this->crashes += 1;
+      });
+    });
+    threads.emplace_back([this] {
+      this->Repeat(10, 50, 400,
+                   [this](Random& random) { this->SendCrashingPart(random); });
+    });
     return threads;
   }
 
+  /// Sends a request with the part that crashes targets, unlike any other.
+  void SendCrashingPart(Random& random) {
+    const std::string id = "bad-" + std::to_string(this->crashing_requests++);
+    const std::string first =
+        DrawChance(random, 50) ? "shared1:40," : std::string();
+    (void)Call(
+        this->fleet.CallerEndpoint(Draw(random, 0, this->plan.entries - 1)),
+        "POST", "/stream/",
+        {{"Host", "shop.example"},
+         {"X-Gooseberryturn-Attempt-Id", id},
+         {"X-Gooseberryturn-Deadline-Ms", "3000"},
+         {"X-Gooseberryturn-Model", "m"},
+         {"X-Gooseberryturn-Token-Usage", "10,10"},
+         {"X-Gooseberryturn-Prefix-Hash",
+          first + kCrashingPart + ":40," + id + ":9"},
+         {"Authorization", "Bearer key-1"}},
+        id)
+        .ReadAll();
+  }
+  /// Few requests with the crashing part reach a target once it is known.
+  void CheckCrashingPart() {
+    std::vector<Moment> arrivals;
+    for (const std::unique_ptr<FakeTarget>& target : this->targets) {
+      for (const Moment arrival : target->CrashingArrivals()) {
+        arrivals.push_back(arrival);
+      }
+    }
+    std::sort(arrivals.begin(), arrivals.end());
+    this->counts["crashing part arrived"] = static_cast<int>(arrivals.size());
+    if (arrivals.size() <= kCrashesToKnow) {
+      return;
+    }
+    const Moment known_at = arrivals[kCrashesToKnow - 1] + kStableWindow;
+    const auto late = std::count_if(
+        arrivals.begin(), arrivals.end(), [this, known_at](Moment arrival) {
+          return arrival > known_at &&
+                 this->unrest.IsCalm(arrival, kStableWindow);
+        });
+    if (late > kAllowedArrivals) {
+      this->failures.Add("the part that crashes targets reached " +
+                         std::to_string(late) + " after it was known");
+    }
+  }
+
   /// The target refuses for a moment and asks for a longer pause.
   void AskForPause(Random& random, FakeTarget& target) {
     target.SetRetryAfter("0." + std::to_string(Draw(random, 1, 9)));
@@ -275,7 +350,9 @@
       for (const std::string& id : target->Runs()) {
         this->accounts.runs[id] += 1;
       }
+      this->accounts.interrupted.merge(target->Interrupted());
     }
+    this->CheckCrashingPart();
     for (const std::unique_ptr<Host>& entry : this->entries) {
       const std::string log = entry->Log();
       this->accounts.AddLog(log);
@@ -325,7 +402,8 @@
     }
     summary << ", entries stopped " << entry_stops << ", control hosts stopped "
             << control_stops << ", pauses " << this->pauses << ", leaves "
-            << this->leaves << ", silences " << this->silences;
+            << this->leaves << ", silences " << this->silences << ", crashes "
+            << this->crashes;
     for (const auto& count : this->counts) {
       summary << ", " << count.first << ": " << count.second;
     }
@@ -337,6 +415,8 @@
     BOOST_TEST(this->pauses > 0);
     BOOST_TEST(this->leaves > 0);
     BOOST_TEST(this->silences > 0);
+    BOOST_TEST(this->crashes > 0);
+    BOOST_TEST(this->counts["crashing part arrived"] > 0);
     for (const Kind kind : {Kind::kSafe, Kind::kUnsafe, Kind::kStream}) {
       BOOST_TEST(this->successes[kind] > 0);
     }
@@ -388,6 +468,9 @@
   std::atomic<int> pauses = 0;  ///< Asked for by targets.
   std::atomic<int> leaves = 0;  ///< Told by targets in their answers.
   std::atomic<int> silences = 0;
+  std::atomic<int> crashes = 0;  ///< Of targets, for no reason.
+  std::atomic<int> crashing_requests = 0;
+  Unrest unrest;
   std::atomic<bool> is_checked = false;
   Accounts accounts;
   std::map<std::string, int> counts;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -37,6 +37,25 @@
 
 }  // namespace
 
+BOOST_AUTO_TEST_CASE(odd_lists_of_prompt_parts_are_read_as_far_as_they_go) {
+  const direct::Dialect dialect = platform::MakeDialect();
+  const auto count = [&dialect](const std::string& text) {
+    return dialect.read_prompt_parts(text).size();
+  };
+  BOOST_TEST(dialect.read_prompt_parts("5c1e07a2:800, 91bd:-4,e4402b7d") ==
+                 (std::vector<std::string>{"5c1e07a2", "91bd", "e4402b7d"}),
+             boost::test_tools::per_element());
+  BOOST_TEST(count("") == 0U);
+  BOOST_TEST(count(",,:5,, :") == 0U);
+  BOOST_TEST(count("a:1,") == 1U);
+  BOOST_TEST(count(std::string(5000, 'a') + ":1,b:2") == 1U);
+  std::string many;
+  for (int number = 0; number < 5000; ++number) {
+    many += "a" + std::to_string(number) + ":1,";
+  }
+  BOOST_TEST(count(many) == 5000U);
+}
+
 BOOST_AUTO_TEST_CASE(a_configuration_is_read_into_typed_fields) {
   const direct::Dialect dialect = platform::MakeDialect();
   const Result<direct::Configuration> read =
--- a/tests/soak_accounts.h
+++ b/tests/soak_accounts.h
@@ -4,6 +4,7 @@
 #include <rapidjson/document.h>
 
 #include <map>
+#include <set>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -19,6 +20,7 @@
 struct Accounts {
   std::map<std::string, int> runs;
   std::map<std::string, std::vector<std::string>> lines;
+  std::set<std::string> interrupted;  ///< Attempts that a crash cut short.
 
   [[nodiscard]] int RunsOf(const std::string& id) const {
     const auto found = this->runs.find(id);
@@ -95,6 +97,9 @@
   if (may_end) {
     return "";
   }
+  if (accounts.interrupted.count(attempt.id) > 0) {
+    return "";
+  }
   if (attempt.ending == Ending::kCut) {
     return attempt.waited_ms >= kMinTimeoutMs ? "" : "LOST: cut answer";
   }
--- a/tests/soak_caller.h
+++ b/tests/soak_caller.h
@@ -179,6 +179,9 @@
     if (attempt.kind == Kind::kStream) {
       request.set("X-Gooseberryturn-Model", "m");
       request.set("X-Gooseberryturn-Token-Usage", "10,10");
+      request.set("X-Gooseberryturn-Prefix-Hash",
+                  "shared" + std::to_string(Draw(this->random, 1, 3)) +
+                      ":40,own-" + attempt.id + ":9");
     }
     request.body() = std::string(FakeTarget::kWorkPrefix) +
                      std::to_string(attempt.work) + " ";
--- a/tests/soak_fleet.h
+++ b/tests/soak_fleet.h
@@ -127,6 +127,27 @@
   std::vector<Period> periods;
 };
 
+/// When control hosts were told to stop: for some time the quorum is unstable.
+class Unrest {
+ public:
+  void Add(Moment moment) {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->moments.push_back(moment);
+  }
+  /// True if there was none in the `time` before `moment`.
+  [[nodiscard]] bool IsCalm(Moment moment, milliseconds time) {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return std::none_of(this->moments.begin(), this->moments.end(),
+                        [moment, time](Moment unrest) {
+                          return unrest <= moment && moment < unrest + time;
+                        });
+  }
+
+ private:
+  std::mutex mutex;
+  std::vector<Moment> moments;
+};
+
 /// A process that several threads signal, stop and start again.
 class Host {
  public:
