An entry without a leader holds nothing for longer than five seconds

What callers would see: an entry that was cut off from all control hosts just after a crash went on holding, and refusing after 1.5 s, requests with sound content, for as long as the cut lasted. Cause: held content is cleared by the leader, and trials are granted by it. Change: what is held counts only for five seconds after the last update. Why it works: a leader that can be reached sends an update every 250 ms.

--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -61,6 +61,8 @@
       std::chrono::milliseconds(2300);
   /// Requests in flight are aborted this long before the grace period ends.
   static constexpr Duration kLeaveMargin = std::chrono::milliseconds(900);
+  /// Content is held no longer than this after the last update.
+  static constexpr Duration kHeldTime = std::chrono::seconds(5);
   /// A delay of the event loop from which on it is logged.
   static constexpr Duration kLongLoopDelay = std::chrono::milliseconds(25);
 
@@ -114,6 +116,9 @@
                              TimePoint now) const;
   /// Counts the answers whose targets have outlived them.
   void SettleAnswers(TimePoint now);
+  /// True when no leader was heard of for kHeldTime: what is held may have been
+  /// cleared since, and nobody grants trials.
+  [[nodiscard]] bool IsOutOfTouch(TimePoint now) const;
   /// Takes a trial that was granted to this entry.
   /// \returns False if it was granted to another or taken before.
   [[nodiscard]] bool TakeTrial(const HeldContent& held);
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -222,6 +222,10 @@
   }
 }
 
+bool EntryHost::IsOutOfTouch(TimePoint now) const {
+  return now >= this->follow_client.last_heard_at() + kHeldTime;
+}
+
 bool EntryHost::TakeTrial(const HeldContent& held) {
   std::uint64_t& taken = this->taken_trials[held.content];
   if (held.trial_entry != this->settings.host || taken == held.trial_number) {
--- a/src/direct/request_flow_content.cc
+++ b/src/direct/request_flow_content.cc
@@ -46,7 +46,7 @@
   if (this->is_trial) {
     return false;
   }
-  if (!this->entry.view.HasSuspects()) {
+  if (!this->entry.view.HasSuspects() || this->entry.IsOutOfTouch(now)) {
     return now < this->not_before;
   }
   bool is_suspected = false;
--- a/tests/platform_crash_test.cc
+++ b/tests/platform_crash_test.cc
@@ -32,6 +32,10 @@
 constexpr std::size_t kCrashesToKnow = 5;
 /// Requests with the part that may still reach a target then.
 constexpr int kAllowedArrivals = 3;
+/// A stream of two seconds.
+constexpr char kLongStream[] = "work 200";
+/// EntryHost::kHeldTime.
+constexpr milliseconds kHeldTime(5000);
 constexpr milliseconds kBaselineTime(3000);
 constexpr milliseconds kCrashingTime(12'000);
 
@@ -73,7 +77,8 @@
   }
 
   /// \returns The status of the answer, 0 without one.
-  int Send(int entry, const std::string& parts) {
+  int Send(int entry, const std::string& parts,
+           const std::string& body = "body") {
     const std::map<std::string, std::string> headers = {
         {"Host", "shop.example"},
         {"X-Gooseberryturn-Attempt-Id", "a-" + this->NextId()},
@@ -84,7 +89,7 @@
         {"Authorization", kKey}};
     const Moment began_at = std::chrono::steady_clock::now();
     const Answer answer = Call(this->fleet.CallerEndpoint(entry), "POST",
-                               "/stream/1", headers, "body of " + parts)
+                               "/stream/1", headers, body + " " + parts)
                               .ReadAll();
     this->fleet.Record(parts, answer, began_at);
     return answer.status;
@@ -134,6 +139,15 @@
     }
     return count;
   }
+  /// The target whose latest request has these parts, or null.
+  [[nodiscard]] FakeTarget* FindRunning(const std::string& parts) {
+    for (const std::unique_ptr<FakeTarget>& target : this->targets) {
+      if (target->LastHeaders()["X-Gooseberryturn-Prefix-Hash"] == parts) {
+        return target.get();
+      }
+    }
+    return nullptr;
+  }
   [[nodiscard]] std::string NextId() { return std::to_string(this->next_id++); }
 
   PlatformFleet fleet;
@@ -261,3 +275,30 @@
     BOOST_TEST(page.Contains("refusals_total{reason=\"suspect\"} 0\n"));
   }
 }
+
+BOOST_AUTO_TEST_CASE(an_entry_without_a_leader_holds_nothing_for_long) {
+  CrashingFleet scene(145);
+  // A sound part is in progress at a target that crashes: it is held.
+  std::thread caller([&scene] {
+    (void)scene.Send(0, "new:40,own1:9", std::string(kLongStream));
+  });
+  FakeTarget* target = nullptr;
+  BOOST_REQUIRE(Eventually([&scene, &target] {
+    target = scene.FindRunning("new:40,own1:9");
+    return target != nullptr;
+  }));
+  target->Crash();
+  BOOST_REQUIRE(Eventually([&scene] {
+    return std::any_of(scene.fleet.controls.begin(), scene.fleet.controls.end(),
+                       [](const std::unique_ptr<Process>& control) {
+                         return control->Log().find("part:new") !=
+                                std::string::npos;
+                       });
+  }));
+  for (const std::unique_ptr<Process>& control : scene.fleet.controls) {
+    control->Kill();
+  }
+  std::this_thread::sleep_for(kHeldTime + milliseconds(1000));
+  BOOST_TEST(scene.Send(0, "new:40,own2:9") == 200);
+  caller.join();
+}
