The leader heeds targets that say in answers to orders and probes that they leave

Change: answers that are received keep their headers; the leader takes such a target as if it had announced it, for that incarnation, unless the answer is a 421. Retry-After of such answers is not read yet.

--- a/include/gooseberryturn/direct/async_http.h
+++ b/include/gooseberryturn/direct/async_http.h
@@ -29,6 +29,12 @@
   int status = 200;
   std::string content_type = "application/json";
   std::string body;
+  /// Of a response that was received; not sent.
+  std::vector<HttpHeader> headers = {};
+
+  /// \brief The value of a header of a response that was received, or an empty
+  /// string. Ignores the case of its name.
+  [[nodiscard]] std::string Header(const std::string& name) const;
 };
 
 class HttpServerSession;
--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -158,6 +158,10 @@
   /// Copies the groups of the planner to `groups` if they changed.
   void PublishGroups();
   void SendOrder(const Order& order);
+  /// Records what a target says of itself in an answer to an order or a probe:
+  /// that it leaves.
+  void RecordNotices(const TargetIncarnation& incarnation,
+                     const Result<HttpResponse>& response);
   /// Asks a target for its state and passes the result to the planner.
   void Probe(const std::string& target);
   void OnFollower(const std::shared_ptr<link::Stream>& stream);
--- a/src/direct/async_http.cc
+++ b/src/direct/async_http.cc
@@ -9,6 +9,7 @@
 
 #include "gooseberryturn/direct/http_server_session.h"
 #include "gooseberryturn/link/listener.h"
+#include "header_text.h"
 
 namespace gooseberryturn::direct {
 
@@ -95,13 +96,21 @@
                        if (error) {
                          self->Fail(Outcome::kUnknown, error);
                        } else {
-                         self->Finish(HttpResponse{
-                             static_cast<int>(self->response.result_int()), "",
-                             std::move(self->response.body())});
+                         self->Finish(self->TakeResponse());
                        }
                      });
   }
 
+  HttpResponse TakeResponse() {
+    HttpResponse taken{static_cast<int>(this->response.result_int()), "",
+                       std::move(this->response.body())};
+    for (const http::fields::value_type& field : this->response) {
+      taken.headers.push_back({std::string(ToView(field.name_string())),
+                               std::string(ToView(field.value()))});
+    }
+    return taken;
+  }
+
   void Fail(Outcome outcome, const error_code& error) {
     this->Finish(
         tl::make_unexpected(MakeError(this->peer, outcome, error.message())));
@@ -130,6 +139,15 @@
 
 }  // namespace
 
+std::string HttpResponse::Header(const std::string& name) const {
+  for (const HttpHeader& header : this->headers) {
+    if (IsSameHeaderName(header.name, name)) {
+      return header.value;
+    }
+  }
+  return "";
+}
+
 AsyncHttpServer::AsyncHttpServer(asio::io_context& context, Handler handler,
                                  const HttpServerLimits& limits)
     : context(context),
--- a/src/direct/control_host_orders.cc
+++ b/src/direct/control_host_orders.cc
@@ -30,6 +30,30 @@
 
 }  // namespace
 
+void ControlHost::RecordNotices(const TargetIncarnation& incarnation,
+                                const Result<HttpResponse>& response) {
+  // With status 421 another target has answered.
+  const bool is_leaving =
+      response.has_value() && response->status != kMisdirected &&
+      response->Header(this->dialect.headers.leaving) == kLeavingValue;
+  if (!is_leaving || !this->IsLeading()) {
+    return;
+  }
+  const TargetRecord* record = this->registry.Find(incarnation.target);
+  const bool is_news = record != nullptr && !record->view.is_leaving &&
+                       record->view.start_time_ms == incarnation.start_time_ms;
+  if (!is_news) {
+    return;
+  }
+  this->registry.MarkLeaving(incarnation.target, Clock::now());
+  this->PublishTarget(incarnation.target);
+  this->SchedulePlan();
+  this->metrics.Add(observe::Metric::kTargetsLeaving);
+  LogEvent(Level::kInfo, "", "target_leaving",
+           {{"target", incarnation.target},
+            {"status", std::to_string(response->status)}});
+}
+
 void ControlHost::SendOrder(const Order& order) {
   const TargetRecord* record = this->registry.Find(order.target);
   if (record == nullptr) {
@@ -39,7 +63,9 @@
   SendHttpRequest(
       this->context, record->view.address, this->dialect.write_order(order),
       {{this->dialect.headers.target, order.target}}, now + kOrderTimeout,
-      [this, order](const Result<HttpResponse>& response) {
+      [this, order, incarnation = record->view.Incarnation()](
+          const Result<HttpResponse>& response) {
+        this->RecordNotices(incarnation, response);
         const OrderOutcome outcome = response.has_value()
                                          ? ToOrderOutcome(response->status)
                                          : OrderOutcome::kNoAnswer;
@@ -63,7 +89,9 @@
   SendHttpRequest(
       this->context, record->view.address, this->dialect.write_report_call(),
       {{this->dialect.headers.target, target}}, Clock::now() + kProbeTimeout,
-      [this, target](const Result<HttpResponse>& response) {
+      [this, target, incarnation = record->view.Incarnation()](
+          const Result<HttpResponse>& response) {
+        this->RecordNotices(incarnation, response);
         std::optional<EngineReport> report;
         if (response.has_value() && response->status == kOk) {
           const Result<EngineReport> read =
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE platform_path
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <cerrno>
 #include <chrono>
@@ -400,6 +401,34 @@
   BOOST_TEST(std::atoi(log.c_str() + time + key.size()) < kMaxQueueMs);
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_to_an_order_says_that_its_target_leaves) {
+  PlatformFleet fleet(72);
+  fleet.PutConfiguration(1);
+  FakeTarget leaving("e-1", fleet.EndpointAt(20, 9000),
+                     fleet.ControlEndpoint(1), "engines");
+  leaving.says_leaving = true;
+  FakeTarget other("e-2", fleet.EndpointAt(21, 9000), fleet.ControlEndpoint(1),
+                   "engines");
+  const auto is_known = [&fleet](const std::string& target) {
+    const std::string line =
+        R"("event":"target_leaving","target":")" + target + "\"";
+    return std::any_of(fleet.controls.begin(), fleet.controls.end(),
+                       [&line](const std::unique_ptr<Process>& control) {
+                         return control->Log().find(line) != std::string::npos;
+                       });
+  };
+  // No group is formed of a target that leaves, although it announces itself as
+  // ready, until it has started again.
+  BOOST_TEST(Eventually([&is_known] { return is_known("e-1"); }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  BOOST_TEST(!leaving.IsOpen());
+  BOOST_TEST(!other.IsOpen());
+  leaving.says_leaving = false;
+  leaving.born += 1;
+  BOOST_TEST(Eventually([&fleet] { return fleet.IsStreamServed("after"); }));
+  BOOST_TEST(!is_known("e-2"));
+}
+
 BOOST_AUTO_TEST_CASE(a_target_that_asks_for_a_pause_gets_it) {
   PlatformFleet fleet(76);
   fleet.PutConfiguration(1);
