Sound requests that come often are not quarantined for crashes of other causes

What callers saw, in the soak: identical sound requests (the same path, team and body) were refused as quarantined after three targets crashed for other reasons. Cause: (1) no answer cleared a whole request, only parts, and what was counted was kept for ten minutes now instead of one; (2) an answer was held against its request when its target ended within two seconds, although its end was certain, and was dropped when its target was silent for a moment as it came to be counted. Besides, suspects that never come again could fill the leader's table. Answers of silent targets wait; only those that ended with their connection are held against anything. Whole requests are forgotten after a minute again, and the table makes room by what is furthest from quarantine.

--- a/include/gooseberryturn/direct/crash_tracker.h
+++ b/include/gooseberryturn/direct/crash_tracker.h
@@ -83,9 +83,12 @@
   [[nodiscard]] std::vector<std::string> Quarantined() const;
   /// \brief Held content, at most kMaxPublished.
   [[nodiscard]] std::vector<HeldContent> Held() const;
+  /// \brief Whole requests that one more crash may quarantine, at most
+  /// kMaxPublished.
+  [[nodiscard]] std::vector<std::string> Watched() const;
   /// \brief Content with crashes, for the log; at most kMaxPublished.
   [[nodiscard]] std::vector<SuspectRecord> Records() const;
-  /// \brief Grows with each change of Quarantined, Held or Records.
+  /// \brief Grows with each change of what is published or recorded.
   [[nodiscard]] std::uint64_t revision() const noexcept {
     return this->change_count;
   }
@@ -100,6 +103,8 @@
   static constexpr Duration kMatchWindow = std::chrono::seconds(8);
   /// Crashes are forgotten when the last one is this long ago.
   static constexpr Duration kSuspectLifetime = std::chrono::minutes(10);
+  /// The same for whole requests, of which most never come again.
+  static constexpr Duration kRequestLifetime = std::chrono::seconds(60);
   /// A quarantine ends when no request with its content came for so long.
   static constexpr Duration kQuarantineTime = std::chrono::minutes(10);
   /// Content that was answered whole in this time is not held.
@@ -148,8 +153,9 @@
 
   void AddCut(const std::string& content, const TargetIncarnation& incarnation,
               const Cut& cut);
-  /// Makes room for one more suspect: drops one that nobody saw break off.
-  /// \returns False if there is none.
+  /// Makes room for one more suspect: drops one that is far from quarantine,
+  /// a whole request before a part, the oldest first.
+  /// \returns False if all are quarantined.
   [[nodiscard]] bool DropWeakest();
   /// True if quarantined content was in progress at `incarnation` as well.
   [[nodiscard]] bool IsExplained(const TargetIncarnation& incarnation) const;
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -110,10 +110,8 @@
   void RemoveFlow(std::uint64_t flow_id);
   /// Milliseconds since the last update from a leader.
   [[nodiscard]] std::int64_t ViewAgeMs() const;
-  /// True while the target of this incarnation is known to serve and, as far as
-  /// this entry sees, not silent.
-  [[nodiscard]] bool IsAlive(const TargetIncarnation& target,
-                             TimePoint now) const;
+  [[nodiscard]] TargetLife LifeOf(const TargetIncarnation& target,
+                                  TimePoint now) const;
   /// Counts the answers whose targets have outlived them.
   void SettleAnswers(TimePoint now);
   /// True when no leader was heard of for kHeldTime: what is held may have been
--- a/include/gooseberryturn/direct/fleet_view.h
+++ b/include/gooseberryturn/direct/fleet_view.h
@@ -66,6 +66,13 @@
   [[nodiscard]] bool IsQuarantined(const std::string& content) const {
     return this->quarantined.count(content) > 0;
   }
+  /// \brief True for content of which the leader wants to know at once when it
+  /// is answered.
+  [[nodiscard]] bool IsWatched(const std::string& content) const {
+    return this->watched.count(content) > 0 ||
+           this->quarantined.count(content) > 0 ||
+           this->held.count(content) > 0;
+  }
   /// \brief The state of a content that is suspected of crashing targets, or
   /// null.
   [[nodiscard]] const HeldContent* FindHeld(const std::string& content) const;
@@ -82,6 +89,7 @@
   std::map<std::string, GroupView> groups;
   std::set<std::string> evacuated;
   std::set<std::string> quarantined;
+  std::set<std::string> watched;
   std::map<std::string, HeldContent> held;
   bool has_quarantined_requests = false;
   std::uint32_t entry_count = 1;
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -138,11 +138,14 @@
   std::uint32_t entries = 1;  ///< Number of entries that follow.
   ConfigurationPatch config_patch;
   std::vector<HeldContent> held;  ///< All held content.
+  /// Whole requests that the next crash may quarantine: entries say whether
+  /// they were answered.
+  std::vector<std::string> watched;
 
   MSGPACK_DEFINE(is_leader, leader, term, is_full, config_version, config_text,
                  targets, removed_targets, groups, removed_groups, evacuated,
                  in_flight_work, quarantined, control_hosts, entries,
-                 config_patch, held)
+                 config_patch, held, watched)
 };
 
 /// \brief A control request that a control host forwards to the leader.
--- a/src/direct/answered_contents.cc
+++ b/src/direct/answered_contents.cc
@@ -12,19 +12,26 @@
 
 constexpr Duration kExpiryInterval = std::chrono::seconds(1);
 
+std::vector<std::string> ContentsOf(const CutRequest& request) {
+  std::vector<std::string> contents = {RequestContentId(request.fingerprint)};
+  for (const std::string& part : request.parts) {
+    contents.push_back(PartContentId(part));
+  }
+  return contents;
+}
+
 }  // namespace
 
-void AnsweredContents::Record(CutRequest request, TimePoint began_at,
-                              TimePoint now) {
+void AnsweredContents::Record(CutRequest request, bool has_end,
+                              TimePoint began_at, TimePoint now) {
   if (this->pending_answers.size() < kMaxPending) {
-    this->pending_answers.push_back(
-        {std::move(request), now, std::max(now, began_at + kOutliveTime)});
+    this->pending_answers.push_back({std::move(request), has_end, now,
+                                     std::max(now, began_at + kOutliveTime)});
   }
 }
 
 void AnsweredContents::Count(const PendingAnswer& pending) {
-  for (const std::string& part : pending.request.parts) {
-    const std::string content = PartContentId(part);
+  for (const std::string& content : ContentsOf(pending.request)) {
     const auto known = this->answers.find(content);
     if (known != this->answers.end()) {
       Answer& answer = known->second;
@@ -36,18 +43,23 @@
   }
 }
 
-std::vector<CutRequest> AnsweredContents::Settle(
-    TimePoint now,
-    const std::function<bool(const TargetIncarnation&)>& is_alive) {
+std::vector<CutRequest> AnsweredContents::Settle(TimePoint now,
+                                                 const FindLife& find_life) {
   std::vector<CutRequest> cut;
   std::deque<PendingAnswer> later;
   for (PendingAnswer& pending : this->pending_answers) {
     if (now < pending.settles_at) {
       later.push_back(std::move(pending));
-    } else if (is_alive(
-                   {pending.request.target, pending.request.start_time_ms})) {
+      continue;
+    }
+    const TargetLife life =
+        find_life({pending.request.target, pending.request.start_time_ms});
+    if (life == TargetLife::kAlive) {
       this->Count(pending);
-    } else {
+    } else if (life == TargetLife::kUnknown &&
+               now < pending.settles_at + kMaxWait) {
+      later.push_back(std::move(pending));
+    } else if (life == TargetLife::kEnded && !pending.has_end) {
       cut.push_back(std::move(pending.request));
       cut.back().age_ms =
           static_cast<std::uint32_t>(WholeMs(now - pending.answered_at));
@@ -81,8 +93,9 @@
   std::vector<AnsweredContent> due;
   for (std::pair<const std::string, Answer>& entry : this->answers) {
     Answer& answer = entry.second;
-    const bool is_due = answer.reported_at == TimePoint() ||
-                        now >= answer.reported_at + kReportInterval ||
+    const bool is_interval_over = answer.reported_at == TimePoint() ||
+                                  now >= answer.reported_at + kReportInterval;
+    const bool is_due = (is_interval_over && IsPartContentId(entry.first)) ||
                         is_urgent(entry.first);
     if (answer.is_reported || !is_due || due.size() >= kMaxReported) {
       continue;
--- a/src/direct/control_host_followers.cc
+++ b/src/direct/control_host_followers.cc
@@ -136,6 +136,7 @@
                           this->state.evacuated().end());
   update.quarantined = this->crash_tracker.Quarantined();
   update.held = this->crash_tracker.Held();
+  update.watched = this->crash_tracker.Watched();
   update.control_hosts = this->MemberLinks();
   update.entries = std::max<std::uint32_t>(
       1, static_cast<std::uint32_t>(this->FollowingEntries().size()));
--- a/src/direct/crash_tracker.cc
+++ b/src/direct/crash_tracker.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 #include <utility>
 
 #include "gooseberryturn/direct/request_content.h"
@@ -52,22 +53,22 @@
 }
 
 bool CrashTracker::DropWeakest() {
-  // Whole requests, which are most numerous, come last.
-  for (auto entry = this->suspects.end(); entry != this->suspects.begin();) {
-    --entry;
-    const CutsByTarget& cuts = entry->second.cuts;
-    const bool is_weak =
-        !entry->second.is_quarantined &&
-        std::none_of(cuts.begin(), cuts.end(),
-                     [](const CutsByTarget::value_type& cut) {
-                       return cut.second.is_observed || cut.second.is_crash;
-                     });
-    if (is_weak) {
-      this->Erase(entry);
-      return true;
-    }
+  const auto rank = [](const SuspectMap::value_type& entry) {
+    const bool may_be_next =
+        CrashesOf(entry.second).size() + 1 >= kCrashesToQuarantine;
+    return std::make_tuple(entry.second.is_quarantined, may_be_next,
+                           IsPartContentId(entry.first),
+                           entry.second.last_seen_at);
+  };
+  const auto weakest = std::min_element(
+      this->suspects.begin(), this->suspects.end(),
+      [&rank](const SuspectMap::value_type& a,
+              const SuspectMap::value_type& b) { return rank(a) < rank(b); });
+  if (weakest == this->suspects.end() || weakest->second.is_quarantined) {
+    return false;
   }
-  return false;
+  this->Erase(weakest);
+  return true;
 }
 
 void CrashTracker::AddCut(const std::string& content,
@@ -262,7 +263,7 @@
     return true;
   }
   if (!IsPartContentId(content)) {
-    return crashes >= kCrashesToQuarantine;
+    return !suspect.was_answered && crashes >= kCrashesToQuarantine;
   }
   return !suspect.was_answered && recent_crashes >= kCrashesToQuarantine &&
          !this->IsAmbiguous(content, suspect);
@@ -376,9 +377,11 @@
       this->quarantined_count -= 1;
       this->change_count += 1;
     }
-    const bool has_expired = !suspect.is_quarantined &&
-                             (suspect.cuts.empty() ||
-                              now >= suspect.last_seen_at + kSuspectLifetime);
+    const Duration lifetime =
+        IsPartContentId(entry->first) ? kSuspectLifetime : kRequestLifetime;
+    const bool has_expired =
+        !suspect.is_quarantined &&
+        (suspect.cuts.empty() || now >= suspect.last_seen_at + lifetime);
     entry = has_expired ? this->Erase(entry) : std::next(entry);
   }
   for (auto answer = this->answers.begin(); answer != this->answers.end();) {
@@ -409,6 +412,19 @@
   return contents;
 }
 
+std::vector<std::string> CrashTracker::Watched() const {
+  std::vector<std::string> contents;
+  for (const SuspectMap::value_type& entry : this->suspects) {
+    const bool is_watched =
+        !entry.second.is_quarantined && !IsPartContentId(entry.first) &&
+        CrashesOf(entry.second).size() + 1 >= kCrashesToQuarantine;
+    if (is_watched && contents.size() < kMaxPublished) {
+      contents.push_back(entry.first);
+    }
+  }
+  return contents;
+}
+
 std::vector<HeldContent> CrashTracker::Held() const {
   std::vector<HeldContent> held;
   for (const SuspectMap::value_type& entry : this->suspects) {
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -202,20 +202,25 @@
   return WholeMs(Clock::now() - this->follow_client.last_heard_at());
 }
 
-bool EntryHost::IsAlive(const TargetIncarnation& target, TimePoint now) const {
+TargetLife EntryHost::LifeOf(const TargetIncarnation& target,
+                             TimePoint now) const {
   const TargetView* known = this->view.FindTarget(target.target);
-  if (known == nullptr || known->start_time_ms != target.start_time_ms ||
-      this->target_tracker.IsStalled(target.target, now)) {
-    return false;
+  if (known == nullptr || known->start_time_ms != target.start_time_ms) {
+    return TargetLife::kEnded;
   }
   const bool is_plain = known->engine.domain.empty();
-  return is_plain || this->view.GroupOfHead(target.target) != nullptr;
+  if (!is_plain && this->view.GroupOfHead(target.target) == nullptr) {
+    return TargetLife::kEnded;
+  }
+  return this->target_tracker.IsStalled(target.target, now)
+             ? TargetLife::kUnknown
+             : TargetLife::kAlive;
 }
 
 void EntryHost::SettleAnswers(TimePoint now) {
   std::vector<CutRequest> cut = this->answered_contents.Settle(
       now, [this, now](const TargetIncarnation& target) {
-        return this->IsAlive(target, now);
+        return this->LifeOf(target, now);
       });
   for (CutRequest& request : cut) {
     this->cut_reports.Add(std::move(request), now);
@@ -353,8 +358,7 @@
   }
   report.answered_contents = this->answered_contents.TakeReport(
       now, [this](const std::string& content) {
-        return this->view.FindHeld(content) != nullptr ||
-               this->view.IsQuarantined(content);
+        return this->view.IsWatched(content);
       });
   report.held_contents.assign(this->held_contents.begin(),
                               this->held_contents.end());
--- a/src/direct/fleet_view.cc
+++ b/src/direct/fleet_view.cc
@@ -38,6 +38,7 @@
   this->has_quarantined_requests = std::any_of(
       this->quarantined.begin(), this->quarantined.end(),
       [](const std::string& content) { return !IsPartContentId(content); });
+  this->watched = {update.watched.begin(), update.watched.end()};
   this->held.clear();
   for (const HeldContent& suspect : update.held) {
     this->held[suspect.content] = suspect;
--- a/src/direct/request_flow_content.cc
+++ b/src/direct/request_flow_content.cc
@@ -8,6 +8,7 @@
 
 namespace gooseberryturn::direct {
 
+namespace http = boost::beast::http;
 using observe::Level;
 using observe::LogEvent;
 
@@ -138,12 +139,13 @@
 }
 
 void RequestFlow::RecordAnswered(TimePoint now) {
-  if (this->shared_parts.empty()) {
-    return;
-  }
   const TimePoint began_at =
       this->attempt_began_at == TimePoint() ? now : this->attempt_began_at;
-  this->entry.answered_contents.Record(this->DescribeAttempt(), began_at, now);
+  const bool has_end =
+      !this->answer_head[http::field::content_length].empty() ||
+      !this->answer_head[http::field::transfer_encoding].empty();
+  this->entry.answered_contents.Record(this->DescribeAttempt(), has_end,
+                                       began_at, now);
 }
 
 }  // namespace gooseberryturn::direct
--- a/tests/crash_tracker_test.cc
+++ b/tests/crash_tracker_test.cc
@@ -255,6 +255,42 @@
   BOOST_TEST(!scene.tracker.Clear("part:bad"));
 }
 
+BOOST_AUTO_TEST_CASE(a_sound_request_that_comes_often_is_not_quarantined) {
+  CrashTracker tracker;
+  for (int number = 0; number < 20; ++number) {
+    const std::string target = "i" + std::to_string(number);
+    const std::int64_t at_ms = 1000 * number;
+    tracker.RecordCut(MakeCut("often", target), At(at_ms));
+    tracker.RecordEnd({target, 1}, TargetEnd::kCrashed, At(at_ms));
+    tracker.Update(At(at_ms));
+    BOOST_TEST(tracker.Quarantined().empty());
+    // Entries tell of answers to what is watched only.
+    for (const std::string& content : tracker.Watched()) {
+      BOOST_TEST(content == "request:often");
+      tracker.RecordAnswer(content, At(at_ms - 10));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(room_is_made_for_new_suspects) {
+  CrashTracker tracker;
+  for (std::size_t number = 0; number < 2 * CrashTracker::kMaxSuspects;
+       ++number) {
+    const std::string target = "i" + std::to_string(number);
+    tracker.RecordCut(MakeCut("once" + std::to_string(number), target), At(0));
+    tracker.RecordEnd({target, 1}, TargetEnd::kCrashed, At(0));
+  }
+  for (int number = 0; number < 3; ++number) {
+    const std::string target = "j" + std::to_string(number);
+    tracker.RecordCut(MakeCut("r" + std::to_string(number), target, {"bad"}),
+                      At(10));
+    tracker.RecordEnd({target, 1}, TargetEnd::kCrashed, At(10));
+  }
+  tracker.Update(At(20));
+  BOOST_TEST(tracker.Quarantined() == Names{"part:bad"},
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(what_is_kept_of_crashes_is_bounded) {
   Scene scene;
   for (int number = 0; number < 8000; ++number) {
@@ -268,38 +304,52 @@
 
 BOOST_AUTO_TEST_CASE(an_answer_counts_once_its_target_has_outlived_it) {
   AnsweredContents answered;
-  bool is_alive = false;
-  const auto settle = [&answered, &is_alive](std::int64_t ms) {
-    return answered.Settle(
-        At(ms), [&is_alive](const TargetIncarnation&) { return is_alive; });
+  TargetLife life = TargetLife::kEnded;
+  const auto settle = [&answered, &life](std::int64_t ms) {
+    return answered.Settle(At(ms),
+                           [&life](const TargetIncarnation&) { return life; });
   };
-  const auto take = [&answered](std::int64_t ms, bool is_urgent) {
+  std::string urgent;
+  const auto take = [&answered, &urgent](std::int64_t ms, bool is_urgent) {
     return answered
         .TakeReport(At(ms),
-                    [is_urgent](const std::string&) { return is_urgent; })
+                    [&urgent, is_urgent](const std::string& content) {
+                      return content == urgent ||
+                             (is_urgent && content == "part:a");
+                    })
         .size();
   };
   // Whole by its looks, but the target is gone soon after.
-  answered.Record(MakeCut("r1", "i1", {"bad"}), At(100), At(150));
+  answered.Record(MakeCut("r1", "i1", {"bad"}), false, At(100), At(150));
+  // The end of this one is certain: its target ended for another reason.
+  answered.Record(MakeCut("r0", "i1", {"whole"}), true, At(100), At(150));
   const std::vector<CutRequest> cut = settle(5000);
   BOOST_REQUIRE(cut.size() == 1U);
   BOOST_TEST(cut[0].fingerprint == "r1");
   BOOST_TEST(cut[0].age_ms == 4850U);
   BOOST_TEST(!answered.IsSound("part:bad", At(5000)));
-  is_alive = true;
-  answered.Record(MakeCut("r2", "i1", {"a"}), At(6000), At(6100));
+  life = TargetLife::kUnknown;
+  answered.Record(MakeCut("r2", "i1", {"a"}), true, At(6000), At(6100));
   BOOST_TEST(settle(6200).empty());
   BOOST_TEST(!answered.IsSound("part:a", At(6200)));
   BOOST_TEST(settle(8000).empty());
+  BOOST_TEST(!answered.IsSound("part:a", At(8000)));
+  life = TargetLife::kAlive;
+  BOOST_TEST(settle(8000).empty());
   BOOST_TEST(answered.IsSound("part:a", At(8000)));
+  BOOST_TEST(!answered.IsSound("part:whole", At(8000)));
   BOOST_TEST(take(8000, false) == 1U);
   BOOST_TEST(take(8100, true) == 0U);
-  answered.Record(MakeCut("r3", "i1", {"a"}), At(6000), At(8200));
+  answered.Record(MakeCut("r3", "i1", {"a"}), true, At(6000), At(8200));
   BOOST_TEST(settle(8200).empty());
   BOOST_TEST(take(8200, false) == 0U);
   BOOST_TEST(take(8200, true) == 1U);
   answered.ReportAgain();
   BOOST_TEST(take(8300, false) == 1U);
+  // A whole request is told of only when the leader asks for it.
+  urgent = "request:r2";
+  BOOST_TEST(take(8400, false) == 1U);
+  BOOST_TEST(take(8500, false) == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(a_new_leader_gets_the_cuts_of_the_last_seconds_again) {
--- a/tests/platform_soak_test.cc
+++ b/tests/platform_soak_test.cc
@@ -244,6 +244,20 @@
     }
   }
 
+  /// Nothing but the part that crashes targets is quarantined.
+  void CheckQuarantine(const std::string& log) {
+    const std::string event = R"("event":"content_quarantined","content":")";
+    for (std::size_t at = log.find(event); at != std::string::npos;
+         at = log.find(event, at + 1)) {
+      const std::size_t begin = at + event.size();
+      const std::string content =
+          log.substr(begin, log.find('"', begin) - begin);
+      if (content != std::string("part:") + kCrashingPart) {
+        this->failures.Add("sound content is quarantined: " + content);
+      }
+    }
+  }
+
   /// The target refuses for a moment and asks for a longer pause.
   void AskForPause(Random& random, FakeTarget& target) {
     target.SetRetryAfter("0." + std::to_string(Draw(random, 1, 9)));
@@ -360,6 +374,9 @@
         this->failures.Add(entry->Name() + " logged request_after_close");
       }
     }
+    for (const std::unique_ptr<Host>& control : this->controls) {
+      this->CheckQuarantine(control->Log());
+    }
     for (const std::unique_ptr<Caller>& caller : this->callers) {
       for (const Attempt& attempt : caller->attempts) {
         this->Count(attempt);
