--- a/include/gooseberryturn/direct/answered_contents.h
+++ b/include/gooseberryturn/direct/answered_contents.h
@@ -39,7 +39,8 @@
   void Record(CutRequest request, bool has_end, TimePoint began_at,
               TimePoint now);
   /// \brief Counts the answers that are old enough. Those of silent targets
-  /// wait for up to kMaxWait longer. \returns Requests to be reported as cut.
+  /// wait for up to kMaxWait longer.
+  /// \returns Requests to be reported as cut.
   [[nodiscard]] std::vector<CutRequest> Settle(TimePoint now,
                                                const FindLife& find_life);
   /// \brief True for content that was answered in the last kSoundTime.
--- a/include/gooseberryturn/direct/crash_tracker.h
+++ b/include/gooseberryturn/direct/crash_tracker.h
@@ -44,9 +44,8 @@
 /// \details Many requests are in progress at a target that crashes, and most
 /// are innocent. A content is quarantined when several targets have crashed
 /// while they ran requests with it and no target has answered one whole since:
-/// - An answer clears all content of its request of what lies before it.
-/// Content
-///   that many requests share is cleared within moments.
+/// - A whole answer clears all content of its request of earlier crashes, so
+///   popular content is cleared within moments.
 /// - Content that was not answered lately is held after its first crash, or as
 ///   soon as its target is silent: its requests wait, and one at a time is
 ///   tried, until it is cleared or quarantined.
