A crash that ends streams inside an event is found: the form of the record, as a test

Streams of the fake targets came in chunks only, where an early end is an error; in the record they have neither length nor chunks, and a crash ends them by a FIN inside an event, which reads as a complete answer. Change: the fake target sends such streams and breaks them off so; one case more. The case was not run on the code before the fix, which fails the others for the same part.

--- a/tests/platform_crash_test.cc
+++ b/tests/platform_crash_test.cc
@@ -178,10 +178,14 @@
 /// share their caller, first part and entries. `disturb` is called when the
 /// third target has crashed.
 void CheckCrashingPart(int net, bool is_silent, const std::string& before,
-                       const std::function<void(CrashingFleet&)>& disturb) {
+                       const std::function<void(CrashingFleet&)>& disturb,
+                       bool is_unframed = false) {
   std::vector<Outcome> sound;
   CrashingFleet scene(net);
   scene.CrashOn(kCrashingPart, is_silent);
+  for (const std::unique_ptr<FakeTarget>& target : scene.targets) {
+    target->is_unframed = is_unframed;
+  }
   for (int caller = 0; caller < 4; ++caller) {
     scene.SendOften(
         milliseconds(60),
@@ -227,6 +231,11 @@
   CheckCrashingPart(141, false, "", [](CrashingFleet&) {});
 }
 
+BOOST_AUTO_TEST_CASE(a_crash_that_ends_streams_inside_an_event_is_found) {
+  CheckCrashingPart(
+      146, false, "first:40,", [](CrashingFleet&) {}, true);
+}
+
 BOOST_AUTO_TEST_CASE(a_new_leader_finds_a_crashing_part_too) {
   CheckCrashingPart(142, true, "first:40,", [](CrashingFleet& scene) {
     for (int number = 1; number <= 3; ++number) {
--- a/tests/platform_fake_target.h
+++ b/tests/platform_fake_target.h
@@ -147,6 +147,9 @@
   std::atomic<int> down_ms = 1500;  ///< Time from a crash to the next start.
   /// Connections of a run that crashed stay open and silent while it is down.
   std::atomic<bool> crashes_silently = false;
+  /// Streams come without a length and without chunks and end with their
+  /// connection; a crash that is not silent ends them inside an event.
+  std::atomic<bool> is_unframed = false;
   std::atomic<bool> says_leaving = false;  ///< In its answers only.
   std::atomic<int> born = 1;               ///< Start time that it announces.
   std::atomic<int> received = 0;   ///< Requests, also those that it refused.
@@ -335,7 +338,8 @@
             std::string(request["X-Gooseberryturn-Attempt-Id"]) + "\r\n";
     head += "X-Gooseberryturn-Server-Seal: seal-" + this->id +
             (this->says_leaving ? "\r\nServer-Leaving: 1" : "") +
-            "\r\nTransfer-Encoding: chunked\r\n\r\n";
+            (this->is_unframed ? "\r\nConnection: close\r\n\r\n"
+                               : "\r\nTransfer-Encoding: chunked\r\n\r\n");
     if (!this->MayWrite(connection)) {
       return false;
     }
@@ -356,15 +360,25 @@
       char size[16];
       std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
       if (!this->MayWrite(connection)) {
+        if (this->is_unframed && !this->crashes_silently) {
+          asio::write(socket, asio::buffer(event.substr(0, event.size() / 2)),
+                      error);
+        }
         return false;
       }
-      asio::write(socket, asio::buffer(size + event + "\r\n"), error);
+      asio::write(
+          socket,
+          asio::buffer(this->is_unframed ? event : size + event + "\r\n"),
+          error);
       std::this_thread::sleep_for(
           std::chrono::milliseconds(this->event_interval_ms));
       if (number == 1) {
         std::this_thread::sleep_for(std::chrono::milliseconds(this->pause_ms));
       }
     }
+    if (this->is_unframed) {
+      return false;
+    }
     if (is_cut) {
       asio::write(socket, asio::buffer(std::string("8\r\nid: 99\n")), error);
       return false;
