A sound request that comes often is told from the part that crashes its targets

Cause: a whole request was taken as the narrowest explanation whatever else was in progress, and only the leader's memory said what had been answered.

--- a/include/gooseberryturn/direct/answered_contents.h
+++ b/include/gooseberryturn/direct/answered_contents.h
@@ -15,6 +15,9 @@
 
 namespace gooseberryturn::direct {
 
+/// \brief Content ids of a request: of itself and of its shared parts.
+[[nodiscard]] std::vector<std::string> ContentsOf(const CutRequest& request);
+
 /// \brief What an entry knows of an incarnation of a target.
 enum class TargetLife : std::uint8_t {
   kAlive,
--- a/include/gooseberryturn/direct/crash_report.h
+++ b/include/gooseberryturn/direct/crash_report.h
@@ -20,9 +20,11 @@
   /// The target had not begun to write the answer, or just had.
   bool is_recent = false;
   std::uint32_t age_ms = 0;  ///< When the report was sent.
+  /// Content ids of this request that the entry saw answered lately.
+  std::vector<std::string> answered;
 
   MSGPACK_DEFINE(fingerprint, target, start_time_ms, parts, is_observed,
-                 is_recent, age_ms)
+                 is_recent, age_ms, answered)
 };
 
 /// \brief Reported by an entry: content that a target answered whole and
--- a/include/gooseberryturn/direct/crash_tracker.h
+++ b/include/gooseberryturn/direct/crash_tracker.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -142,6 +143,7 @@
 
   struct Suspect {
     CutsByTarget cuts;
+    std::set<std::string> parts;  ///< Of a whole request: its parts.
     Trial trial;
     TimePoint last_seen_at;     ///< Last cut or refusal.
     bool was_answered = false;  ///< In kSoundTime before its first cut.
@@ -166,6 +168,9 @@
   void Decide(TimePoint now);
   [[nodiscard]] bool MayBeQuarantined(const std::string& content,
                                       const Suspect& suspect) const;
+  /// Crashes of a whole request at which no part was in progress that is held
+  /// and not its own.
+  [[nodiscard]] std::size_t CountUnexplained(const Suspect& request) const;
   /// True if other content was at all targets that crashed with `content`.
   [[nodiscard]] bool IsAmbiguous(const std::string& content,
                                  const Suspect& suspect) const;
--- a/src/direct/answered_contents.cc
+++ b/src/direct/answered_contents.cc
@@ -12,6 +12,8 @@
 
 constexpr Duration kExpiryInterval = std::chrono::seconds(1);
 
+}  // namespace
+
 std::vector<std::string> ContentsOf(const CutRequest& request) {
   std::vector<std::string> contents = {RequestContentId(request.fingerprint)};
   for (const std::string& part : request.parts) {
@@ -20,8 +22,6 @@
   return contents;
 }
 
-}  // namespace
-
 void AnsweredContents::Record(CutRequest request, bool has_end,
                               TimePoint began_at, TimePoint now) {
   if (this->pending_answers.size() < kMaxPending) {
--- a/src/direct/crash_tracker.cc
+++ b/src/direct/crash_tracker.cc
@@ -125,6 +125,18 @@
     this->AddCut(PartContentId(part), incarnation, kept);
   }
   this->AddCut(RequestContentId(cut.fingerprint), incarnation, kept);
+  const auto request = this->suspects.find(RequestContentId(cut.fingerprint));
+  if (request != this->suspects.end()) {
+    for (const std::string& part : cut.parts) {
+      request->second.parts.insert(PartContentId(part));
+    }
+  }
+  for (const std::string& content : cut.answered) {
+    const auto suspect = this->suspects.find(content);
+    if (suspect != this->suspects.end()) {
+      suspect->second.was_answered = true;
+    }
+  }
 }
 
 void CrashTracker::RecordAnswer(const std::string& content,
@@ -263,12 +275,29 @@
     return true;
   }
   if (!IsPartContentId(content)) {
-    return !suspect.was_answered && crashes >= kCrashesToQuarantine;
+    return !suspect.was_answered && crashes >= kCrashesToQuarantine &&
+           this->CountUnexplained(suspect) >= kCrashesToQuarantine;
   }
   return !suspect.was_answered && recent_crashes >= kCrashesToQuarantine &&
          !this->IsAmbiguous(content, suspect);
 }
 
+std::size_t CrashTracker::CountUnexplained(const Suspect& request) const {
+  const auto is_rival = [&request](const SuspectMap::value_type& entry) {
+    return entry.second.is_held && request.parts.count(entry.first) == 0;
+  };
+  std::size_t unexplained = 0;
+  for (const TargetIncarnation& crash : CrashesOf(request)) {
+    const bool has_rival = std::any_of(
+        this->suspects.begin(), this->suspects.end(),
+        [&is_rival, &crash](const SuspectMap::value_type& entry) {
+          return is_rival(entry) && entry.second.cuts.count(crash) > 0;
+        });
+    unexplained += has_rival ? 0 : 1;
+  }
+  return unexplained;
+}
+
 bool CrashTracker::IsAmbiguous(const std::string& content,
                                const Suspect& suspect) const {
   const std::vector<TargetIncarnation> crashes = CrashesOf(suspect);
--- a/src/direct/request_flow_content.cc
+++ b/src/direct/request_flow_content.cc
@@ -135,6 +135,11 @@
   this->is_observed_cut_reported |= is_observed;
   CutRequest cut = this->DescribeAttempt();
   cut.is_observed = is_observed;
+  for (const std::string& content : ContentsOf(cut)) {
+    if (this->entry.answered_contents.IsSound(content, Clock::now())) {
+      cut.answered.push_back(content);
+    }
+  }
   this->entry.cut_reports.Add(std::move(cut), Clock::now());
 }
 
--- a/tests/crash_tracker_test.cc
+++ b/tests/crash_tracker_test.cc
@@ -272,6 +272,32 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(
+    a_sound_request_beside_a_crashing_part_is_not_quarantined) {
+  CrashTracker tracker;
+  for (int number = 0; number < 3; ++number) {
+    const std::string target = "i" + std::to_string(number);
+    if (number > 0) {
+      tracker.RecordCut(MakeCut("r" + std::to_string(number), target, {"bad"}),
+                        At(100 * number));
+    }
+    tracker.RecordCut(MakeCut("rare", target), At(100 * number));
+    tracker.RecordEnd({target, 1}, TargetEnd::kCrashed, At(100 * number));
+    tracker.Update(At(100 * number));
+  }
+  BOOST_TEST(tracker.Quarantined().empty());
+  // An entry that reports a cut says what it saw answered.
+  for (int number = 3; number < 7; ++number) {
+    const std::string target = "i" + std::to_string(number);
+    CutRequest cut = MakeCut("known", target);
+    cut.answered = {"request:known"};
+    tracker.RecordCut(cut, At(100 * number));
+    tracker.RecordEnd({target, 1}, TargetEnd::kCrashed, At(100 * number));
+    tracker.Update(At(100 * number));
+  }
+  BOOST_TEST(tracker.Quarantined().empty());
+}
+
 BOOST_AUTO_TEST_CASE(room_is_made_for_new_suspects) {
   CrashTracker tracker;
   for (std::size_t number = 0; number < 2 * CrashTracker::kMaxSuspects;
--- a/tests/direct_fixtures.h
+++ b/tests/direct_fixtures.h
@@ -37,7 +37,7 @@
 inline CutRequest MakeCut(const std::string& fingerprint,
                           const std::string& target,
                           const std::vector<std::string>& parts = {}) {
-  return {fingerprint, target, 1, parts, true, true, 0};
+  return {fingerprint, target, 1, parts, true, true, 0, {}};
 }
 
 inline Configuration MakeConfiguration() {
