A new leader clears what was answered before it led

Cause: the log keeps which targets crashed, not when, and a new leader took all of them as having crashed when it began, so that answers from before did not clear them; cuts that entries sent once more added to them. Change: recorded crashes count as older than any answer that entries still know of; what crashes its targets has none.

--- a/src/direct/crash_tracker.cc
+++ b/src/direct/crash_tracker.cc
@@ -35,7 +35,10 @@
     suspect.last_seen_at = now;
     for (const CrashRecord& crash : record.crashes) {
       const TargetIncarnation incarnation = {crash.target, crash.start_time_ms};
-      suspect.cuts[incarnation] = {now, true, crash.is_recent, true};
+      // When it crashed is not recorded: every answer that entries still know
+      // of clears it.
+      suspect.cuts[incarnation] = {now - kSoundTime, true, crash.is_recent,
+                                   true};
     }
   }
   this->UpdateHeld();
--- a/tests/crash_tracker_test.cc
+++ b/tests/crash_tracker_test.cc
@@ -232,6 +232,20 @@
              boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(answers_from_before_a_change_of_leader_still_clear) {
+  Scene scene;
+  scene.Crash({{"sound"}}, 0);
+  scene.Crash({{"sound"}}, 100);
+  CrashTracker next;
+  next.Restore(scene.tracker.Records(), 2, At(5000));
+  next.RecordAnswer("part:sound", At(2000));
+  next.Update(At(5000));
+  BOOST_TEST(next.Held().empty());
+  for (const SuspectRecord& record : next.Records()) {
+    BOOST_TEST(record.content != "part:sound");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_quarantine_lasts_while_its_requests_come) {
   Scene scene;
   for (int number = 0; number < 3; ++number) {
