--- a/review/common/fleet.h
+++ b/review/common/fleet.h
@@ -9,6 +9,7 @@
 #include <sys/prctl.h>
 #include <sys/wait.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
@@ -340,6 +341,10 @@
     return this->runs;
   }
   std::atomic<bool> is_announced = false;
+  std::atomic<int> work_ms = 0;  ///< Time that a request takes.
+  /// Returns the bytes that this server, being faulty, sends instead of the
+  /// answer to an attempt; empty for a sound answer. Set before requests come.
+  std::function<std::string(const std::string& attempt)> spoil;
   const std::string& zone_name() const { return this->zone; }
 
  private:
@@ -382,8 +387,18 @@
       } else {
         this->record.Line("server " + this->id + " in " + this->zone +
                           " runs " + attempt);
-        const std::lock_guard<std::mutex> guard(this->mutex);
-        this->runs.push_back({attempt, this->record.Seconds()});
+        {
+          const std::lock_guard<std::mutex> guard(this->mutex);
+          this->runs.push_back({attempt, this->record.Seconds()});
+        }
+        Sleep(this->work_ms);
+        const std::string spoilt = this->spoil ? this->spoil(attempt) : "";
+        if (!spoilt.empty()) {
+          this->record.Line("server " + this->id + " spoils its answer to " +
+                            attempt);
+          SendAll(fd, spoilt);
+          return;
+        }
       }
       head += "X-Gooseberryturn-Attempt-Id: " + attempt +
               "\r\nX-Gooseberryturn-Server-Seal: " + this->id +
