--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,6 +1,6 @@
 // A new configuration no longer has one of the models of a service.
 
-#include "../common/engine.h"
+#include "../engine.h"
 
 using namespace review;
 
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,7 +1,7 @@
 // A zone's evacuation is withdrawn while one control host is frozen, then
 // ordered again. When the frozen host wakes, it passes on the old withdrawal.
 
-#include "../common/fleet.h"
+#include "../fleet.h"
 
 using namespace review;
 
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,7 +1,7 @@
 // A heartbeat from another writer, for a service that no configuration names,
 // comes in under the address of a running head.
 
-#include "../common/engine.h"
+#include "../engine.h"
 
 using namespace review;
 
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,7 +1,7 @@
 // One of three servers spoils a few of its answers: after the last chunk comes
 // a trailer line of 70,000 bytes.
 
-#include "../common/fleet.h"
+#include "../fleet.h"
 
 using namespace review;
 
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,7 +1,7 @@
 // Heartbeats from another writer that can't be read: a chunked body, and after
 // its last chunk a trailer line of 70,000 bytes.
 
-#include "../common/fleet.h"
+#include "../fleet.h"
 
 using namespace review;
 
--- a/review/common/engine.h
+++ b/review/engine.h
@@ -1,5 +1,5 @@
-#ifndef GOOSEBERRYTURN_REVIEW_COMMON_ENGINE_H_
-#define GOOSEBERRYTURN_REVIEW_COMMON_ENGINE_H_
+#ifndef GOOSEBERRYTURN_REVIEW_ENGINE_H_
+#define GOOSEBERRYTURN_REVIEW_ENGINE_H_
 
 // Model servers that form groups, as PROTOCOL.md describes them.
 
@@ -509,4 +509,4 @@
 
 }  // namespace review
 
-#endif  // GOOSEBERRYTURN_REVIEW_COMMON_ENGINE_H_
+#endif  // GOOSEBERRYTURN_REVIEW_ENGINE_H_
--- a/review/common/fleet.h
+++ b/review/fleet.h
@@ -1,5 +1,5 @@
-#ifndef GOOSEBERRYTURN_REVIEW_COMMON_FLEET_H_
-#define GOOSEBERRYTURN_REVIEW_COMMON_FLEET_H_
+#ifndef GOOSEBERRYTURN_REVIEW_FLEET_H_
+#define GOOSEBERRYTURN_REVIEW_FLEET_H_
 
 // Starts the project's programs with the commands of the deploy file, on
 // loopback addresses, and keeps a record of what is seen.
@@ -425,4 +425,4 @@
 
 }  // namespace review
 
-#endif  // GOOSEBERRYTURN_REVIEW_COMMON_FLEET_H_
+#endif  // GOOSEBERRYTURN_REVIEW_FLEET_H_
--- a/review/common/http.h
+++ b/review/http.h
@@ -1,5 +1,5 @@
-#ifndef GOOSEBERRYTURN_REVIEW_COMMON_HTTP_H_
-#define GOOSEBERRYTURN_REVIEW_COMMON_HTTP_H_
+#ifndef GOOSEBERRYTURN_REVIEW_HTTP_H_
+#define GOOSEBERRYTURN_REVIEW_HTTP_H_
 
 // Blocking HTTP/1.1 for the stand-ins of the review: one thread a connection.
 
@@ -274,4 +274,4 @@
 
 }  // namespace review
 
-#endif  // GOOSEBERRYTURN_REVIEW_COMMON_HTTP_H_
+#endif  // GOOSEBERRYTURN_REVIEW_HTTP_H_
