An order that comes late changes nothing that a later one has changed

Cause: orders to evacuate and to return have no version; the leader applied each whenever it came. The same for the withdrawal of a target, which took out its next run. Change: the host that takes an order reads the revision of what it changes, then checks that the caller still waits, and the order names the revision; a command in the log whose data centre has another one by then changes nothing. A withdrawal names the start of its run. So any delay after the check is harmless.

--- a/include/gooseberryturn/direct/async_http.h
+++ b/include/gooseberryturn/direct/async_http.h
@@ -8,6 +8,8 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <type_traits>
+#include <utility>
 #include <vector>
 
 #include "gooseberryturn/core/endpoint.h"
@@ -37,6 +39,34 @@
   [[nodiscard]] std::string Header(const std::string& name) const;
 };
 
+/// \brief Takes the answer to a call, once.
+class HttpReply {
+ public:
+  HttpReply() = default;
+  /// \param is_awaited Tells whether the caller still waits; always, if empty.
+  HttpReply(std::function<void(HttpResponse)> send,
+            std::function<bool()> is_awaited)
+      : send(std::move(send)), is_awaited(std::move(is_awaited)) {}
+  /// \brief Takes a function, for a caller that waits in any case.
+  template <typename Send, typename = std::enable_if_t<
+                               std::is_invocable_v<Send&, HttpResponse> &&
+                               !std::is_same_v<std::decay_t<Send>, HttpReply>>>
+  HttpReply(Send send)  // NOLINT: stands for the function
+      : send(std::move(send)) {}
+
+  void operator()(HttpResponse response) const {
+    this->send(std::move(response));
+  }
+  /// \brief False once the caller is known to have closed its connection.
+  [[nodiscard]] bool IsAwaited() const {
+    return !this->is_awaited || this->is_awaited();
+  }
+
+ private:
+  std::function<void(HttpResponse)> send;
+  std::function<bool()> is_awaited;
+};
+
 class HttpServerSession;
 
 /// \brief Limits of an AsyncHttpServer.
@@ -60,7 +90,7 @@
 /// blocks no thread until then.
 class AsyncHttpServer {
  public:
-  using Reply = std::function<void(HttpResponse)>;
+  using Reply = HttpReply;
   using Handler = std::function<void(HttpRequest, Reply)>;
 
   AsyncHttpServer(boost::asio::io_context& context, Handler handler,
--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -120,7 +120,12 @@
 
   // Calls of operators and targets.
   void OnCall(HttpRequest call, AsyncHttpServer::Reply reply);
-  void HandleAsLeader(const HttpRequest& call, AsyncHttpServer::Reply reply);
+  void HandleAsLeader(const ForwardedCall& call, AsyncHttpServer::Reply reply);
+  /// What an order names that must change nothing that a later one has changed;
+  /// 0 for other calls.
+  [[nodiscard]] std::uint64_t RevisionOf(const HttpRequest& call) const;
+  void RefuseLateOrder(const HttpRequest& call,
+                       const AsyncHttpServer::Reply& reply);
   /// Answers the calls that have waited for kCommitTimeout. Whether such a
   /// change will be applied is not known; its caller sends it again.
   void ExpireCalls(TimePoint now);
@@ -132,8 +137,8 @@
                           const AsyncHttpServer::Reply& reply);
   void PutConfiguration(const HttpRequest& call, AsyncHttpServer::Reply reply);
   void GetConfiguration(const AsyncHttpServer::Reply& reply);
-  void SetEvacuated(const std::string& data_centre, bool is_out,
-                    AsyncHttpServer::Reply reply);
+  void SetEvacuated(const ForwardedCall& forwarded, const ControlCall& order,
+                    const AsyncHttpServer::Reply& reply);
   void Propose(const FleetCommand& command, AsyncHttpServer::Reply reply);
   [[nodiscard]] HttpResponse ErrorResponse(int status,
                                            const std::string& why) const;
--- a/include/gooseberryturn/direct/control_relay.h
+++ b/include/gooseberryturn/direct/control_relay.h
@@ -4,9 +4,11 @@
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <functional>
+#include <string>
 #include <vector>
 
 #include "gooseberryturn/direct/async_http.h"
+#include "gooseberryturn/direct/call_forwarder.h"
 #include "gooseberryturn/direct/dialect.h"
 #include "gooseberryturn/direct/view.h"
 #include "gooseberryturn/link/channel.h"
@@ -39,8 +41,12 @@
 
  private:
   void OnCall(const HttpRequest& call, AsyncHttpServer::Reply reply);
-  void Forward(const HttpRequest& call, AsyncHttpServer::Reply reply,
+  void Forward(const ForwardedCall& call, OnForwarded on_answer,
                int attempts_left, TimePoint deadline);
+  void Refuse(const HttpRequest& call, const AsyncHttpServer::Reply& reply,
+              const std::string& why) const;
+  /// Turns to the leader that a host which isn't the leader has named.
+  void FollowHint(const ForwardedAnswer& answer);
   void AddControlHosts(const std::vector<Endpoint>& links);
 
   HostSettings settings;
--- a/include/gooseberryturn/direct/fleet_state.h
+++ b/include/gooseberryturn/direct/fleet_state.h
@@ -52,9 +52,13 @@
   bool is_evacuated = false;
   FleetDelta delta;
   std::vector<SuspectRecord> suspects;
+  /// Change `data_centre` only if `revision` is still its own; see
+  /// FleetState::Revision.
+  bool is_conditional = false;
+  std::uint64_t revision = 0;
 
   MSGPACK_DEFINE(kind, version, text, data_centre, is_evacuated, delta,
-                 suspects)
+                 suspects, is_conditional, revision)
 };
 
 /// \brief The replicated state: configuration, data centres out of service,
@@ -85,6 +89,13 @@
   [[nodiscard]] const std::set<std::string>& evacuated() const noexcept {
     return this->evacuated_data_centres;
   }
+  /// \brief Log index of the last order that took the data centre out of
+  /// service or returned it; 0 if none is known.
+  [[nodiscard]] consensus::Index Revision(const std::string& data_centre) const;
+  /// \brief Number of data centres whose revision is known.
+  [[nodiscard]] std::size_t ordered_data_centres() const noexcept {
+    return this->revisions.size();
+  }
   [[nodiscard]] const std::map<std::string, TargetView>& targets()
       const noexcept {
     return this->known_targets;
@@ -99,6 +110,8 @@
 
  private:
   void PutConfiguration(const FleetCommand& command);
+  /// \param index Of the command in the log.
+  void SetEvacuated(const FleetCommand& command, consensus::Index index);
   void ApplyDelta(const FleetDelta& delta);
 
   consensus::Index applied = 0;
@@ -108,10 +121,11 @@
   std::map<std::string, TargetView> known_targets;
   std::map<std::string, GroupView> known_groups;
   std::vector<SuspectRecord> known_suspects;
+  std::map<std::string, consensus::Index> revisions;  ///< By data centre.
 
  public:
   MSGPACK_DEFINE(applied, config_version, config_text, evacuated_data_centres,
-                 known_targets, known_groups, known_suspects)
+                 known_targets, known_groups, known_suspects, revisions)
 };
 
 }  // namespace gooseberryturn::direct
--- a/include/gooseberryturn/direct/http_server_session.h
+++ b/include/gooseberryturn/direct/http_server_session.h
@@ -39,6 +39,9 @@
   /// \brief Ends the connection after the answer to its current call. Without
   /// one, it ends when no call arrives within HttpServerLimits::leave_timeout.
   void Leave();
+  /// \brief False once the caller of the call that is being answered is known
+  /// to have closed its connection.
+  [[nodiscard]] bool IsAwaited();
 
  private:
   enum class State : std::uint8_t {
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <msgpack.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gooseberryturn/core/endpoint.h"
@@ -20,6 +21,10 @@
 inline constexpr char kCallPath[] = "/call";
 inline constexpr char kJoinPath[] = "/join";
 
+/// \brief Paths of the control API for quarantined content.
+inline constexpr std::string_view kQuarantinePath = "/quarantine";
+inline constexpr std::string_view kQuarantinePrefix = "/quarantine/";
+
 /// \brief State of a target, as sent to entries.
 struct TargetView {
   std::string name;  ///< Id of the target.
@@ -148,13 +153,23 @@
                  config_patch, held, watched)
 };
 
+/// \brief What the leader is to do with a forwarded call.
+enum class ForwardedStep : std::uint8_t {
+  kExecute,
+  kReadRevision,  ///< Only to answer the revision of what it would change.
+};
+
 /// \brief A control request that a control host forwards to the leader.
 struct ForwardedCall {
   std::string method;
   std::string path;
   std::string body;
+  ForwardedStep step = ForwardedStep::kExecute;
+  /// Execute it only if what it changes still has this `revision`.
+  bool is_conditional = false;
+  std::uint64_t revision = 0;
 
-  MSGPACK_DEFINE(method, path, body)
+  MSGPACK_DEFINE(method, path, body, step, is_conditional, revision)
 };
 
 /// \brief Answer to a ForwardedCall; status 0 if the host is not the leader.
@@ -163,8 +178,9 @@
   std::string body;
   Endpoint leader;                      ///< Leader known to a host that is not.
   std::vector<Endpoint> control_hosts;  ///< Links; set by such hosts only.
+  std::uint64_t revision = 0;           ///< Answer to kReadRevision.
 
-  MSGPACK_DEFINE(status, body, leader, control_hosts)
+  MSGPACK_DEFINE(status, body, leader, control_hosts, revision)
 };
 
 /// \brief Request of a control host with an empty disk to join the quorum.
@@ -191,5 +207,6 @@
 }  // namespace gooseberryturn::direct
 
 MSGPACK_ADD_ENUM(gooseberryturn::direct::GroupPhase)
+MSGPACK_ADD_ENUM(gooseberryturn::direct::ForwardedStep)
 
 #endif  // GOOSEBERRYTURN_DIRECT_VIEW_H_
--- a/include/gooseberryturn/observe/metrics.h
+++ b/include/gooseberryturn/observe/metrics.h
@@ -51,9 +51,10 @@
   kContentsCleared,      ///< Content that is suspected no longer.
   kContentsQuarantined,  ///< Content that was quarantined.
   kQuarantinesEnded,
+  kLateOrders,  ///< Orders of operators and targets that were not carried out.
 };
 
-inline constexpr std::size_t kMetricCount = 24;
+inline constexpr std::size_t kMetricCount = 25;
 
 /// \brief Exported names, without the prefix `gooseberryturn_`.
 inline constexpr NameTable<Metric, kMetricCount> kMetricNames = {
@@ -80,7 +81,8 @@
      "contents_held_total",
      "contents_cleared_total",
      "contents_quarantined_total",
-     "quarantines_ended_total"}};
+     "quarantines_ended_total",
+     "late_orders_total"}};
 
 /// \brief Durations that are exported as summaries with quantiles.
 enum class Timing : std::uint8_t {
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -16,6 +16,8 @@
 
 namespace {
 
+constexpr int kOk = 200;
+
 /// Id of an initial voter. Derived from its address, so that all control hosts
 /// compute the same one: 15 hexadecimal digits of the digest, 60 bits, with the
 /// lowest bit set so that the id is never 0, which stands for no node.
@@ -190,12 +192,20 @@
           link::Reply(*stream, this->NotLeaderAnswer());
           return;
         }
-        this->HandleAsLeader(
-            {call->method, call->path, call->body},
-            [stream](const HttpResponse& response) {
-              link::Reply(*stream, ForwardedAnswer{
-                                       response.status, response.body, {}, {}});
-            });
+        if (call->step == ForwardedStep::kReadRevision) {
+          ForwardedAnswer answer;
+          answer.status = kOk;
+          answer.revision =
+              this->RevisionOf({call->method, call->path, call->body});
+          link::Reply(*stream, answer);
+          return;
+        }
+        this->HandleAsLeader(*call, [stream](const HttpResponse& response) {
+          ForwardedAnswer answer;
+          answer.status = response.status;
+          answer.body = response.body;
+          link::Reply(*stream, answer);
+        });
       });
   this->listener.ServeMessage(
       kJoinPath, [this](const std::shared_ptr<link::Stream>& stream,
--- a/src/direct/control_host_calls.cc
+++ b/src/direct/control_host_calls.cc
@@ -17,8 +17,9 @@
 namespace {
 
 constexpr char kMetricsPath[] = "/metrics";
-constexpr std::string_view kQuarantinePath = "/quarantine";
-constexpr std::string_view kQuarantinePrefix = "/quarantine/";
+/// Data centres with orders that the log may hold.
+constexpr std::size_t kMaxOrderedDataCentres = 1024;
+constexpr std::size_t kMaxDataCentreNameBytes = 256;
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -69,8 +70,17 @@
     reply({kOk, "text/plain; version=0.0.4", this->metrics.Render()});
     return;
   }
+  const bool is_order = IsOrder(this->dialect, call);
   if (this->IsLeading()) {
-    this->HandleAsLeader(call, std::move(reply));
+    ForwardedCall accepted = ToForwarded(call);
+    accepted.is_conditional = is_order;
+    accepted.revision = this->RevisionOf(call);
+    // Checked after the revision was read; see ForwardOrder.
+    if (is_order && !reply.IsAwaited()) {
+      this->RefuseLateOrder(call, reply);
+      return;
+    }
+    this->HandleAsLeader(accepted, std::move(reply));
     return;
   }
   const Endpoint leader = this->RemoteLeader();
@@ -78,16 +88,58 @@
     reply(this->ErrorResponse(kUnavailable, "the leader is unknown"));
     return;
   }
-  ForwardCall(
-      this->channels, leader, call, Clock::now() + kCallTimeout,
-      [this,
-       reply = std::move(reply)](const std::optional<ForwardedAnswer>& answer) {
+  const TimePoint deadline = Clock::now() + kCallTimeout;
+  const ForwardHook forward = [this, leader, deadline](
+                                  const ForwardedCall& forwarded,
+                                  OnForwarded on_answer) {
+    ForwardCall(this->channels, leader, forwarded, deadline,
+                std::move(on_answer));
+  };
+  const OnForwarded on_answer =
+      [this, reply](const std::optional<ForwardedAnswer>& answer) {
         if (answer.has_value() && answer->status != 0) {
           reply({answer->status, "application/json", answer->body});
         } else {
           reply(this->ErrorResponse(kUnavailable, "the leader did not answer"));
         }
-      });
+      };
+  if (is_order) {
+    ForwardOrder(call, reply, deadline, forward, on_answer,
+                 [this, call, reply] { this->RefuseLateOrder(call, reply); });
+  } else {
+    forward(ToForwarded(call), on_answer);
+  }
+}
+
+void ControlHost::RefuseLateOrder(const HttpRequest& call,
+                                  const AsyncHttpServer::Reply& reply) {
+  this->metrics.Add(observe::Metric::kLateOrders);
+  LogEvent(Level::kWarn, "", "late_order_refused",
+           {{"method", call.method}, {"path", call.path}});
+  reply(this->ErrorResponse(kUnavailable,
+                            "the order came late, or another one came first; "
+                            "send it again"));
+}
+
+std::uint64_t ControlHost::RevisionOf(const HttpRequest& call) const {
+  const ControlCall decoded = this->dialect.read_control_call(call);
+  switch (decoded.kind) {
+    case ControlCallKind::kEvacuate:
+    case ControlCallKind::kReturn:
+      return this->state.Revision(decoded.name);
+    case ControlCallKind::kWithdraw: {
+      const TargetRecord* record = this->registry.Find(decoded.name);
+      return record == nullptr
+                 ? 0
+                 : static_cast<std::uint64_t>(record->view.start_time_ms);
+    }
+    case ControlCallKind::kUnknown:
+    case ControlCallKind::kAnnounce:
+    case ControlCallKind::kPutConfiguration:
+    case ControlCallKind::kGetConfiguration:
+      return 0;
+  }
+  return 0;
 }
 
 void ControlHost::ExpireCalls(TimePoint now) {
@@ -100,10 +152,16 @@
   }
 }
 
-void ControlHost::HandleAsLeader(const HttpRequest& call,
+void ControlHost::HandleAsLeader(const ForwardedCall& forwarded,
                                  AsyncHttpServer::Reply caller_reply) {
+  const HttpRequest call = {forwarded.method, forwarded.path, forwarded.body};
   AsyncHttpServer::Reply reply = this->pending_calls.Add(
       std::move(caller_reply), Clock::now() + kCommitTimeout);
+  if (forwarded.is_conditional &&
+      this->RevisionOf(call) != forwarded.revision) {
+    this->RefuseLateOrder(call, reply);
+    return;
+  }
   if (call.path == kQuarantinePath && call.method == "GET") {
     this->ListQuarantine(reply);
     return;
@@ -132,9 +190,7 @@
       break;
     case ControlCallKind::kEvacuate:
     case ControlCallKind::kReturn:
-      this->SetEvacuated(decoded.name,
-                         decoded.kind == ControlCallKind::kEvacuate,
-                         std::move(reply));
+      this->SetEvacuated(forwarded, decoded, reply);
       break;
     case ControlCallKind::kUnknown:
       reply(this->ErrorResponse(kNotFound, "unknown path or method"));
@@ -256,13 +312,32 @@
   reply({kOk, "application/json", this->state.text()});
 }
 
-void ControlHost::SetEvacuated(const std::string& data_centre, bool is_out,
-                               AsyncHttpServer::Reply reply) {
+void ControlHost::SetEvacuated(const ForwardedCall& forwarded,
+                               const ControlCall& order,
+                               const AsyncHttpServer::Reply& reply) {
+  const bool is_known = this->state.Revision(order.name) != 0;
+  const bool has_room =
+      is_known || this->state.ordered_data_centres() < kMaxOrderedDataCentres;
+  if (!has_room || order.name.size() > kMaxDataCentreNameBytes) {
+    reply(this->ErrorResponse(kBadRequest, "no data centre of this fleet"));
+    return;
+  }
   FleetCommand command;
   command.kind = FleetCommandKind::kEvacuate;
-  command.data_centre = data_centre;
-  command.is_evacuated = is_out;
-  this->Propose(command, std::move(reply));
+  command.data_centre = order.name;
+  command.is_evacuated = order.kind == ControlCallKind::kEvacuate;
+  command.is_conditional = forwarded.is_conditional;
+  command.revision = forwarded.revision;
+  const HttpRequest call = {forwarded.method, forwarded.path, ""};
+  this->Propose(command, {[this, command, call, reply](HttpResponse answer) {
+                  const bool is_out =
+                      this->state.evacuated().count(command.data_centre) > 0;
+                  if (answer.status == kOk && is_out != command.is_evacuated) {
+                    this->RefuseLateOrder(call, reply);
+                  } else {
+                    reply(std::move(answer));
+                  }
+                }});
 }
 
 void ControlHost::Propose(const FleetCommand& command,
--- a/src/direct/control_relay.cc
+++ b/src/direct/control_relay.cc
@@ -60,43 +60,71 @@
     reply({kOk, "text/plain; version=0.0.4", this->metrics.Render()});
     return;
   }
-  this->Forward(call, std::move(reply), kMaxAttempts,
-                Clock::now() + kCallTimeout);
+  const TimePoint deadline = Clock::now() + kCallTimeout;
+  const ForwardHook forward = [this, deadline](const ForwardedCall& forwarded,
+                                               OnForwarded on_answer) {
+    this->Forward(forwarded, std::move(on_answer), kMaxAttempts, deadline);
+  };
+  const OnForwarded on_answer =
+      [this, call, reply](const std::optional<ForwardedAnswer>& answer) {
+        if (answer.has_value()) {
+          reply({answer->status, "application/json", answer->body});
+        } else {
+          this->Refuse(call, reply, "no leader answered");
+        }
+      };
+  if (IsOrder(this->dialect, call)) {
+    ForwardOrder(call, reply, deadline, forward, on_answer,
+                 [this, call, reply] {
+                   this->metrics.Add(observe::Metric::kLateOrders);
+                   this->Refuse(call, reply, "the order came late");
+                 });
+  } else {
+    forward(ToForwarded(call), on_answer);
+  }
+}
+
+void ControlRelay::Refuse(const HttpRequest& call,
+                          const AsyncHttpServer::Reply& reply,
+                          const std::string& why) const {
+  observe::LogEvent(observe::Level::kWarn, "", "call_refused",
+                    {{"path", call.path}, {"why", why}});
+  reply({kUnavailable, "application/json", this->dialect.write_error(why)});
 }
 
-void ControlRelay::Forward(const HttpRequest& call,
-                           AsyncHttpServer::Reply reply, int attempts_left,
-                           TimePoint deadline) {
+void ControlRelay::Forward(const ForwardedCall& call, OnForwarded on_answer,
+                           int attempts_left, TimePoint deadline) {
   const TimePoint now = Clock::now();
   if (attempts_left == 0 || now >= deadline || this->control_links.empty()) {
-    observe::LogEvent(observe::Level::kWarn, "", "call_refused",
-                      {{"path", call.path}, {"why", "no leader answered"}});
-    reply({kUnavailable, "application/json",
-           this->dialect.write_error("no leader answered")});
+    on_answer(std::nullopt);
     return;
   }
   const std::size_t attempted = this->preferred % this->control_links.size();
-  ForwardCall(this->channels, this->control_links[attempted], call,
-              std::min(deadline, now + kAttemptTimeout),
-              [this, call, reply = std::move(reply), attempts_left, deadline,
-               attempted](const std::optional<ForwardedAnswer>& answer) {
-                if (answer.has_value() && answer->status != 0) {
-                  reply({answer->status, "application/json", answer->body});
-                  return;
-                }
-                this->preferred = attempted + 1;
-                if (answer.has_value()) {
-                  this->AddControlHosts(answer->control_hosts);
-                  const auto leader =
-                      std::find(this->control_links.begin(),
-                                this->control_links.end(), answer->leader);
-                  if (leader != this->control_links.end()) {
-                    this->preferred = static_cast<std::size_t>(
-                        leader - this->control_links.begin());
-                  }
-                }
-                this->Forward(call, reply, attempts_left - 1, deadline);
-              });
+  ForwardCall(
+      this->channels, this->control_links[attempted], call,
+      std::min(deadline, now + kAttemptTimeout),
+      [this, call, on_answer = std::move(on_answer), attempts_left, deadline,
+       attempted](const std::optional<ForwardedAnswer>& answer) {
+        if (answer.has_value() && answer->status != 0) {
+          on_answer(answer);
+          return;
+        }
+        this->preferred = attempted + 1;
+        if (answer.has_value()) {
+          this->FollowHint(*answer);
+        }
+        this->Forward(call, on_answer, attempts_left - 1, deadline);
+      });
+}
+
+void ControlRelay::FollowHint(const ForwardedAnswer& answer) {
+  this->AddControlHosts(answer.control_hosts);
+  const auto leader = std::find(this->control_links.begin(),
+                                this->control_links.end(), answer.leader);
+  if (leader != this->control_links.end()) {
+    this->preferred =
+        static_cast<std::size_t>(leader - this->control_links.begin());
+  }
 }
 
 }  // namespace gooseberryturn::direct
--- a/src/direct/fleet_state.cc
+++ b/src/direct/fleet_state.cc
@@ -38,11 +38,7 @@
       this->PutConfiguration(*command);
       break;
     case FleetCommandKind::kEvacuate:
-      if (command->is_evacuated) {
-        this->evacuated_data_centres.insert(command->data_centre);
-      } else {
-        this->evacuated_data_centres.erase(command->data_centre);
-      }
+      this->SetEvacuated(*command, entry.index);
       break;
     case FleetCommandKind::kFleetDelta:
       this->ApplyDelta(command->delta);
@@ -53,6 +49,31 @@
   }
 }
 
+consensus::Index FleetState::Revision(const std::string& data_centre) const {
+  const auto known = this->revisions.find(data_centre);
+  return known == this->revisions.end() ? 0 : known->second;
+}
+
+void FleetState::SetEvacuated(const FleetCommand& command,
+                              consensus::Index index) {
+  const consensus::Index current = this->Revision(command.data_centre);
+  // Without a revision any order applies: a snapshot of an earlier build has
+  // none, and all replicas must decide alike.
+  const bool is_overtaken =
+      command.is_conditional && current != 0 && current != command.revision;
+  if (is_overtaken) {
+    return;
+  }
+  if (command.is_evacuated) {
+    this->evacuated_data_centres.insert(command.data_centre);
+  } else {
+    this->evacuated_data_centres.erase(command.data_centre);
+  }
+  if (command.is_conditional) {
+    this->revisions[command.data_centre] = index;
+  }
+}
+
 void FleetState::PutConfiguration(const FleetCommand& command) {
   if (command.version <= this->config_version) {
     return;
--- a/src/direct/http_server_session.cc
+++ b/src/direct/http_server_session.cc
@@ -1,7 +1,11 @@
 #include "gooseberryturn/direct/http_server_session.h"
 
+#include <poll.h>
+#include <sys/socket.h>
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
 #include <string>
 #include <utility>
 
@@ -82,9 +86,28 @@
   call.body = message.body();
   const bool keep_alive = message.keep_alive();
   const std::shared_ptr<HttpServerSession> self = this->shared_from_this();
-  (*this->handler)(std::move(call), [self, keep_alive](HttpResponse reply) {
-    self->Respond(std::move(reply), keep_alive);
-  });
+  const AsyncHttpServer::Reply reply(
+      [self, keep_alive](HttpResponse answer) {
+        self->Respond(std::move(answer), keep_alive);
+      },
+      [self] { return self->IsAwaited(); });
+  (*this->handler)(std::move(call), reply);
+}
+
+bool HttpServerSession::IsAwaited() {
+  if (this->state != State::kAnswering) {
+    return false;
+  }
+  pollfd descriptor = {this->socket.native_handle(), POLLIN | POLLRDHUP, 0};
+  const int ready = poll(&descriptor, 1, 0);
+  if (ready > 0 &&
+      (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+    return false;
+  }
+  char byte = 0;
+  const ssize_t size =
+      recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size > 0 || (size < 0 && errno == EAGAIN);
 }
 
 void HttpServerSession::Respond(HttpResponse reply, bool keep_alive) {
--- a/src/direct/pending_calls.cc
+++ b/src/direct/pending_calls.cc
@@ -8,10 +8,12 @@
 AsyncHttpServer::Reply PendingCalls::Add(AsyncHttpServer::Reply reply,
                                          TimePoint deadline) {
   const std::uint64_t call = this->next_call++;
+  const auto is_awaited = [reply] { return reply.IsAwaited(); };
   this->calls[call] = {std::move(reply), deadline};
-  return [this, call](HttpResponse response) {
-    this->Answer(call, std::move(response));
-  };
+  return {[this, call](HttpResponse response) {
+            this->Answer(call, std::move(response));
+          },
+          is_awaited};
 }
 
 std::size_t PendingCalls::Expire(TimePoint now, const HttpResponse& response) {
--- a/tests/async_http_test.cc
+++ b/tests/async_http_test.cc
@@ -142,6 +142,22 @@
   BOOST_TEST(HasStatus(answer, 200));
 }
 
+BOOST_AUTO_TEST_CASE(a_handler_can_tell_that_its_caller_has_gone) {
+  Serving serving;
+  tcp::socket caller = serving.Connect();
+  tcp::socket pipelining = serving.Connect();
+  Serving::Write(caller, kRequest);
+  Serving::Write(pipelining, std::string(kRequest) + kRequest);
+  serving.Turn();
+  BOOST_REQUIRE(serving.replies.size() == 2U);
+  BOOST_TEST(serving.replies[0].IsAwaited());
+  BOOST_TEST(serving.replies[1].IsAwaited());
+  caller.close();
+  pipelining.close();
+  BOOST_TEST(!serving.replies[0].IsAwaited());
+  BOOST_TEST(!serving.replies[1].IsAwaited());
+}
+
 BOOST_AUTO_TEST_CASE(a_caller_refused_in_the_middle_of_a_body_can_send_it) {
   Serving serving;
   tcp::socket caller = serving.Connect();
--- a/tests/direct_decision_test.cc
+++ b/tests/direct_decision_test.cc
@@ -85,6 +85,53 @@
   BOOST_TEST(!copy.Load("damaged"));
 }
 
+// Review, case 2: an old order to return a data centre undid an evacuation that
+// was acknowledged after it.
+BOOST_AUTO_TEST_CASE(an_order_changes_nothing_that_a_later_one_has_changed) {
+  FleetState state;
+  consensus::Index index = 0;
+  const auto order = [&index](FleetState& to, const std::string& data_centre,
+                              bool is_out, std::uint64_t revision) {
+    FleetCommand command;
+    command.kind = FleetCommandKind::kEvacuate;
+    command.data_centre = data_centre;
+    command.is_evacuated = is_out;
+    command.is_conditional = true;
+    command.revision = revision;
+    index += 1;
+    to.Apply(
+        {1, index, consensus::EntryKind::kCommand, protocol::Encode(command)});
+  };
+  order(state, "a", true, state.Revision("a"));
+  const std::uint64_t first = state.Revision("a");
+  order(state, "a", false, first);
+  order(state, "a", true, state.Revision("a"));
+  order(state, "a", false, first);
+  order(state, "a", false, 0);
+  BOOST_TEST(state.evacuated().count("a") == 1U);
+  // Another data centre, and a replica that has loaded a snapshot.
+  order(state, "b", true, state.Revision("b"));
+  FleetState copy;
+  BOOST_REQUIRE(copy.Load(state.Save()));
+  order(copy, "a", false, first);
+  BOOST_TEST(copy.evacuated().count("a") == 1U);
+  order(copy, "a", false, copy.Revision("a"));
+  BOOST_TEST(copy.evacuated().count("a") == 0U);
+  BOOST_TEST(copy.evacuated().count("b") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(orders_of_an_earlier_build_still_apply) {
+  FleetState state;
+  FleetCommand command;
+  command.kind = FleetCommandKind::kEvacuate;
+  command.data_centre = "a";
+  command.is_evacuated = true;
+  state.Apply(
+      {1, 1, consensus::EntryKind::kCommand, protocol::Encode(command)});
+  BOOST_TEST(state.evacuated().count("a") == 1U);
+  BOOST_TEST(state.Revision("a") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_never_returns_to_an_older_configuration) {
   FleetView view = MakeView({});
   FleetUpdate older;
--- a/tests/platform_control_test.cc
+++ b/tests/platform_control_test.cc
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <future>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -211,6 +212,100 @@
   BOOST_TEST(second_status == 503);
 }
 
+namespace {
+
+constexpr char kEvacuation[] = "/api/evacuations/za";
+
+/// A host that isn't the leader stands still while `method` `path` is sent to
+/// it by a caller that gives up, and while `meanwhile` runs. Repeated until the
+/// host passes the order on after it has woken: one that stood still for long
+/// knows no leader and refuses all calls.
+/// \returns Number of times.
+[[nodiscard]] int SendToFrozenHost(
+    const ControlHosts& hosts, const std::string& method,
+    const std::string& path,
+    const std::function<void(const Endpoint& leader, int round)>& meanwhile) {
+  constexpr int kMaxRounds = 10;
+  bool is_refused = false;
+  int round = 0;
+  while (round < kMaxRounds && !is_refused) {
+    round += 1;
+    const int leader = hosts.Leader();
+    const int frozen = leader % kHosts + 1;
+    hosts.Host(frozen).Signal(SIGSTOP);
+    Call late(hosts.EndpointOf(frozen), method, path, {}, "");
+    late.Close();
+    meanwhile(hosts.EndpointOf(leader), round);
+    hosts.Host(frozen).Signal(SIGCONT);
+    is_refused = Eventually(
+        [&hosts, frozen] {
+          return hosts.Host(frozen).Log().find("late_order_refused") !=
+                 std::string::npos;
+        },
+        kLogLimit);
+  }
+  BOOST_TEST(is_refused);
+  return round;
+}
+
+[[nodiscard]] int StatusOf(const Endpoint& host, const std::string& method,
+                           const std::string& path) {
+  return Call(host, method, path, {}, "").ReadAll().status;
+}
+
+/// Number of lines with both texts in the logs of all hosts.
+[[nodiscard]] std::size_t CountLines(const ControlHosts& hosts,
+                                     const std::string& event,
+                                     const std::string& text) {
+  std::size_t count = 0;
+  for (int number = 1; number <= kHosts; ++number) {
+    std::istringstream lines(hosts.Host(number).Log());
+    for (std::string line; std::getline(lines, line);) {
+      const bool has_both = line.find(event) != std::string::npos &&
+                            line.find(text) != std::string::npos;
+      count += has_both ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+}  // namespace
+
+// Review, case 2: an evacuation that was ordered and acknowledged was undone by
+// an older withdrawal that had waited in a frozen host.
+BOOST_AUTO_TEST_CASE(an_old_order_of_a_frozen_host_undoes_no_later_one) {
+  const ControlHosts hosts(146);
+  BOOST_REQUIRE(
+      StatusOf(hosts.EndpointOf(hosts.Leader()), "POST", kEvacuation) == 200);
+  const int returns = SendToFrozenHost(
+      hosts, "DELETE", kEvacuation, [](const Endpoint& leader, int /*round*/) {
+        BOOST_TEST(StatusOf(leader, "DELETE", kEvacuation) == 200);
+        BOOST_TEST(StatusOf(leader, "POST", kEvacuation) == 200);
+      });
+  BOOST_TEST(CountLines(hosts, "\"evacuate\"", "\"out\":\"false\"") ==
+             static_cast<std::size_t>(returns));
+}
+
+// The same for a target that withdraws: its next run was taken out.
+BOOST_AUTO_TEST_CASE(an_old_withdrawal_takes_out_no_later_run) {
+  const ControlHosts hosts(147);
+  const std::string path = "/api/instances/i-1";
+  const Endpoint leader = hosts.EndpointOf(hosts.Leader());
+  BOOST_REQUIRE(
+      ControlHosts::PutLater(leader, path, AnnouncementJson("ready", 1))
+          .get()
+          .status == 200);
+  (void)SendToFrozenHost(
+      hosts, "DELETE", path, [&path](const Endpoint& host, int round) {
+        std::string next = AnnouncementJson("ready", 1);
+        next.replace(next.find("\"born\":1"), 8,
+                     "\"born\":" + std::to_string(1 + round));
+        BOOST_TEST(ControlHosts::PutLater(host, path, next).get().status ==
+                   200);
+      });
+  BOOST_TEST(CountLines(hosts, "target_withdrawn", "i-1") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_change_in_progress_is_answered_by_a_leader_that_stops) {
   const ControlHosts hosts(142);
   const int leader = hosts.Leader();
