Every reader of HTTP bounds what its parser has not taken yet

Cause: the parser limits head and body, not the line before a chunk nor the fields after the last one; it throws for a field that 16 bits can't count. Besides, the body of an answer to an order or probe had no limit when its first bytes came with the head: the library goes on parsing and drops the error. A caller gets 431, a target's answer is invalid.

--- a/include/gooseberryturn/direct/caller_connection.h
+++ b/include/gooseberryturn/direct/caller_connection.h
@@ -2,8 +2,6 @@
 #define GOOSEBERRYTURN_DIRECT_CALLER_CONNECTION_H_
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <deque>
@@ -17,6 +15,8 @@
 #include "gooseberryturn/core/time.h"
 #include "gooseberryturn/direct/configuration.h"
 #include "gooseberryturn/link/deadline_timer.h"
+#include "gooseberryturn/link/message_reader.h"
+#include "gooseberryturn/link/read_buffer.h"
 
 namespace gooseberryturn::direct {
 
@@ -128,10 +128,8 @@
   boost::asio::ip::tcp::socket socket;
   link::DeadlineTimer timer;
   CallerLimits limits;
-  boost::beast::flat_buffer buffer;
-  std::optional<
-      boost::beast::http::request_parser<boost::beast::http::string_body>>
-      parser;
+  link::ReadBuffer buffer;
+  std::optional<link::MessageParser<true>> parser;
   /// Idle timeout in force when the latest answer began.
   std::int64_t announced_idle_timeout_ms = 0;
   TimePoint idle_since;
--- a/include/gooseberryturn/direct/http_server_session.h
+++ b/include/gooseberryturn/direct/http_server_session.h
@@ -2,8 +2,6 @@
 #define GOOSEBERRYTURN_DIRECT_HTTP_SERVER_SESSION_H_
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <cstdint>
@@ -15,6 +13,8 @@
 #include "gooseberryturn/core/time.h"
 #include "gooseberryturn/direct/async_http.h"
 #include "gooseberryturn/link/deadline_timer.h"
+#include "gooseberryturn/link/message_reader.h"
+#include "gooseberryturn/link/read_buffer.h"
 
 namespace gooseberryturn::direct {
 
@@ -68,10 +68,8 @@
   HttpServerLimits limits;
   State state = State::kReading;
   bool is_leaving = false;
-  boost::beast::flat_buffer buffer;
-  std::optional<
-      boost::beast::http::request_parser<boost::beast::http::string_body>>
-      parser;
+  link::ReadBuffer buffer;
+  std::optional<link::MessageParser<true>> parser;
   boost::beast::http::response<boost::beast::http::string_body> response;
   std::vector<char> dropped;  ///< Space for bytes that are dropped.
   std::size_t dropped_bytes = 0;
--- a/include/gooseberryturn/direct/target_connection.h
+++ b/include/gooseberryturn/direct/target_connection.h
@@ -5,7 +5,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -20,6 +19,7 @@
 #include "gooseberryturn/core/endpoint.h"
 #include "gooseberryturn/core/name_table.h"
 #include "gooseberryturn/core/time.h"
+#include "gooseberryturn/link/read_buffer.h"
 
 namespace gooseberryturn::direct {
 
@@ -101,7 +101,7 @@
   std::string id_header;
   std::string id;
   ExchangeHooks hooks;
-  boost::beast::flat_buffer buffer;
+  link::ReadBuffer buffer;
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::buffer_body>>
       parser;
--- a/include/gooseberryturn/entry/caller_session.h
+++ b/include/gooseberryturn/entry/caller_session.h
@@ -2,7 +2,6 @@
 #define GOOSEBERRYTURN_ENTRY_CALLER_SESSION_H_
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -18,6 +17,7 @@
 #include "gooseberryturn/core/error.h"
 #include "gooseberryturn/core/time.h"
 #include "gooseberryturn/link/deadline_timer.h"
+#include "gooseberryturn/link/read_buffer.h"
 #include "gooseberryturn/observe/metrics.h"
 
 namespace gooseberryturn::entry {
@@ -134,7 +134,7 @@
   link::DeadlineTimer read_timer;
   CallerLimits limits;
   observe::Metrics& metrics;
-  boost::beast::flat_buffer buffer;
+  link::ReadBuffer buffer;
   std::optional<Parser> parser;
   std::string request_id;
   std::string stream_content_type;
--- a/include/gooseberryturn/target/exchange.h
+++ b/include/gooseberryturn/target/exchange.h
@@ -5,7 +5,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -18,6 +17,7 @@
 #include "gooseberryturn/core/endpoint.h"
 #include "gooseberryturn/core/error.h"
 #include "gooseberryturn/core/time.h"
+#include "gooseberryturn/link/read_buffer.h"
 
 namespace gooseberryturn::target {
 
@@ -94,7 +94,7 @@
   Request request;
   TimePoint deadline;
   boost::beast::http::request<boost::beast::http::string_body> http_request;
-  boost::beast::flat_buffer read_buffer;
+  link::ReadBuffer read_buffer;
   Parser parser;
   std::array<char, kBodyBufferBytes> body_buffer;
   bool has_started_sending = false;
--- a/programs/fakes/engine_main.cc
+++ b/programs/fakes/engine_main.cc
@@ -4,7 +4,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/program_options.hpp>
@@ -22,6 +21,7 @@
 #include "gooseberryturn/core/id.h"
 #include "gooseberryturn/core/time.h"
 #include "gooseberryturn/link/listener.h"
+#include "gooseberryturn/link/read_buffer.h"
 
 namespace {
 
@@ -84,7 +84,7 @@
  private:
   asio::ip::tcp::socket socket;
   Engine& engine;
-  boost::beast::flat_buffer buffer;
+  link::ReadBuffer buffer;
   http::request<http::string_body> request;
   std::string pending;
   std::string writing;
--- a/programs/load/main.cc
+++ b/programs/load/main.cc
@@ -9,7 +9,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/program_options.hpp>
 #include <cstdint>
@@ -25,6 +24,7 @@
 #include "gooseberryturn/app/program.h"
 #include "gooseberryturn/core/endpoint.h"
 #include "gooseberryturn/core/time.h"
+#include "gooseberryturn/link/read_buffer.h"
 
 namespace {
 
@@ -103,7 +103,7 @@
 struct Connection {
   explicit Connection(asio::io_context& context) : socket(context) {}
   asio::ip::tcp::socket socket;
-  boost::beast::flat_buffer buffer;
+  link::ReadBuffer buffer;
 };
 
 class LoadGenerator;
--- a/src/direct/async_http.cc
+++ b/src/direct/async_http.cc
@@ -1,7 +1,6 @@
 #include "gooseberryturn/direct/async_http.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -9,6 +8,7 @@
 
 #include "gooseberryturn/direct/http_server_session.h"
 #include "gooseberryturn/link/listener.h"
+#include "gooseberryturn/link/message_reader.h"
 #include "header_text.h"
 
 namespace gooseberryturn::direct {
@@ -20,6 +20,9 @@
 
 namespace {
 
+/// Longest body of an answer that SendHttpRequest takes.
+constexpr std::uint64_t kMaxAnswerBytes = 1024U * 1024U;
+
 Error MakeError(const Endpoint& peer, Outcome outcome,
                 const std::string& message) {
   return {Reason::kTargetFailed, Step::kConnect, outcome, ToString(peer),
@@ -91,20 +94,22 @@
 
   void Read() {
     const std::shared_ptr<ClientSession> self = this->shared_from_this();
-    http::async_read(this->socket, this->buffer, this->response,
-                     [self](error_code error, std::size_t /*size*/) {
-                       if (error) {
-                         self->Fail(Outcome::kUnknown, error);
-                       } else {
-                         self->Finish(self->TakeResponse());
-                       }
-                     });
+    this->parser.body_limit(kMaxAnswerBytes);
+    link::ReadMessage<false>(this->socket, this->buffer, this->parser,
+                             [self](const error_code& error) {
+                               if (error) {
+                                 self->Fail(Outcome::kUnknown, error);
+                               } else {
+                                 self->Finish(self->TakeResponse());
+                               }
+                             });
   }
 
   HttpResponse TakeResponse() {
-    HttpResponse taken{static_cast<int>(this->response.result_int()), "",
-                       std::move(this->response.body())};
-    for (const http::fields::value_type& field : this->response) {
+    http::response<http::string_body> response = this->parser.release();
+    HttpResponse taken{static_cast<int>(response.result_int()), "",
+                       std::move(response.body())};
+    for (const http::fields::value_type& field : response) {
       taken.headers.push_back({std::string(ToView(field.name_string())),
                                std::string(ToView(field.value()))});
     }
@@ -132,9 +137,9 @@
   tcp::socket socket;
   asio::steady_timer timer;
   std::function<void(Result<HttpResponse>)> on_response;
-  boost::beast::flat_buffer buffer;
+  link::ReadBuffer buffer;
   http::request<http::string_body> request;
-  http::response<http::string_body> response;
+  http::response_parser<http::string_body> parser;
 };
 
 }  // namespace
--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -10,7 +10,6 @@
 #include <cstdio>
 #include <utility>
 
-#include "gooseberryturn/link/header_limit.h"
 #include "gooseberryturn/observe/log.h"
 
 namespace gooseberryturn::direct {
@@ -23,6 +22,8 @@
 namespace {
 
 constexpr int kSendBufferBytes = 32 * 1024;
+/// Lower bound of what is read at once, whatever the limit for heads is.
+constexpr std::size_t kMinReadBufferBytes = 16U * 1024U;
 constexpr std::size_t kDropChunkBytes = 4U * 1024U;
 /// Share of the idle timeout that callers are told. Within the rest a request
 /// on its way still reaches an open connection.
@@ -106,21 +107,23 @@
   this->is_idle = false;
   this->parser.emplace();
   this->parser->header_limit(link::HeaderLimit(this->limits.max_header_bytes));
+  this->buffer.SetLimit(
+      std::max(this->limits.max_header_bytes, kMinReadBufferBytes));
   this->parser->body_limit(this->limits.max_body_bytes);
   this->StartTimer(this->received_at +
                        Milliseconds(this->limits.header_timeout_ms) +
                        kWriteTimeout,
                    CloseCause::kReadTimeout);
   const std::shared_ptr<CallerConnection> self = this->shared_from_this();
-  http::async_read(this->socket, this->buffer, *this->parser,
-                   [self](const error_code& error, std::size_t /*size*/) {
-                     self->timer.Cancel();
-                     if (error) {
-                       self->OnReadError(error);
-                     } else {
-                       self->OnRequestRead();
-                     }
-                   });
+  link::ReadMessage<true>(this->socket, this->buffer, *this->parser,
+                          [self](const error_code& error) {
+                            self->timer.Cancel();
+                            if (error) {
+                              self->OnReadError(error);
+                            } else {
+                              self->OnRequestRead();
+                            }
+                          });
 }
 
 void CallerConnection::OnReadError(const error_code& error) {
@@ -129,10 +132,7 @@
   } else if (error == http::error::header_limit ||
              error == http::error::buffer_overflow) {
     this->SendError(431, "Request Header Fields Too Large");
-  } else if (error.category() ==
-                 http::make_error_code(http::error::bad_method).category() &&
-             error != http::error::end_of_stream &&
-             error != http::error::partial_message) {
+  } else if (link::IsMalformed(error)) {
     this->SendError(400, "Bad Request");
   } else {
     const bool has_caller_left = error == http::error::end_of_stream ||
--- a/src/direct/http_server_session.cc
+++ b/src/direct/http_server_session.cc
@@ -18,10 +18,12 @@
 namespace {
 
 constexpr int kTooLarge = 413;
+constexpr int kFieldsTooLarge = 431;
 constexpr int kServerError = 500;
 constexpr int kMinStatus = 200;
 constexpr int kMaxStatus = 599;
 constexpr std::size_t kDropBytes = 16U * 1024U;
+constexpr std::size_t kReadBufferBytes = 16U * 1024U;
 
 }  // namespace
 
@@ -31,7 +33,8 @@
     : socket(std::move(socket)),
       timer(this->socket.get_executor()),
       handler(std::move(handler)),
-      limits(limits) {}
+      limits(limits),
+      buffer(kReadBufferBytes) {}
 
 void HttpServerSession::Read() {
   this->state = State::kReading;
@@ -40,9 +43,9 @@
   this->timer.Set(Clock::now() + this->limits.idle_timeout,
                   [this] { this->CloseIfUnused(); });
   const std::shared_ptr<HttpServerSession> self = this->shared_from_this();
-  http::async_read(
+  link::ReadMessage<true>(
       this->socket, this->buffer, *this->parser,
-      [self](error_code error, std::size_t /*size*/) { self->OnRead(error); });
+      [self](const error_code& error) { self->OnRead(error); });
 }
 
 void HttpServerSession::Leave() {
@@ -75,6 +78,11 @@
     this->Respond({kTooLarge, "application/json", "{}"}, false);
     return;
   }
+  if (error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
+    this->Respond({kFieldsTooLarge, "application/json", "{}"}, false);
+    return;
+  }
   if (error) {
     this->Close();
     return;
--- a/src/direct/target_connection.cc
+++ b/src/direct/target_connection.cc
@@ -19,7 +19,6 @@
 
 namespace {
 
-constexpr std::uint32_t kMaxHeadBytes = 64U * 1024U;
 /// Body limit that is never reached; Boost 1.74 treats boost::none as a limit
 /// that is always exceeded.
 constexpr std::uint64_t kNoLimit = std::uint64_t{1} << 40U;
@@ -150,7 +149,7 @@
 
 void TargetConnection::ReadHead() {
   this->parser.emplace();
-  this->parser->header_limit(kMaxHeadBytes);
+  this->parser->header_limit(link::HeaderLimit(link::kMaxHeaderBytes));
   this->parser->body_limit(kNoLimit);
   const std::shared_ptr<TargetConnection> self = this->shared_from_this();
   http::async_read_header(
@@ -164,12 +163,8 @@
           self->OnHead();
           return;
         }
-        const bool is_malformed =
-            error.category() ==
-                http::make_error_code(http::error::bad_method).category() &&
-            error != http::error::end_of_stream &&
-            error != http::error::partial_message;
-        self->End(is_malformed ? ExchangeEnd::kInvalid : ExchangeEnd::kCut,
+        self->End(link::IsMalformed(error) ? ExchangeEnd::kInvalid
+                                           : ExchangeEnd::kCut,
                   "head: " + error.message());
       });
 }
@@ -228,9 +223,8 @@
           return;
         }
         if (error) {
-          const bool is_malformed = error == http::error::bad_chunk ||
-                                    error == http::error::bad_chunk_extension;
-          self->End(is_malformed ? ExchangeEnd::kInvalid : ExchangeEnd::kCut,
+          self->End(link::IsMalformed(error) ? ExchangeEnd::kInvalid
+                                             : ExchangeEnd::kCut,
                     "body: " + error.message());
         } else if (self->parser->is_done()) {
           self->Finish();
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -4,6 +4,7 @@
 #include <cxxtools/serializationinfo.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <chrono>
@@ -12,7 +13,6 @@
 #include <utility>
 
 #include "gooseberryturn/core/id.h"
-#include "gooseberryturn/link/header_limit.h"
 
 namespace gooseberryturn::entry {
 
@@ -22,6 +22,9 @@
 
 namespace {
 
+/// Lower bound of what is read at once, whatever the limit for heads is.
+constexpr std::size_t kMinReadBufferBytes = 16U * 1024U;
+
 constexpr Duration kCancelInterval = std::chrono::milliseconds(20);
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 constexpr std::size_t kDropBytes = 16U * 1024U;
@@ -86,6 +89,8 @@
 void CallerSession::ReadHeader() {
   this->parser.emplace();
   this->parser->header_limit(link::HeaderLimit(this->limits.max_header_bytes));
+  this->buffer.SetLimit(
+      std::max(this->limits.max_header_bytes, kMinReadBufferBytes));
   this->parser->body_limit(this->limits.max_body_bytes);
   this->request_id = RandomHexId();
   this->StartReadTimer(this->limits.header_timeout);
@@ -162,11 +167,7 @@
                             error == http::error::buffer_overflow;
   const bool has_received_data =
       this->parser->got_some() || this->buffer.size() > 0;
-  const bool is_malformed =
-      error.category() ==
-          http::make_error_code(http::error::bad_method).category() &&
-      error != http::error::end_of_stream &&
-      error != http::error::partial_message;
+  const bool is_malformed = link::IsMalformed(error);
   this->read_timer.Cancel();
   this->keep_alive = false;
   if (is_too_large) {
