A head counts as closed only when somebody who knows has said so

Cause: an announcement of any service removed the older records at its address, and a record that is gone counted as a head that closed. The same for a head whose record expired while it was cut off from control and served on. Change: services that are not configured are ignored; an announcement that would replace a member of a group waits for an answer from its address, which shows whether the member is still in its group; a record that is only gone closes no head. Measured: on the code before, another_writer_moves_no_member_of_an_open_group, a_head_that_is_no_longer_heard_of_may_still_serve (members joined while their head was open) and heartbeats_of_another_writer_move_no_open_group fail; all pass now.

--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,8 @@
   static constexpr Duration kLeaveTimeout = std::chrono::milliseconds(2000);
   static constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(220);
+  /// A target's report shows the state of up to this time ago.
+  static constexpr Duration kMaxReportAge = std::chrono::milliseconds(1000);
   static_assert(GroupPlanner::kOrderResendInterval < kOrderTimeout,
                 "an order may be repeated while an earlier one is unanswered");
   static_assert(GroupPlanner::kProbeInterval < kProbeTimeout,
@@ -108,6 +111,11 @@
     bool has_full_state = false;  ///< Got a full update from this leader.
   };
 
+  /// What an answer from the address of a run says of it.
+  enum class RunState : std::uint8_t { kUnknown, kRunning, kEnded };
+  static constexpr NameTable<RunState, 3> kRunStateNames = {
+      {"unknown", "running", "ended"}};
+
   [[nodiscard]] Result<std::unique_ptr<consensus::Driver>> OpenLog();
   [[nodiscard]] consensus::Membership InitialMembership() const;
   /// Registers the handlers for streams from other hosts.
@@ -131,6 +139,11 @@
   void ExpireCalls(TimePoint now);
   void HandleAnnouncement(const std::string& id, const HttpRequest& call,
                           const AsyncHttpServer::Reply& reply);
+  /// False for a service that the configuration doesn't name: whoever announces
+  /// it is no target to use.
+  [[nodiscard]] bool IsServiceKnown(const Announcement& announcement) const;
+  /// Hands an announcement to the registry and publishes what it changes.
+  AnnouncementResult RegisterAnnouncement(const Announcement& announcement);
   /// Answers with `body` once the log holds that the target is leaving, so that
   /// the next leader keeps what this one acknowledged.
   void AcknowledgeLeaving(const std::string& target, const std::string& body,
@@ -167,6 +180,12 @@
   /// that it leaves.
   void RecordNotices(const TargetIncarnation& incarnation,
                      const Result<HttpResponse>& response);
+  [[nodiscard]] RunState StateOf(const TargetIncarnation& run,
+                                 const Result<HttpResponse>& response) const;
+  /// Asks at the address of `run` whether it has ended. If so, the announcement
+  /// that would replace it is handled.
+  void ProbeContested(const TargetIncarnation& run,
+                      const Announcement& announcement);
   /// Asks a target for its state and passes the result to the planner.
   void Probe(const std::string& target);
   void OnFollower(const std::shared_ptr<link::Stream>& stream);
@@ -236,6 +255,7 @@
 
   Registry registry;
   GroupPlanner planner;
+  std::set<std::string> contested_targets;  ///< See ProbeContested.
   QuorumPlanner quorum_planner;
   CrashTracker crash_tracker;
   std::uint64_t sent_suspects_revision = 0;      ///< Of the crash tracker.
--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -156,6 +156,8 @@
     std::optional<TimePoint> last_stall_report_at;
     bool may_be_open = false;  ///< The head may have been ordered to open.
     bool is_head_closed = false;
+    /// Given up without anybody who knows whether the head still serves.
+    bool may_be_adopted = false;
     /// When a member left, after which the head breaks by itself.
     std::optional<TimePoint> member_left_at;
     int unanswered_head_leaves = 0;
@@ -255,6 +257,10 @@
   /// True when the target is no longer registered or has restarted.
   [[nodiscard]] bool IsMemberGone(const Group& group, const std::string& id,
                                   const PlanInput& input) const;
+  /// True when the target's run in this group is known to have ended. One that
+  /// is just gone may go on.
+  [[nodiscard]] bool HasMemberEnded(const Group& group, const std::string& id,
+                                    const PlanInput& input) const;
   /// True when several probes failed and no heartbeat has arrived since.
   [[nodiscard]] bool IsSuspect(const std::string& id,
                                const TargetRecord& record) const;
--- a/include/gooseberryturn/direct/registry.h
+++ b/include/gooseberryturn/direct/registry.h
@@ -35,11 +35,14 @@
   kNew,      ///< First announcement of a target or, after a restart, of a run.
   kChanged,  ///< The view of the target changed.
   kSame,     ///< The view of the target is the same as before.
-  kStale     ///< Ignored; see Registry::HandleAnnouncement.
+  kStale,    ///< Ignored; see Registry::HandleAnnouncement.
+  /// It would replace members of groups that may go on; see
+  /// Registry::ContestedRuns.
+  kContested
 };
 
-inline constexpr NameTable<AnnouncementResult, 4> kAnnouncementResultNames = {
-    {"new", "changed", "same", "old"}};
+inline constexpr NameTable<AnnouncementResult, 5> kAnnouncementResultNames = {
+    {"new", "changed", "same", "old", "contested"}};
 
 /// \brief The targets that have announced themselves to the leader.
 ///
@@ -47,7 +50,9 @@
 /// partitioned from the control hosts and still serve callers. Announcements
 /// that arrive late are recognised by `start_time_ms` and `sequence`. Both may
 /// come from another writer, though: a record that its target does not continue
-/// gives way to one that goes on announcing itself for kTakeoverTime.
+/// gives way to one that goes on announcing itself for kTakeoverTime. A member
+/// of a group, which may head an open one, is replaced at once only when its
+/// end was confirmed by somebody who knows: by what answers at its address.
 class Registry {
  public:
   /// \brief Registers or updates the target, unless the announcement is stale:
@@ -56,6 +61,15 @@
   AnnouncementResult HandleAnnouncement(
       const Announcement& announcement, TimePoint now,
       std::int64_t unix_ms = std::numeric_limits<std::int64_t>::max());
+  /// \brief Runs of members of groups that the announcement would replace:
+  /// others at its address, and an earlier one under its id.
+  [[nodiscard]] std::vector<TargetIncarnation> ContestedRuns(
+      const Announcement& announcement) const;
+  /// \brief Removes a run that is known to have ended.
+  void ConfirmEnd(const TargetIncarnation& run, TimePoint now);
+  /// \brief True when the run is known to have ended, and is not just no longer
+  /// heard of.
+  [[nodiscard]] bool HasEnded(const TargetIncarnation& run) const;
   /// \brief Marks a target that withdrew; it is kept until it is silent for
   /// kLeavingRetention.
   void MarkLeaving(const std::string& id, TimePoint now);
@@ -84,6 +98,9 @@
 
   static constexpr Duration kSilentRetention = std::chrono::seconds(30);
   static constexpr Duration kLeavingRetention = std::chrono::seconds(12);
+  /// Time for which a confirmed end is kept, longer than any group of the run
+  /// takes to be dissolved.
+  static constexpr Duration kEndRetention = std::chrono::seconds(60);
   /// Longer than announcements are usually late.
   static constexpr Duration kTakeoverTime = std::chrono::seconds(5);
   /// In that time, each with a higher sequence than the one before.
@@ -129,14 +146,22 @@
   [[nodiscard]] bool IsOlder(const Announcement& announcement) const;
   /// When a record that the announcement is older than was last heard of.
   [[nodiscard]] TimePoint NewerHeardAt(const Announcement& announcement) const;
-  /// Counts an announcement that is older than a record.
-  /// \returns Whether it takes the record's place.
-  [[nodiscard]] bool TakesOver(const Announcement& announcement, TimePoint now);
+  /// When one of the contested runs was last heard of.
+  [[nodiscard]] TimePoint ContestedHeardAt(
+      const std::vector<TargetIncarnation>& runs) const;
+  /// Counts an announcement that would replace records, of which one was last
+  /// `heard_at`.
+  /// \returns Whether it takes their place.
+  [[nodiscard]] bool TakesOver(const Announcement& announcement,
+                               TimePoint heard_at, TimePoint now);
 
   std::map<std::string, TargetRecord> records;
   std::map<std::string, std::set<std::string>> ids_by_address;
   std::map<std::string, Tombstone> tombstones;
   std::map<std::string, Contender> contenders;  ///< By id.
+  /// Latest confirmed end of each target; Tombstone::start_time_ms is the
+  /// run's.
+  std::map<std::string, Tombstone> confirmed_ends;
   std::vector<std::string> removed;
   std::vector<EndedIncarnation> ended;
 };
--- a/src/direct/control_host_calls.cc
+++ b/src/direct/control_host_calls.cc
@@ -209,24 +209,18 @@
     reply(this->ErrorResponse(kBadRequest, announcement.error().message));
     return;
   }
-  const AnnouncementResult result =
-      this->registry.HandleAnnouncement(*announcement, Clock::now(), UnixMs());
-  if (result == AnnouncementResult::kNew ||
-      result == AnnouncementResult::kChanged) {
-    this->AssignColdEntries();
-    this->PublishTarget(target);
-    this->SchedulePlan();
-    LogEvent(Level::kInfo, "", "target_heard",
-             {{"target", target},
-              {"as", std::string(kAnnouncementResultNames.Name(result))},
-              {"sequence", std::to_string(announcement->sequence)},
-              {"engine", Describe(announcement->engine)},
-              {"leaving", announcement->is_leaving ? "true" : "false"}});
+  if (!this->IsServiceKnown(*announcement)) {
+    LogEvent(Level::kInfo, "", "announcement_ignored",
+             {{"target", target}, {"service", announcement->service}});
+    reply({kOk, "application/json", "{}"});
+    return;
   }
-  for (const std::string& removed : this->registry.TakeRemoved()) {
-    LogEvent(Level::kInfo, "", "target_ended",
-             {{"target", removed}, {"superseded_by", target}});
-    this->PublishTarget(removed);
+  const AnnouncementResult result = this->RegisterAnnouncement(*announcement);
+  if (result == AnnouncementResult::kContested) {
+    for (const TargetIncarnation& run :
+         this->registry.ContestedRuns(*announcement)) {
+      this->ProbeContested(run, *announcement);
+    }
   }
   const std::string body =
       this->dialect.write_announcement_reply(*this->settings.control_endpoint);
@@ -242,6 +236,39 @@
   }
 }
 
+bool ControlHost::IsServiceKnown(const Announcement& announcement) const {
+  // A target may outlive its service in the configuration.
+  const TargetRecord* record = this->registry.Find(announcement.id);
+  const bool is_its_own =
+      record != nullptr && record->view.service == announcement.service;
+  return is_its_own || !this->configuration.has_value() ||
+         this->configuration->FindService(announcement.service) != nullptr;
+}
+
+AnnouncementResult ControlHost::RegisterAnnouncement(
+    const Announcement& announcement) {
+  const AnnouncementResult result =
+      this->registry.HandleAnnouncement(announcement, Clock::now(), UnixMs());
+  if (result == AnnouncementResult::kNew ||
+      result == AnnouncementResult::kChanged) {
+    this->AssignColdEntries();
+    this->PublishTarget(announcement.id);
+    this->SchedulePlan();
+    LogEvent(Level::kInfo, "", "target_heard",
+             {{"target", announcement.id},
+              {"as", std::string(kAnnouncementResultNames.Name(result))},
+              {"sequence", std::to_string(announcement.sequence)},
+              {"engine", Describe(announcement.engine)},
+              {"leaving", announcement.is_leaving ? "true" : "false"}});
+  }
+  for (const std::string& removed : this->registry.TakeRemoved()) {
+    LogEvent(Level::kInfo, "", "target_ended",
+             {{"target", removed}, {"superseded_by", announcement.id}});
+    this->PublishTarget(removed);
+  }
+  return result;
+}
+
 void ControlHost::AcknowledgeLeaving(const std::string& target,
                                      const std::string& body,
                                      const AsyncHttpServer::Reply& reply) {
--- a/src/direct/control_host_leader.cc
+++ b/src/direct/control_host_leader.cc
@@ -52,6 +52,7 @@
   this->settled_at = now + kSettleTime;
   this->followers.clear();
   this->registry = Registry();
+  this->contested_targets.clear();
   this->crash_tracker.Restore(this->state.suspects(), node.term(), now);
   this->proposed_suspects = protocol::Encode(this->state.suspects());
   this->demand = DemandAggregator();
--- a/src/direct/control_host_orders.cc
+++ b/src/direct/control_host_orders.cc
@@ -10,6 +10,7 @@
 
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
+constexpr int kNotFound = 404;
 constexpr int kPreconditionFailed = 412;
 constexpr int kMisdirected = 421;
 
@@ -81,6 +82,62 @@
       });
 }
 
+ControlHost::RunState ControlHost::StateOf(
+    const TargetIncarnation& run, const Result<HttpResponse>& response) const {
+  const TargetRecord* record = this->registry.Find(run.target);
+  if (!response.has_value() || record == nullptr) {
+    return RunState::kUnknown;
+  }
+  if (response->status == kMisdirected || response->status == kNotFound) {
+    return RunState::kEnded;  // A member of a group would have reported.
+  }
+  const Result<EngineReport> report = this->dialect.read_report(response->body);
+  if (response->status != kOk || !report.has_value()) {
+    return RunState::kUnknown;
+  }
+  // A report doesn't name its target. But no other run is in the same group.
+  const std::optional<Membership>& before = record->view.engine.membership;
+  const std::optional<Membership>& reported = report->membership;
+  const bool is_in_its_group = before.has_value() && reported.has_value() &&
+                               before->group == reported->group &&
+                               before->epoch == reported->epoch &&
+                               reported->state != MemberState::kNone;
+  if (is_in_its_group) {
+    return RunState::kRunning;
+  }
+  // The report may be from before it joined.
+  const bool is_report_current =
+      Clock::now() >= record->last_heard_at + kMaxReportAge;
+  return is_report_current ? RunState::kEnded : RunState::kUnknown;
+}
+
+void ControlHost::ProbeContested(const TargetIncarnation& run,
+                                 const Announcement& announcement) {
+  const TargetRecord* record = this->registry.Find(run.target);
+  if (record == nullptr || !this->contested_targets.insert(run.target).second) {
+    return;
+  }
+  SendHttpRequest(
+      this->context, record->view.address, this->dialect.write_report_call(),
+      {{this->dialect.headers.target, run.target}},
+      Clock::now() + kProbeTimeout,
+      [this, run, announcement](const Result<HttpResponse>& response) {
+        this->contested_targets.erase(run.target);
+        if (!this->IsLeading()) {
+          return;
+        }
+        const RunState state = this->StateOf(run, response);
+        LogEvent(Level::kInfo, "", "run_contested",
+                 {{"target", run.target},
+                  {"by", announcement.id},
+                  {"state", std::string(kRunStateNames.Name(state))}});
+        if (state == RunState::kEnded) {
+          this->registry.ConfirmEnd(run, Clock::now());
+          (void)this->RegisterAnnouncement(announcement);
+        }
+      });
+}
+
 void ControlHost::Probe(const std::string& target) {
   const TargetRecord* record = this->registry.Find(target);
   if (record == nullptr) {
--- a/src/direct/group_planner.cc
+++ b/src/direct/group_planner.cc
@@ -174,6 +174,13 @@
           known_start->second != record->view.start_time_ms);
 }
 
+bool GroupPlanner::HasMemberEnded(const Group& group, const std::string& id,
+                                  const PlanInput& input) const {
+  const auto known_start = group.start_times_ms.find(id);
+  return known_start != group.start_times_ms.end() &&
+         input.registry.HasEnded({id, known_start->second});
+}
+
 bool GroupPlanner::IsSuspect(const std::string& id,
                              const TargetRecord& record) const {
   const auto probe_state = this->probe_states.find(id);
@@ -280,7 +287,9 @@
     for (const std::string& id : group.view.members) {
       this->group_by_target.erase(id);
     }
-    this->closed_epochs.insert(group.view.epoch);
+    if (!group.may_be_adopted) {
+      this->closed_epochs.insert(group.view.epoch);
+    }
     LogEvent(Level::kInfo, "", "group_dissolved", {{"group", entry->first}});
     entry = this->groups.erase(entry);
     this->change_count += 1;
--- a/src/direct/group_planner_phases.cc
+++ b/src/direct/group_planner_phases.cc
@@ -164,9 +164,10 @@
                                      PlannedActions& actions, TimePoint now) {
   const std::string& head = group.view.members.front();
   const TargetRecord* record = input.registry.Find(head);
-  if (this->IsMemberGone(group, head, input)) {
+  if (this->HasMemberEnded(group, head, input)) {
     group.is_head_closed = true;
-  } else if (!record->is_unconfirmed && record->view.engine.membership &&
+  } else if (!this->IsMemberGone(group, head, input) &&
+             !record->is_unconfirmed && record->view.engine.membership &&
              record->view.engine.membership->epoch > group.view.epoch) {
     group.is_head_closed = true;
   }
@@ -186,13 +187,23 @@
   if (!is_unreachable || group.member_left_at.has_value()) {
     return;
   }
+  bool has_member = false;
   for (const std::string& id : group.view.members) {
-    if (id != head && !this->IsMemberGone(group, id, input) &&
-        now >= group.resend_at[id]) {
+    if (id == head || this->IsMemberGone(group, id, input)) {
+      continue;
+    }
+    has_member = true;
+    if (now >= group.resend_at[id]) {
       group.resend_at[id] = now + kOrderResendInterval;
       actions.orders.push_back(this->MakeOrder(OrderKind::kLeave, group, id));
     }
   }
+  if (!has_member) {
+    // Nobody is left to be told. If the head is there, its group is found again
+    // by what it announces.
+    group.member_left_at = now;
+    group.may_be_adopted = true;
+  }
 }
 
 }  // namespace gooseberryturn::direct
--- a/src/direct/registry.cc
+++ b/src/direct/registry.cc
@@ -26,6 +26,11 @@
          a.engine.loaded_model == b.engine.loaded_model;
 }
 
+bool IsInGroup(const TargetView& view) {
+  const std::optional<Membership>& membership = view.engine.membership;
+  return membership.has_value() && membership->state != MemberState::kNone;
+}
+
 }  // namespace
 
 std::set<std::string> Registry::IdsAt(const Endpoint& address) const {
@@ -102,12 +107,57 @@
   return heard_at;
 }
 
-bool Registry::TakesOver(const Announcement& announcement, TimePoint now) {
+std::vector<TargetIncarnation> Registry::ContestedRuns(
+    const Announcement& announcement) const {
+  std::vector<TargetIncarnation> runs;
+  for (const std::string& id : this->IdsAt(announcement.address)) {
+    const TargetView& view = this->records.at(id).view;
+    if (id != announcement.id && IsInGroup(view) &&
+        view.start_time_ms <= announcement.start_time_ms) {
+      runs.push_back(view.Incarnation());
+    }
+  }
+  const auto known = this->records.find(announcement.id);
+  if (known != this->records.end()) {
+    const TargetView& view = known->second.view;
+    if (IsInGroup(view) && view.start_time_ms < announcement.start_time_ms) {
+      runs.push_back(view.Incarnation());
+    }
+  }
+  return runs;
+}
+
+TimePoint Registry::ContestedHeardAt(
+    const std::vector<TargetIncarnation>& runs) const {
+  TimePoint heard_at;
+  for (const TargetIncarnation& run : runs) {
+    heard_at = std::max(heard_at, this->records.at(run.target).last_heard_at);
+  }
+  return heard_at;
+}
+
+void Registry::ConfirmEnd(const TargetIncarnation& run, TimePoint now) {
+  this->confirmed_ends[run.target] = {run.start_time_ms, now + kEndRetention};
+  const auto known = this->records.find(run.target);
+  if (known != this->records.end() &&
+      known->second.view.start_time_ms == run.start_time_ms) {
+    this->Remove(known);
+  }
+}
+
+bool Registry::HasEnded(const TargetIncarnation& run) const {
+  const auto end = this->confirmed_ends.find(run.target);
+  return end != this->confirmed_ends.end() &&
+         end->second.start_time_ms >= run.start_time_ms;
+}
+
+bool Registry::TakesOver(const Announcement& announcement, TimePoint heard_at,
+                         TimePoint now) {
   Contender& contender = this->contenders[announcement.id];
   const bool is_continued =
       contender.announcements > 0 &&
       contender.start_time_ms == announcement.start_time_ms &&
-      contender.since >= this->NewerHeardAt(announcement);
+      contender.since >= heard_at;
   if (!is_continued) {
     contender = {announcement.start_time_ms, announcement.sequence, 1, now};
     return false;
@@ -157,13 +207,20 @@
   }
   const bool is_takeover = this->IsOlder(announcement);
   if (is_takeover) {
-    if (!this->TakesOver(announcement, now)) {
+    if (!this->TakesOver(announcement, this->NewerHeardAt(announcement), now)) {
       return AnnouncementResult::kStale;
     }
     for (const std::string& id : this->SupersedingIds(announcement)) {
       this->Remove(this->records.find(id));
     }
   }
+  const std::vector<TargetIncarnation> contested =
+      is_takeover ? std::vector<TargetIncarnation>()
+                  : this->ContestedRuns(announcement);
+  if (!contested.empty() &&
+      !this->TakesOver(announcement, this->ContestedHeardAt(contested), now)) {
+    return AnnouncementResult::kContested;
+  }
   this->contenders.erase(announcement.id);
   this->RemoveOlderAt(announcement.address, announcement.id,
                       announcement.start_time_ms);
@@ -173,6 +230,10 @@
   if (known != this->records.end() && is_new_run) {
     const TargetView& view = known->second.view;
     this->ended.push_back({view.Incarnation(), view.is_leaving});
+    if (!is_takeover && contested.empty()) {
+      this->confirmed_ends[announcement.id] = {view.start_time_ms,
+                                               now + kEndRetention};
+    }
   }
   TargetRecord& record = this->records[announcement.id];
   const TargetView before = record.view;
@@ -247,6 +308,11 @@
     tombstone =
         has_expired ? this->tombstones.erase(tombstone) : std::next(tombstone);
   }
+  for (auto end = this->confirmed_ends.begin();
+       end != this->confirmed_ends.end();) {
+    const bool has_expired = now >= end->second.forget_at;
+    end = has_expired ? this->confirmed_ends.erase(end) : std::next(end);
+  }
   for (auto contender = this->contenders.begin();
        contender != this->contenders.end();) {
     const bool has_expired = now >= contender->second.since + kSilentRetention;
--- a/tests/direct_group_planner_test.cc
+++ b/tests/direct_group_planner_test.cc
@@ -371,6 +371,49 @@
   }
 }
 
+// Review, case 3: one announcement under the address of an open head, and the
+// head and its members were ordered to join other groups while it was open.
+BOOST_AUTO_TEST_CASE(another_writer_moves_no_member_of_an_open_group) {
+  PlannedFleet fleet(23);
+  fleet.AddDomain("a", 10);
+  fleet.Run(8000);
+  fleet.has_traffic = true;
+  const std::vector<GroupView> before = fleet.planner.Groups();
+  for (const GroupView& view : before) {
+    for (const std::string& member : view.members) {
+      fleet.AnnounceAt(member, "writer-" + member);  // A known service.
+      fleet.AnnounceAt(member, member);              // A later run of its id.
+      fleet.Run(fleet.now + 3000);
+    }
+  }
+  const std::vector<GroupView> after = fleet.planner.Groups();
+  BOOST_REQUIRE(after.size() == before.size());
+  for (std::size_t number = 0; number < after.size(); ++number) {
+    BOOST_TEST(after[number].name == before[number].name);
+    BOOST_TEST((after[number].phase == GroupPhase::kOpen));
+  }
+}
+
+// The same without another writer: the record of a head that is cut off from
+// the control hosts, while entries still reach it, expired, and that counted as
+// its end.
+BOOST_AUTO_TEST_CASE(a_head_that_is_no_longer_heard_of_may_still_serve) {
+  PlannedFleet fleet(24);
+  fleet.AddDomain("a", 4);
+  fleet.Run(8000);
+  fleet.has_traffic = true;
+  BOOST_REQUIRE(!fleet.planner.Groups().empty());
+  const std::string head = fleet.planner.Groups().front().members.front();
+  fleet.engines[head].is_partitioned = true;
+  fleet.in_flight_work[head] = 3;
+  // CheckHeadNotOpen fails if a member joins another group while it is open.
+  fleet.Run(60'000);
+  fleet.engines[head].is_partitioned = false;
+  fleet.in_flight_work.clear();
+  fleet.Run(90'000);
+  BOOST_TEST(fleet.CountOpen(kSmall) + fleet.CountOpen(kLarge) >= 1U);
+}
+
 BOOST_AUTO_TEST_CASE(failed_probes_are_rate_limited) {
   // Incident inc-1f61 on tsuzuri-kyushu: the leader sent 428 probes in four
   // seconds, since each failed at once with a refused connection.
--- a/tests/planned_fleet.h
+++ b/tests/planned_fleet.h
@@ -82,6 +82,20 @@
 
   void Kill(const std::string& id) { this->engines[id].is_dead = true; }
 
+  /// An announcement of another writer, under the address of an engine.
+  void AnnounceAt(const std::string& address, const std::string& id) {
+    Announcement announcement;
+    announcement.id = id;
+    announcement.service = kService;
+    announcement.address = {address, 1};
+    announcement.data_centre = this->engines[address].domain;
+    announcement.sequence = 1;
+    announcement.start_time_ms = this->now;
+    announcement.engine = EngineReport{};
+    announcement.engine->domain = this->engines[address].domain;
+    this->Register(announcement);
+  }
+
   /// Starts a new leader whose recorded groups are `views`.
   void ChangeLeader(std::uint64_t term, const std::vector<GroupView>& views) {
     this->planner.StartLeading(term, views, At(this->now));
@@ -107,6 +121,7 @@
   std::int64_t now = 0;
   bool has_traffic = false;
   std::vector<ModelDemand> demand;  ///< As measured by entries.
+  std::map<std::string, std::uint32_t> in_flight_work;  ///< By head.
   std::size_t probes = 0;
   double late_order_fraction = 0;  ///< Executed late, without an answer.
 
@@ -131,7 +146,26 @@
                            engine.membership->state != MemberState::kJoining;
     report.loaded_model = is_loaded ? engine.last_model : "";
     announcement.engine = report;
-    (void)this->registry.HandleAnnouncement(announcement, At(this->now));
+    this->Register(announcement);
+  }
+
+  /// Asks at the address of each run that the announcement would replace.
+  void Register(const Announcement& announcement) {
+    const TimePoint at = At(this->now);
+    if (this->registry.HandleAnnouncement(announcement, at) !=
+        AnnouncementResult::kContested) {
+      return;
+    }
+    for (const TargetIncarnation& run :
+         this->registry.ContestedRuns(announcement)) {
+      const FakeEngine& there = this->engines[announcement.address.address];
+      const bool is_running =
+          there.id == run.target && there.start_time_ms == run.start_time_ms;
+      if (!there.is_dead && !there.is_partitioned && !is_running) {
+        this->registry.ConfirmEnd(run, at);
+        (void)this->registry.HandleAnnouncement(announcement, at);
+      }
+    }
   }
 
   void Step() {
@@ -150,10 +184,11 @@
       this->Announce(engine);
     }
     this->ExecuteLateOrders();
+    (void)this->registry.Expire(At(this->now));
     const PlanInput input = {this->registry,
                              this->configuration,
                              {},
-                             {},
+                             this->in_flight_work,
                              this->has_traffic,
                              std::chrono::milliseconds(1200),
                              std::chrono::seconds(5),
--- a/tests/platform_fake_target.h
+++ b/tests/platform_fake_target.h
@@ -228,7 +228,11 @@
         return;
       }
       const std::string path(request.target());
-      if (path == "/api/order") {
+      const std::string addressed(request["X-Gooseberryturn-Target-Instance"]);
+      const bool is_misdirected = !addressed.empty() && addressed != this->id;
+      if (path == "/api/order" && is_misdirected) {
+        this->Reply(connection, request, 421, "{}", true);
+      } else if (path == "/api/order") {
         this->Reply(connection, request, this->TakeOrder(request.body()), "{}");
       } else if (path == "/api/report") {
         this->Reply(connection, request, 200, this->StatusJson());
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -429,6 +429,51 @@
   BOOST_TEST(!is_known("e-2"));
 }
 
+// Review, case 3: a heartbeat of another writer under the address of an open
+// head made the leader give the head to another group.
+BOOST_AUTO_TEST_CASE(heartbeats_of_another_writer_move_no_open_group) {
+  PlatformFleet fleet(75);
+  fleet.PutConfiguration(1);
+  FakeTarget head("e-1", fleet.EndpointAt(20, 9000), fleet.ControlEndpoint(1),
+                  "engines");
+  FakeTarget member("e-2", fleet.EndpointAt(21, 9000), fleet.ControlEndpoint(1),
+                    "engines");
+  BOOST_REQUIRE(Eventually([&fleet] { return fleet.IsStreamServed("first"); }));
+  const auto write = [&fleet](const std::string& id, const std::string& service,
+                              const std::string& address) {
+    const std::string text =
+        R"({"service":")" + service + R"(","address":")" + address +
+        R"(:9000","zone":"za","version":"v1","slots":8,"state":"ready",)"
+        R"("cold_left_ms":0,"born":1700000000000,"seq":1})";
+    BOOST_TEST(
+        Call(fleet.ControlEndpoint(1), "PUT", "/api/instances/" + id, {}, text)
+            .ReadAll()
+            .status == 200);
+  };
+  write("w-1", "nowhere", "127.75.0.20");
+  write("w-2", "engines", "127.75.0.20");
+  write("w-3", "engines", "127.75.0.21");
+  write("w-4", "plain", "127.75.0.21");
+  // Longer than a target needs to be believed again.
+  const std::chrono::steady_clock::time_point end =
+      std::chrono::steady_clock::now() + std::chrono::seconds(8);
+  int number = 0;
+  while (std::chrono::steady_clock::now() < end) {
+    number += 1;
+    BOOST_TEST(fleet.IsStreamServed("s" + std::to_string(number)));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  std::size_t groups = 0;
+  for (const std::unique_ptr<Process>& control : fleet.controls) {
+    const std::string log = control->Log();
+    for (std::size_t at = log.find("group_started"); at != std::string::npos;
+         at = log.find("group_started", at + 1)) {
+      groups += 1;
+    }
+  }
+  BOOST_TEST(groups == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_target_that_asks_for_a_pause_gets_it) {
   PlatformFleet fleet(76);
   fleet.PutConfiguration(1);
