What a process holds for its peers is bounded in sum

What was reported: bytes without end took a host out of memory, and the requests of others there ended with it. Each answer, body, event and call had a limit; nothing bounded them together. Cause: 4 MiB a body times the connections is more than the memory of a host. An answer or event that is too long is invalid.

--- a/include/gooseberryturn/direct/async_http.h
+++ b/include/gooseberryturn/direct/async_http.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "gooseberryturn/core/byte_budget.h"
 #include "gooseberryturn/core/endpoint.h"
 #include "gooseberryturn/core/error.h"
 #include "gooseberryturn/core/time.h"
@@ -72,6 +73,8 @@
 /// \brief Limits of an AsyncHttpServer.
 struct HttpServerLimits {
   std::size_t max_body_bytes = 8U * 1024U * 1024U;
+  /// Bounds the bodies of all calls that are read or answered; none, if null.
+  std::shared_ptr<ByteBudget> budget = nullptr;
   /// Longest time until the next request was read.
   Duration idle_timeout = std::chrono::seconds(30);
   /// Longest time until an answer was written.
@@ -93,9 +96,13 @@
   using Reply = HttpReply;
   using Handler = std::function<void(HttpRequest, Reply)>;
 
+  /// Without a budget in `limits`, all calls together are limited to
+  /// kMaxHeldBytes.
   AsyncHttpServer(boost::asio::io_context& context, Handler handler,
                   const HttpServerLimits& limits = {});
 
+  static constexpr std::size_t kMaxHeldBytes = 32U * 1024U * 1024U;
+
   /// \brief Starts to listen on `endpoint`.
   [[nodiscard]] Result<void> Start(const Endpoint& endpoint);
   /// \brief Stops accepting connections and ends the open ones: those with a
--- a/include/gooseberryturn/direct/caller_connection.h
+++ b/include/gooseberryturn/direct/caller_connection.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 
+#include "gooseberryturn/core/byte_budget.h"
 #include "gooseberryturn/core/close_cause.h"
 #include "gooseberryturn/core/time.h"
 #include "gooseberryturn/direct/configuration.h"
@@ -31,7 +32,10 @@
 /// unsent bytes until `on_writable` is called.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
-  CallerConnection(boost::asio::ip::tcp::socket socket, CallerLimits limits);
+  /// \param budget Bounds what this and other connections hold for requests
+  /// and answers; none, if null.
+  CallerConnection(boost::asio::ip::tcp::socket socket, CallerLimits limits,
+                   const std::shared_ptr<ByteBudget>& budget = nullptr);
 
   /// \brief Called for each complete request, with the arrival time of its
   /// first bytes.
@@ -54,6 +58,8 @@
   std::function<void(CloseCause)> on_closed;
   /// \brief Called when a request was read whose connection is closed already.
   std::function<void()> on_request_after_close;
+  /// \brief Called when a request was refused because the budget is used up.
+  std::function<void()> on_memory_full;
 
   void Start();
   /// \brief Replaces the limits from the next request on.
@@ -64,6 +70,8 @@
   /// \brief Sends a complete answer. `head` holds the status line and all
   /// headers except Content-Length and Connection, each line with its CRLF.
   void SendAnswer(std::string head, const std::string& body);
+  /// \brief Keeps the share of what is queued until it was sent.
+  void HoldUntilSent(ByteShare share);
   /// \brief Sends the head of a chunked answer.
   void BeginChunks(std::string head);
   void SendChunk(std::string_view bytes);
@@ -105,7 +113,8 @@
   void OnIdleTimeout();
   void OnReadError(const boost::system::error_code& error);
   void OnRequestRead();
-  void SendError(int status, const char* reason);
+  void SendError(int status, const char* reason,
+                 const std::string& headers = "");
   /// Detects that the caller disconnects while its request is in progress.
   void WatchForDisconnect();
   /// End of the head of an answer: says whether the connection is closed after
@@ -130,6 +139,8 @@
   CallerLimits limits;
   link::ReadBuffer buffer;
   std::optional<link::MessageParser<true>> parser;
+  ByteShare request_share;
+  ByteShare answer_share;
   /// Idle timeout in force when the latest answer began.
   std::int64_t announced_idle_timeout_ms = 0;
   TimePoint idle_since;
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -65,6 +65,9 @@
   static constexpr Duration kHeldTime = std::chrono::seconds(5);
   /// A delay of the event loop from which on it is logged.
   static constexpr Duration kLongLoopDelay = std::chrono::milliseconds(25);
+  /// Some of it is held twice for a moment, as bytes received and bytes to
+  /// send.
+  static constexpr std::size_t kMaxHeldBytes = 24U * 1024U * 1024U;
 
  private:
   friend class RequestFlow;
@@ -140,6 +143,8 @@
   ConfigurationText held_text;
   TargetTracker target_tracker;
   TargetChooser chooser;
+  /// Held for callers and targets: bodies of requests, answers and events.
+  std::shared_ptr<ByteBudget> held_bytes;
   TargetConnectionPool target_pool;
   WaitQueue wait_queue;
   DemandMeter demand;
--- a/include/gooseberryturn/direct/http_server_session.h
+++ b/include/gooseberryturn/direct/http_server_session.h
@@ -69,6 +69,7 @@
   State state = State::kReading;
   bool is_leaving = false;
   link::ReadBuffer buffer;
+  ByteShare share;  ///< Of the call that is read or answered.
   std::optional<link::MessageParser<true>> parser;
   boost::beast::http::response<boost::beast::http::string_body> response;
   std::vector<char> dropped;  ///< Space for bytes that are dropped.
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "gooseberryturn/core/byte_budget.h"
 #include "gooseberryturn/core/reason.h"
 #include "gooseberryturn/direct/caller_connection.h"
 #include "gooseberryturn/direct/configuration.h"
@@ -136,6 +137,9 @@
   void OnHead(const ResponseHead& head);
   void OnBody(std::string_view bytes);
   void OnEvent(const StreamEvent& event);
+  /// Holds `bytes` of the answer, or gives the attempt up if the entry holds
+  /// too much already. \returns Whether they are held.
+  bool HoldBytes(std::size_t bytes);
   void OnEnd(ExchangeEnd end, const std::string& cause);
   void OnStreamEnd(ExchangeEnd end, const std::string& cause);
   void OnCompleteAnswer();
@@ -245,6 +249,7 @@
   bool is_streaming = false;     ///< The current answer is an event stream.
   ResponseHead answer_head;
   std::string answer_body;
+  ByteShare answer_share;  ///< Of `answer_body` or of an event not yet whole.
   EventSplitter splitter;
   std::optional<std::uint64_t> last_event_id;
   std::uint64_t event_count = 0;  ///< Events forwarded to the caller.
--- a/include/gooseberryturn/direct/target_connection.h
+++ b/include/gooseberryturn/direct/target_connection.h
@@ -60,6 +60,9 @@
                 ExchangeHooks hooks);
   /// \brief Ends the exchange with kCancelled and closes the connection.
   void Cancel();
+  /// \brief Ends the exchange as invalid: what came is no answer that can be
+  /// used.
+  void Reject(const std::string& why) { this->End(ExchangeEnd::kInvalid, why); }
   /// \brief Pauses or resumes reading, for callers that read slowly.
   void SetPaused(bool paused);
   /// \brief Watches an idle connection and closes it when the target does.
--- a/include/gooseberryturn/link/message_reader.h
+++ b/include/gooseberryturn/link/message_reader.h
@@ -1,6 +1,7 @@
 #ifndef GOOSEBERRYTURN_LINK_MESSAGE_READER_H_
 #define GOOSEBERRYTURN_LINK_MESSAGE_READER_H_
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -10,6 +11,7 @@
 #include <functional>
 #include <utility>
 
+#include "gooseberryturn/core/byte_budget.h"
 #include "gooseberryturn/link/read_buffer.h"
 
 namespace gooseberryturn::link {
@@ -26,19 +28,24 @@
 
 template <bool kIsRequest>
 void ReadBody(boost::asio::ip::tcp::socket& socket, ReadBuffer& buffer,
-              MessageParser<kIsRequest>& parser, OnMessageRead on_read) {
+              MessageParser<kIsRequest>& parser, ByteShare& share,
+              OnMessageRead on_read) {
+  if (!share.Resize(parser.get().body().size())) {
+    on_read(boost::asio::error::no_memory);
+    return;
+  }
   if (parser.is_done()) {
     on_read({});
     return;
   }
   boost::beast::http::async_read_some(
       socket, buffer, parser,
-      [&socket, &buffer, &parser, on_read = std::move(on_read)](
+      [&socket, &buffer, &parser, &share, on_read = std::move(on_read)](
           const boost::system::error_code& error, std::size_t /*size*/) {
         if (error) {
           on_read(error);
         } else {
-          ReadBody<kIsRequest>(socket, buffer, parser, on_read);
+          ReadBody<kIsRequest>(socket, buffer, parser, share, on_read);
         }
       });
 }
@@ -50,19 +57,21 @@
 /// \details The head is read by itself: when the first bytes of the body of a
 /// response arrive with its head, Boost.Beast 1.74 drops the error for a body
 /// that is declared to be longer than the limit, and reads it whole.
-/// \param on_read Called once. Keeps the socket, the buffer and the parser
-/// alive.
+/// \param share Holds the bytes of the body. Ends the read with
+/// `boost::asio::error::no_memory` when its budget is used up.
+/// \param on_read Called once. Keeps all the other arguments alive.
 template <bool kIsRequest>
 void ReadMessage(boost::asio::ip::tcp::socket& socket, ReadBuffer& buffer,
-                 MessageParser<kIsRequest>& parser, OnMessageRead on_read) {
+                 MessageParser<kIsRequest>& parser, ByteShare& share,
+                 OnMessageRead on_read) {
   boost::beast::http::async_read_header(
       socket, buffer, parser,
-      [&socket, &buffer, &parser, on_read = std::move(on_read)](
+      [&socket, &buffer, &parser, &share, on_read = std::move(on_read)](
           const boost::system::error_code& error, std::size_t /*size*/) {
         if (error) {
           on_read(error);
         } else {
-          detail::ReadBody<kIsRequest>(socket, buffer, parser, on_read);
+          detail::ReadBody<kIsRequest>(socket, buffer, parser, share, on_read);
         }
       });
 }
--- a/include/gooseberryturn/observe/metrics.h
+++ b/include/gooseberryturn/observe/metrics.h
@@ -51,10 +51,11 @@
   kContentsCleared,      ///< Content that is suspected no longer.
   kContentsQuarantined,  ///< Content that was quarantined.
   kQuarantinesEnded,
+  kMemoryFull,  ///< Requests and answers given up for want of memory.
   kLateOrders,  ///< Orders of operators and targets that were not carried out.
 };
 
-inline constexpr std::size_t kMetricCount = 25;
+inline constexpr std::size_t kMetricCount = 26;
 
 /// \brief Exported names, without the prefix `gooseberryturn_`.
 inline constexpr NameTable<Metric, kMetricCount> kMetricNames = {
@@ -82,6 +83,7 @@
      "contents_cleared_total",
      "contents_quarantined_total",
      "quarantines_ended_total",
+     "memory_full_total",
      "late_orders_total"}};
 
 /// \brief Durations that are exported as summaries with quantiles.
--- a/src/direct/async_http.cc
+++ b/src/direct/async_http.cc
@@ -96,7 +96,7 @@
     const std::shared_ptr<ClientSession> self = this->shared_from_this();
     this->parser.body_limit(kMaxAnswerBytes);
     link::ReadMessage<false>(this->socket, this->buffer, this->parser,
-                             [self](const error_code& error) {
+                             this->share, [self](const error_code& error) {
                                if (error) {
                                  self->Fail(Outcome::kUnknown, error);
                                } else {
@@ -139,6 +139,7 @@
   std::function<void(Result<HttpResponse>)> on_response;
   link::ReadBuffer buffer;
   http::request<http::string_body> request;
+  ByteShare share;  ///< Without a budget: answers are short and few.
   http::response_parser<http::string_body> parser;
 };
 
@@ -158,7 +159,11 @@
     : context(context),
       handler(std::make_shared<Handler>(std::move(handler))),
       limits(limits),
-      stop_timer(context.get_executor()) {}
+      stop_timer(context.get_executor()) {
+  if (this->limits.budget == nullptr) {
+    this->limits.budget = std::make_shared<ByteBudget>(kMaxHeldBytes);
+  }
+}
 
 Result<void> AsyncHttpServer::Start(const Endpoint& endpoint) {
   Result<tcp::acceptor> opened = link::Listen(this->context, endpoint);
--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -30,14 +30,18 @@
 constexpr std::int64_t kUsableIdlePercent = 80;
 constexpr std::int64_t kPercent = 100;
 constexpr std::int64_t kMsPerSecond = 1000;
+/// Requests hold memory for a second or two.
+constexpr char kMemoryRetryAfter[] = "Retry-After: 1\r\n";
 constexpr char kLastChunk[] = "0\r\n\r\n";
 
 }  // namespace
 
-CallerConnection::CallerConnection(tcp::socket socket, CallerLimits limits)
+CallerConnection::CallerConnection(tcp::socket socket, CallerLimits limits,
+                                   const std::shared_ptr<ByteBudget>& budget)
     : socket(std::move(socket)),
       timer(this->socket.get_executor()),
-      limits(limits) {
+      limits(limits),
+      request_share(budget) {
   error_code ignored;
   this->socket.set_option(tcp::no_delay(true), ignored);
   // The kernel would otherwise buffer megabytes for a caller that reads slowly.
@@ -56,6 +60,7 @@
 void CallerConnection::ReadRequest() {
   this->in_request = false;
   this->is_answer_queued = false;
+  this->request_share.Release();
   if (this->buffer.size() > 0) {
     this->ReadArrivedRequest();
     return;
@@ -116,7 +121,7 @@
                    CloseCause::kReadTimeout);
   const std::shared_ptr<CallerConnection> self = this->shared_from_this();
   link::ReadMessage<true>(this->socket, this->buffer, *this->parser,
-                          [self](const error_code& error) {
+                          this->request_share, [self](const error_code& error) {
                             self->timer.Cancel();
                             if (error) {
                               self->OnReadError(error);
@@ -127,7 +132,12 @@
 }
 
 void CallerConnection::OnReadError(const error_code& error) {
-  if (error == http::error::body_limit) {
+  if (error == asio::error::no_memory) {
+    if (this->on_memory_full) {
+      this->on_memory_full();
+    }
+    this->SendError(503, "Service Unavailable", kMemoryRetryAfter);
+  } else if (error == http::error::body_limit) {
     this->SendError(413, "Payload Too Large");
   } else if (error == http::error::header_limit ||
              error == http::error::buffer_overflow) {
@@ -143,13 +153,15 @@
   }
 }
 
-void CallerConnection::SendError(int status, const char* reason) {
+void CallerConnection::SendError(int status, const char* reason,
+                                 const std::string& headers) {
   this->keep_alive = false;
   this->in_request = true;
   observe::LogEvent(observe::Level::kInfo, "", "request_not_read",
                     {{"status", std::to_string(status)}});
-  this->SendAnswer("HTTP/1.1 " + std::to_string(status) + " " + reason + "\r\n",
-                   "");
+  this->SendAnswer(
+      "HTTP/1.1 " + std::to_string(status) + " " + reason + "\r\n" + headers,
+      "");
 }
 
 void CallerConnection::OnRequestRead() {
@@ -281,12 +293,17 @@
                     });
 }
 
+void CallerConnection::HoldUntilSent(ByteShare share) {
+  this->answer_share = std::move(share);
+}
+
 void CallerConnection::OnWritten() {
   this->is_writing = false;
   if (!this->write_queue.empty()) {
     this->WriteNext();
     return;
   }
+  this->answer_share = ByteShare();
   this->timer.Cancel();
   if (!this->is_answer_queued) {
     if (this->on_writable) {
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -52,6 +52,7 @@
             }
           }),
       chooser(this->settings.data_centre, this->settings.host, RandomId()),
+      held_bytes(std::make_shared<ByteBudget>(kMaxHeldBytes)),
       target_pool(context),
       incarnation(RandomId()),
       random(RandomId()) {}
@@ -122,8 +123,8 @@
 
 void EntryHost::AddCaller(tcp::socket socket) {
   const std::shared_ptr<CallerConnection> caller =
-      std::make_shared<CallerConnection>(std::move(socket),
-                                         this->LimitsInForce());
+      std::make_shared<CallerConnection>(
+          std::move(socket), this->LimitsInForce(), this->held_bytes);
   const std::weak_ptr<CallerConnection> weak = caller;
   caller->on_closed = [this, weak](CloseCause cause) {
     this->metrics.CountClose(cause);
@@ -134,6 +135,9 @@
     LogEvent(Level::kError, "", "request_after_close",
              {{"idle_ms", std::to_string(WholeMs(weak.lock()->IdleTime()))}});
   };
+  caller->on_memory_full = [this] {
+    this->metrics.Add(observe::Metric::kMemoryFull);
+  };
   caller->on_request = [this](const std::shared_ptr<CallerConnection>& from,
                               CallerMessage message, TimePoint received_at) {
     this->OnRequest(from, std::move(message), received_at);
--- a/src/direct/http_server_session.cc
+++ b/src/direct/http_server_session.cc
@@ -20,6 +20,7 @@
 constexpr int kTooLarge = 413;
 constexpr int kFieldsTooLarge = 431;
 constexpr int kServerError = 500;
+constexpr int kUnavailable = 503;
 constexpr int kMinStatus = 200;
 constexpr int kMaxStatus = 599;
 constexpr std::size_t kDropBytes = 16U * 1024U;
@@ -34,17 +35,19 @@
       timer(this->socket.get_executor()),
       handler(std::move(handler)),
       limits(limits),
-      buffer(kReadBufferBytes) {}
+      buffer(kReadBufferBytes),
+      share(limits.budget) {}
 
 void HttpServerSession::Read() {
   this->state = State::kReading;
+  this->share.Release();
   this->parser.emplace();
   this->parser->body_limit(this->limits.max_body_bytes);
   this->timer.Set(Clock::now() + this->limits.idle_timeout,
                   [this] { this->CloseIfUnused(); });
   const std::shared_ptr<HttpServerSession> self = this->shared_from_this();
   link::ReadMessage<true>(
-      this->socket, this->buffer, *this->parser,
+      this->socket, this->buffer, *this->parser, this->share,
       [self](const error_code& error) { self->OnRead(error); });
 }
 
@@ -78,6 +81,10 @@
     this->Respond({kTooLarge, "application/json", "{}"}, false);
     return;
   }
+  if (error == boost::asio::error::no_memory) {
+    this->Respond({kUnavailable, "application/json", "{}"}, false);
+    return;
+  }
   if (error == http::error::header_limit ||
       error == http::error::buffer_overflow) {
     this->Respond({kFieldsTooLarge, "application/json", "{}"}, false);
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -55,7 +55,8 @@
       received_at(received_at),
       deadline(received_at),
       dispatch_by(received_at),
-      queue_deadline(received_at) {}
+      queue_deadline(received_at),
+      answer_share(entry.held_bytes) {}
 
 // ---------------------------------------------------------------- admission
 
@@ -419,8 +420,9 @@
   this->is_cut_reported = false;
   this->is_observed_cut_reported = false;
   this->is_streaming = false;
-  this->answer_body.clear();
+  this->answer_body = std::string();
   this->splitter.Reset();
+  this->answer_share.Release();
   this->pending_prefill_tokens =
       static_cast<std::uint32_t>(std::max(0.0, this->prompt_tokens));
   this->entry.target_tracker.BeginRequest(target_id,
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -108,19 +108,34 @@
   if (!this->is_streaming) {
     this->answer_body.append(bytes);
     if (this->answer_body.size() > kMaxBufferedBytes) {
-      this->connection->Cancel();
+      this->connection->Reject("the answer is too long");
+    } else {
+      (void)this->HoldBytes(this->answer_body.size());
     }
     return;
   }
   const bool is_bounded = this->splitter.Feed(
       bytes, [this](const StreamEvent& event) { this->OnEvent(event); });
   if (!is_bounded) {
-    this->connection->Cancel();
+    this->connection->Reject("an event is too long");
+  } else if (!this->HoldBytes(this->splitter.incomplete_event().size())) {
+    return;
   } else if (this->caller->unsent_bytes() > CallerConnection::kHighWaterBytes) {
     this->connection->SetPaused(true);
   }
 }
 
+bool RequestFlow::HoldBytes(std::size_t bytes) {
+  if (this->connection == nullptr || this->answer_share.Resize(bytes)) {
+    return true;
+  }
+  this->entry.metrics.Add(observe::Metric::kMemoryFull);
+  LogEvent(Level::kWarn, this->caller_attempt_id, "memory_full",
+           {{"target", this->target}, {"bytes", std::to_string(bytes)}});
+  this->connection->Cancel();
+  return false;
+}
+
 void RequestFlow::OnEvent(const StreamEvent& event) {
   const bool is_repeated = event.id.has_value() &&
                            this->last_event_id.has_value() &&
@@ -300,6 +315,7 @@
 void RequestFlow::ForwardAnswer() {
   this->entry.metrics.Add(observe::Metric::kAnswers);
   this->caller->SendAnswer(this->SerializeAnswerHead(), this->answer_body);
+  this->caller->HoldUntilSent(std::move(this->answer_share));
   this->Finish("answered_" + std::to_string(this->answer_head.result_int()));
 }
 
--- a/tests/process.h
+++ b/tests/process.h
@@ -124,6 +124,17 @@
     (void)this->PollExit();
     return this->pid < 0;
   }
+  /// The most memory that the process has used since its start, in KiB.
+  [[nodiscard]] long PeakMemoryKb() const {
+    std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
+    const std::string key = "VmHWM:";
+    for (std::string line; std::getline(status, line);) {
+      if (line.compare(0, key.size(), key) == 0) {
+        return std::stol(line.substr(key.size()));
+      }
+    }
+    return -1;
+  }
   [[nodiscard]] std::string Log() const {
     std::ifstream input(this->log_file);
     std::ostringstream text;
