A restart is told from its report a second after the member joined its group

Cause: a report may be a second old, so one without the group was not believed until the member had been silent for a second. A target that is back sooner was taken to run on meanwhile, and its crash was known too late to tell which content it had. Change: the second counts from when the member announced its group. An older report can't be from before it joined.

--- a/include/gooseberryturn/direct/registry.h
+++ b/include/gooseberryturn/direct/registry.h
@@ -20,6 +20,7 @@
   std::uint64_t sequence = 0;  ///< Of the last announcement.
   TimePoint last_heard_at;
   TimePoint cold_until;
+  TimePoint in_group_since;  ///< It first announced its present group.
   /// Recorded by an earlier leader and not announced since.
   bool is_unconfirmed = false;
 };
--- a/src/direct/control_host_orders.cc
+++ b/src/direct/control_host_orders.cc
@@ -107,7 +107,7 @@
   }
   // The report may be from before it joined.
   const bool is_report_current =
-      Clock::now() >= record->last_heard_at + kMaxReportAge;
+      Clock::now() >= record->in_group_since + kMaxReportAge;
   return is_report_current ? RunState::kEnded : RunState::kUnknown;
 }
 
--- a/src/direct/registry.cc
+++ b/src/direct/registry.cc
@@ -26,6 +26,13 @@
          a.engine.loaded_model == b.engine.loaded_model;
 }
 
+bool IsInSameGroup(const TargetView& a, const TargetView& b) {
+  const std::optional<Membership>& one = a.engine.membership;
+  const std::optional<Membership>& other = b.engine.membership;
+  return one.has_value() && other.has_value() && one->group == other->group &&
+         one->epoch == other->epoch;
+}
+
 bool IsInGroup(const TargetView& view) {
   const std::optional<Membership>& membership = view.engine.membership;
   return membership.has_value() && membership->state != MemberState::kNone;
@@ -254,6 +261,9 @@
   } else if (is_new_run) {
     record.view.last_model.clear();
   }
+  if (is_new_run || !IsInSameGroup(before, record.view)) {
+    record.in_group_since = now;
+  }
   record.sequence = announcement.sequence;
   record.last_heard_at = now;
   record.is_unconfirmed = false;
@@ -282,6 +292,7 @@
   TargetRecord record;
   record.view = view;
   record.last_heard_at = now;
+  record.in_group_since = now;
   // The end of its cold period is unknown until it announces itself.
   record.cold_until = now + kSilentRetention;
   record.is_unconfirmed = true;
