An answer in writing outlives the end of its caller's input

What callers saw: a caller that ended its sending side while its answer was being written got a part of it (178,688 of 4,194,304 bytes in the test). Cause: once an answer is queued, the flow has cleared its hooks; the end of input found no hook and was taken for a caller that has left, so that the connection closed with bytes unsent. Change: while an answer is queued the end of input only ends the connection after it. A caller that has left is noticed by the write that fails. Measured: an_answer_in_writing_outlives_the_end_of_input failed before and passes now, with the other cases of caller_connection_test.

--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -198,7 +198,8 @@
           return;
         }
         const bool is_kept =
-            size == 0 && self->on_input_end && self->on_input_end();
+            size == 0 && (self->is_answer_queued ||
+                          (self->on_input_end && self->on_input_end()));
         if (is_kept) {
           // Nothing more can come, so the answer ends the connection.
           self->EndKeepAlive();
--- a/tests/caller_connection_test.cc
+++ b/tests/caller_connection_test.cc
@@ -329,3 +329,20 @@
   BOOST_REQUIRE(connected.causes.size() == 1);
   BOOST_TEST((connected.causes.front() == CloseCause::kAnswered));
 }
+
+// LOST: the rest of an answer whose caller ended its sending side meanwhile.
+BOOST_AUTO_TEST_CASE(an_answer_in_writing_outlives_the_end_of_input) {
+  constexpr std::size_t kLongBytes = 4U * 1024U * 1024U;
+  Connected connected;
+  connected.SendRequest();
+  connected.Turn();
+  connected.connection->SendAnswer(kAnswerHead, std::string(kLongBytes, 'a'));
+  connected.Turn();
+  connected.caller.shutdown(tcp::socket::shutdown_send);
+  std::thread loop([&connected] { connected.RunFor(milliseconds(1000)); });
+  error_code error;
+  const std::string answer = connected.Read(2 * kLongBytes, error);
+  loop.join();
+  BOOST_TEST((error == asio::error::eof));
+  BOOST_TEST(answer.size() > kLongBytes);
+}
