A caller that ends its sending side is answered or told the truth

What callers saw: a caller that sent a whole request and then ended its sending side got its connection closed with neither an answer nor a refusal, right after the request was handed over. Only requests that may run once went on. Cause: the end of input was taken for a caller that has left. Before something is written the two can't be told apart. Change: what its target is about to answer goes on, for 0.3 s from the end of input or from the last event after it; bytes written then bring a reset if the caller has left, which is watched for. All else is refused at once: 503 if it was not sent, 502 if it may have run, reason input_ended. So a target still stops within half a second for a caller that has left. Changed checks: a_safe_request_ends_with_the_input_of_its_caller asked for the silent close that this ends; in its place stand four cases on what such a caller gets and when its target stops. The soak allowed any half-closed request but an unsafe one to end without an answer; now only a stream that has begun. Measured: on the code before, a_half_closed_caller_of_a_repeatable_request_ is_answered, ..._of_long_work_is_refused_in_time, ..._gets_its_whole_stream and ..._of_a_stream_to_come_is_refused fail (no byte arrives), and a_caller_that_left_is_noticed_when_something_is_written; all pass now, with all of platform_stop_test. An earlier form of an_answer_in_writing_outlives_the_end_of_input ran its loop for one second and hung once beside load, when 4 MiB took longer; it now runs until the connection has ended.

--- a/include/gooseberryturn/core/reason.h
+++ b/include/gooseberryturn/core/reason.h
@@ -39,10 +39,11 @@
   kTombstone,      ///< The attempt was seen before or is refused for good.
   kAnswerNotKept,  ///< The request ran, but its answer was not stored.
   kTargetPaused,   ///< All targets asked for a pause that still lasts.
-  kSuspect,  ///< Waited because targets crashed while they ran its content.
+  kSuspect,     ///< Waited because targets crashed while they ran its content.
+  kInputEnded,  ///< Its caller ended its sending side, and may have left.
 };
 
-inline constexpr std::size_t kReasonCount = 30;
+inline constexpr std::size_t kReasonCount = 31;
 
 inline constexpr NameTable<Reason, kReasonCount> kReasonNames = {
     {"none",
@@ -74,7 +75,8 @@
      "tombstone",
      "answer_not_kept",
      "target_paused",
-     "suspect"}};
+     "suspect",
+     "input_ended"}};
 
 /// \brief HTTP status that the caller gets for `reason`.
 [[nodiscard]] int HttpStatusOf(Reason reason) noexcept;
--- a/include/gooseberryturn/direct/caller_connection.h
+++ b/include/gooseberryturn/direct/caller_connection.h
@@ -47,9 +47,9 @@
   std::function<void(CloseCause)> on_disconnected;
   /// \brief Called when the caller has ended its sending side while a request
   /// is in progress: it has closed the connection, or only waits for its
-  /// answer. The connection is closed unless this returns true. It then ends
-  /// with the answer, and a caller that has left is noticed only when that is
-  /// written.
+  /// answer, which then ends the connection. The connection is closed unless
+  /// this returns true. A caller that has left is noticed later by the reset
+  /// that the first bytes written to it cause.
   std::function<bool()> on_input_end;
   /// \brief Called when all queued bytes were sent and the answer is not
   /// complete yet.
@@ -117,6 +117,11 @@
                  const std::string& headers = "");
   /// Detects that the caller disconnects while its request is in progress.
   void WatchForDisconnect();
+  /// Ends or goes on with a request whose caller sends nothing more.
+  void OnInputEnd();
+  /// Detects that a caller has left that had ended its sending side before.
+  void WatchForReset();
+  [[nodiscard]] bool HasSocketError();
   /// End of the head of an answer: says whether the connection is closed after
   /// it, or how long it may be idle.
   [[nodiscard]] std::string EndOfHead();
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -77,6 +77,9 @@
   static constexpr Duration kRecentTime = std::chrono::seconds(1);
   /// Parts of one prompt that are kept; a longer list is cut off.
   static constexpr std::size_t kMaxSharedParts = 32;
+  /// Time from the end of the caller's input, or from the last event after it,
+  /// in which a request that may be repeated has to be answered.
+  static constexpr Duration kInputEndTime = std::chrono::milliseconds(300);
   /// Longest body of an answer that is not streamed.
   static constexpr std::size_t kMaxBufferedBytes = 4U * 1024U * 1024U;
 
@@ -169,12 +172,16 @@
   [[nodiscard]] bool TryLeaveTarget(TimePoint now);
   void LeaveQueue();
   /// Called when the caller has ended its sending side: it has left, or waits
-  /// for its answer, which cannot be told apart before something is written. A
-  /// request that may run only once, is no stream and was handed over goes on,
-  /// as this answer is the only way to learn its outcome. Streams and requests
-  /// that may be repeated end, so that no target works for a caller that left.
-  /// \returns True if the request goes on.
+  /// for its answer, which cannot be told apart before something is written.
+  /// Goes on with what its target ends soon, or what may run only once and was
+  /// handed over: the answer is the only way to learn its outcome. All else is
+  /// refused, so that no target works for a caller that has left.
+  /// \returns True, as the request goes on or is refused.
   [[nodiscard]] bool OnInputEnd();
+  /// True if a request whose caller has ended its sending side has to end.
+  [[nodiscard]] bool IsInputEndOver(TimePoint now) const;
+  /// Refuses or breaks off a request whose caller has ended its sending side.
+  void EndAfterInput();
   [[nodiscard]] bool MayRetry(bool may_have_executed) const;
   /// True if TryTakeRetry would take one.
   [[nodiscard]] bool HasRetry(bool may_have_executed) const;
@@ -244,9 +251,10 @@
   bool is_queued = false;
   bool is_sent_late = false;  ///< Last dispatched after `dispatch_by`.
   bool is_done = false;
-  bool has_input_ended = false;  ///< The caller sends nothing more.
-  bool is_head_sent = false;     ///< The caller got the head of a stream.
-  bool is_streaming = false;     ///< The current answer is an event stream.
+  /// When the caller ended its sending side; TimePoint() before.
+  TimePoint input_ended_at;
+  bool is_head_sent = false;  ///< The caller got the head of a stream.
+  bool is_streaming = false;  ///< The current answer is an event stream.
   ResponseHead answer_head;
   std::string answer_body;
   ByteShare answer_share;  ///< Of `answer_body` or of an event not yet whole.
--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -197,19 +197,52 @@
           self->WatchForDisconnect();
           return;
         }
-        const bool is_kept =
-            size == 0 && (self->is_answer_queued ||
-                          (self->on_input_end && self->on_input_end()));
-        if (is_kept) {
-          // Nothing more can come, so the answer ends the connection.
-          self->EndKeepAlive();
-        } else if (size <= 0) {
+        if (size == 0) {
+          self->OnInputEnd();
+        } else if (size < 0) {
           self->Close(CloseCause::kCallerLeft);
         }
         // Otherwise the next request has arrived; it is read after this one.
       });
 }
 
+void CallerConnection::OnInputEnd() {
+  this->EndKeepAlive();
+  this->WatchForReset();
+  if (this->is_answer_queued) {
+    return;
+  }
+  // The hook may clear itself as it runs.
+  const std::function<bool()> on_end = this->on_input_end;
+  if (!on_end || !on_end()) {
+    this->Close(CloseCause::kCallerLeft);
+  }
+}
+
+bool CallerConnection::HasSocketError() {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  const int result = getsockopt(this->socket.native_handle(), SOL_SOCKET,
+                                SO_ERROR, &error, &size);
+  return result != 0 || error != 0;
+}
+
+void CallerConnection::WatchForReset() {
+  const std::weak_ptr<CallerConnection> weak = this->weak_from_this();
+  this->socket.async_wait(
+      tcp::socket::wait_error, [weak](const error_code& error) {
+        const std::shared_ptr<CallerConnection> self = weak.lock();
+        if (self == nullptr || error || !self->in_request || self->is_closed) {
+          return;
+        }
+        if (self->HasSocketError()) {
+          self->Close(CloseCause::kCallerLeft);
+        } else {
+          self->WatchForReset();
+        }
+      });
+}
+
 // ------------------------------------------------------------------ writing
 
 std::string CallerConnection::EndOfHead() {
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -271,7 +271,8 @@
     return false;
   }
   return Clock::now() < this->entry.LatestEnd(this->deadline) &&
-         !this->has_input_ended && this->tried_targets.size() < kMaxAttempts;
+         this->input_ended_at == TimePoint() &&
+         this->tried_targets.size() < kMaxAttempts;
 }
 
 bool RequestFlow::HasRetry(bool may_have_executed) const {
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -171,10 +171,36 @@
 }
 
 bool RequestFlow::OnInputEnd() {
-  const bool is_handed_over = this->connection != nullptr;
-  this->has_input_ended = is_handed_over && !this->route->IsIdempotent() &&
-                          this->route->kind != RouteKind::kStreaming;
-  return this->has_input_ended;
+  this->input_ended_at = Clock::now();
+  const bool is_stream = this->route->kind == RouteKind::kStreaming;
+  const bool is_being_answered =
+      this->IsMoving() && (!is_stream || this->is_head_sent);
+  if (!is_being_answered) {
+    this->EndAfterInput();
+  }
+  return true;
+}
+
+bool RequestFlow::IsInputEndOver(TimePoint now) const {
+  const bool is_plain = this->route->kind != RouteKind::kStreaming;
+  if (this->input_ended_at == TimePoint() ||
+      (is_plain && !this->route->IsIdempotent())) {
+    return false;
+  }
+  return now >=
+         std::max(this->input_ended_at, this->last_event_at) + kInputEndTime;
+}
+
+void RequestFlow::EndAfterInput() {
+  this->possible_executions += this->connection != nullptr ? 1 : 0;
+  this->CancelPendingWork();
+  if (this->is_head_sent) {
+    this->caller->Abort();
+    this->Finish("cut_input_ended");
+  } else {
+    this->Refuse(this->possible_executions > 0 ? kBadGateway : kUnavailable,
+                 Reason::kInputEnded);
+  }
 }
 
 void RequestFlow::Abort() {
@@ -203,6 +229,10 @@
     }
     return;
   }
+  if (this->IsInputEndOver(now)) {
+    this->EndAfterInput();
+    return;
+  }
   if (this->is_held) {
     this->TickHeld(now);
     return;
