A new leader waits for the answers before it quarantines what is sound

What callers saw: an identical sound request was refused with 503 and the Retry-After of a quarantine (minutes) for 28 to 100 ms after a change of leader. Cause: entries report what was cut under the leader before once more (ages of 5 to 20 s in the logs). Answers had cleared these crashes there. The first report brings five of them, and the new leader decides on it; entries report answers of whole requests only once they are told that one is watched, so the answers come one report later and clear it. Change: for 2 s after a leader has taken over, it quarantines no whole request, and no part that was answered lately. What is quarantined stays so; parts without an answer are held and quarantined at once, as before.

--- a/include/gooseberryturn/direct/crash_tracker.h
+++ b/include/gooseberryturn/direct/crash_tracker.h
@@ -111,6 +111,9 @@
   static constexpr Duration kSoundTime = std::chrono::seconds(60);
   /// Time after which a trial without a result is followed by another.
   static constexpr Duration kTrialTime = std::chrono::seconds(3);
+  /// Time in which entries tell a new leader what was answered. Until then it
+  /// quarantines no whole request, and no part that was answered lately.
+  static constexpr Duration kSettleTime = std::chrono::milliseconds(2000);
   static constexpr std::size_t kMaxSuspects = 4096;
   static constexpr std::size_t kMaxAnswers = 16'384;
   /// Cuts that are kept of one content, at different incarnations.
@@ -192,6 +195,7 @@
   std::uint64_t trial_count = 0;
   std::size_t quarantined_count = 0;
   TimePoint next_expiry_at;
+  TimePoint settled_at;  ///< kSettleTime after Restore.
 };
 
 }  // namespace gooseberryturn::direct
--- a/src/direct/crash_tracker.cc
+++ b/src/direct/crash_tracker.cc
@@ -27,6 +27,7 @@
                            std::uint64_t term, TimePoint now) {
   *this = CrashTracker();
   this->trial_count = term * kTrialsPerTerm;
+  this->settled_at = now + kSettleTime;
   for (const SuspectRecord& record : records) {
     this->quarantined_count += record.is_quarantined ? 1 : 0;
     Suspect& suspect = this->suspects[record.content];
@@ -326,7 +327,9 @@
   for (const bool is_part : {false, true}) {
     std::vector<std::string> found;
     for (const SuspectMap::value_type& entry : this->suspects) {
-      if (!entry.second.is_quarantined &&
+      const bool may_lack_answers =
+          now < this->settled_at && (!is_part || entry.second.was_answered);
+      if (!entry.second.is_quarantined && !may_lack_answers &&
           IsPartContentId(entry.first) == is_part &&
           this->MayBeQuarantined(entry.first, entry.second)) {
         found.push_back(entry.first);
--- a/tests/crash_tracker_test.cc
+++ b/tests/crash_tracker_test.cc
@@ -9,6 +9,7 @@
 #include "direct_fixtures.h"
 #include "gooseberryturn/direct/answered_contents.h"
 #include "gooseberryturn/direct/cut_reports.h"
+#include "gooseberryturn/direct/request_content.h"
 
 using namespace gooseberryturn;          // NOLINT
 using namespace gooseberryturn::direct;  // NOLINT
@@ -246,6 +247,46 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_new_leader_quarantines_no_request_that_is_answered) {
+  const std::string content = RequestContentId("often");
+  const std::int64_t settle_ms = WholeMs(CrashTracker::kSettleTime);
+  for (const bool is_answered : {true, false}) {
+    CrashTracker next;
+    next.Restore({}, 2, At(20'000));
+    // Entries report again what was cut under the leader before.
+    for (const char* target : {"i1", "i2", "i3", "i4", "i5"}) {
+      next.RecordEnd({target, 1}, TargetEnd::kCrashed, At(20'000));
+      next.RecordCut(MakeCut("often", target, {}), At(20'000));
+    }
+    next.Update(At(20'000));
+    BOOST_TEST(next.Quarantined().empty());
+    BOOST_TEST(next.Watched() == Names{content},
+               boost::test_tools::per_element());
+    if (is_answered) {
+      next.RecordAnswer(content, At(20'100));
+    }
+    next.Update(At(20'000 + settle_ms));
+    BOOST_TEST(next.Quarantined().size() == (is_answered ? 0U : 1U));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_new_leader_waits_for_answers_to_parts_that_were_sound) {
+  Scene scene;
+  scene.Answer("first", 0);
+  for (int number = 0; number < 4; ++number) {
+    scene.Crash({{"first"}}, 100 + 100 * number);
+  }
+  CrashTracker next;
+  next.Restore(scene.tracker.Records(), 2, At(1000));
+  next.RecordEnd({"i5", 1}, TargetEnd::kCrashed, At(1000));
+  next.RecordCut(MakeCut("own", "i5", {"first"}), At(1000));
+  next.Update(At(1000));
+  BOOST_TEST(next.Quarantined().empty());
+  next.Update(At(1000 + WholeMs(CrashTracker::kSettleTime)));
+  BOOST_TEST(next.Quarantined() == Names{"part:first"},
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(a_quarantine_lasts_while_its_requests_come) {
   Scene scene;
   for (int number = 0; number < 3; ++number) {
