A caller that ends its sending side gets the rest of its answer

Cause: a caller that half-closed its connection while its whole answer was queued, but not yet written, got its answer cut off in the middle. The flow has finished by then and its hook on_input_end is cleared, so the end of the input was taken for a caller that has left. Answers that fit in the send buffer of the kernel were not affected.

Change: once the answer is queued to its last byte the end of the input closes nothing. No flow works for the caller any more, and a caller that has left ends the write with an error or with the time limit of writing.

--- a/include/gooseberryturn/direct/caller_connection.h
+++ b/include/gooseberryturn/direct/caller_connection.h
@@ -49,7 +49,8 @@
   /// is in progress: it has closed the connection, or only waits for its
   /// answer. The connection is closed unless this returns true. It then ends
   /// with the answer, and a caller that has left is noticed only when that is
-  /// written.
+  /// written. Not called once the answer is queued to its last byte, which is
+  /// written in any case.
   std::function<bool()> on_input_end;
   /// \brief Called when all queued bytes were sent and the answer is not
   /// complete yet.
--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -197,6 +197,10 @@
           self->WatchForDisconnect();
           return;
         }
+        if (size == 0 && self->is_answer_queued) {
+          // The caller may still read its answer, and no flow works for it.
+          return;
+        }
         const bool is_kept =
             size == 0 && self->on_input_end && self->on_input_end();
         if (is_kept) {
--- a/tests/caller_connection_test.cc
+++ b/tests/caller_connection_test.cc
@@ -329,3 +329,27 @@
   BOOST_REQUIRE(connected.causes.size() == 1);
   BOOST_TEST((connected.causes.front() == CloseCause::kAnswered));
 }
+
+// LOST: the end of an answer that the caller had still to read.
+BOOST_AUTO_TEST_CASE(
+    a_caller_that_ends_its_sending_side_gets_its_whole_answer) {
+  Connected connected;
+  connected.SendRequest();
+  connected.Turn();
+  const std::string body(10'000'000, 'x');
+  connected.connection->SendAnswer(kAnswerHead, body);
+  connected.Turn();
+  connected.caller.shutdown(tcp::socket::shutdown_send);
+  connected.Turn();
+  BOOST_TEST(connected.causes.empty());
+  connected.caller.non_blocking(true);
+  std::string answer;
+  error_code error;
+  while (!error || error == asio::error::would_block) {
+    answer += connected.Read(1'000'000, error);
+    connected.RunFor(milliseconds(1));
+  }
+  BOOST_TEST((error == asio::error::eof));
+  BOOST_TEST(answer.size() > body.size());
+  BOOST_TEST(connected.causes.size() == 1);
+}
