A close that no flow is told of is counted and logged

Change: when a connection closes, the flow of a request in progress is told. If the connection has no flow to tell, or takes an open flow for one that has answered, on_close_not_reported is called; an entry then counts closes_not_reported_total and logs close_not_reported as an error. The schedule test fails on any such close.

--- a/include/gooseberryturn/direct/caller_connection.h
+++ b/include/gooseberryturn/direct/caller_connection.h
@@ -43,7 +43,8 @@
                      TimePoint)>
       on_request;
   /// \brief Called when the connection is closed while a request is in
-  /// progress, by the caller or by this side.
+  /// progress, by the caller or by this side. Whoever answers the request
+  /// clears it then.
   std::function<void(CloseCause)> on_disconnected;
   /// \brief Called when the caller has ended its sending side while a request
   /// is in progress: it has closed the connection, or only waits for its
@@ -59,6 +60,9 @@
   std::function<void(CloseCause)> on_closed;
   /// \brief Called when a request was read whose connection is closed already.
   std::function<void()> on_request_after_close;
+  /// \brief Called when the connection is closed while a request is in progress
+  /// and `on_disconnected` was not called: nobody learns of the close.
+  std::function<void(CloseCause)> on_close_not_reported;
   /// \brief Called when a request was refused because the budget is used up.
   std::function<void()> on_memory_full;
 
@@ -132,6 +136,8 @@
   /// caller could lose the end of its answer.
   void CloseAfterAnswer(CloseCause cause);
   void DropInput(CloseCause cause);
+  /// Tells the flow of a request in progress that the connection is closed.
+  void ReportClose(CloseCause cause);
   /// Logs a closing that leaves a request or an answer incomplete.
   void LogClose(CloseCause cause) const;
 
--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -391,6 +391,18 @@
        {"ms", std::to_string(WholeMs(Clock::now() - this->received_at))}});
 }
 
+void CallerConnection::ReportClose(CloseCause cause) {
+  const std::function<void(CloseCause)> disconnected =
+      std::exchange(this->on_disconnected, nullptr);
+  const bool is_unanswered = this->in_request && !this->is_answer_queued;
+  const bool has_flow = disconnected != nullptr;
+  if (is_unanswered && has_flow) {
+    disconnected(cause);
+  } else if (is_unanswered != has_flow && this->on_close_not_reported) {
+    this->on_close_not_reported(cause);
+  }
+}
+
 void CallerConnection::Close(CloseCause cause) {
   if (this->is_closed) {
     return;
@@ -403,11 +415,7 @@
   error_code ignored;
   this->socket.shutdown(tcp::socket::shutdown_both, ignored);
   this->socket.close(ignored);
-  const std::function<void(CloseCause)> disconnected =
-      std::exchange(this->on_disconnected, nullptr);
-  if (disconnected && this->in_request && !this->is_answer_queued) {
-    disconnected(cause);
-  }
+  this->ReportClose(cause);
   this->on_writable = nullptr;
   const std::function<void(CloseCause)> closed =
       std::exchange(this->on_closed, nullptr);
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -135,6 +135,11 @@
     LogEvent(Level::kError, "", "request_after_close",
              {{"idle_ms", std::to_string(WholeMs(weak.lock()->IdleTime()))}});
   };
+  caller->on_close_not_reported = [this](CloseCause cause) {
+    this->metrics.Add(observe::Metric::kClosesNotReported);
+    LogEvent(Level::kError, "", "close_not_reported",
+             {{"cause", std::string(kCloseCauseNames.Name(cause))}});
+  };
   caller->on_memory_full = [this] {
     this->metrics.Add(observe::Metric::kMemoryFull);
   };
--- a/tests/caller_connection_schedule_test.cc
+++ b/tests/caller_connection_schedule_test.cc
@@ -216,6 +216,9 @@
     this->connection->on_request_after_close = [this] {
       this->requests_after_close += 1;
     };
+    this->connection->on_close_not_reported = [this](CloseCause /*cause*/) {
+      this->failures.emplace_back("a close was reported to nobody");
+    };
     this->connection->Start();
     this->Run(1000);
   }
--- a/tests/caller_connection_test.cc
+++ b/tests/caller_connection_test.cc
@@ -49,6 +49,9 @@
     this->connection->on_request_after_close = [this] {
       this->requests_after_close += 1;
     };
+    this->connection->on_close_not_reported = [this](CloseCause cause) {
+      this->closes_not_reported.push_back(cause);
+    };
     this->connection->Start();
     this->context.poll();
   }
@@ -101,6 +104,7 @@
   int requests = 0;
   int requests_after_close = 0;
   std::vector<CloseCause> causes;
+  std::vector<CloseCause> closes_not_reported;
 };
 
 }  // namespace
@@ -353,3 +357,48 @@
   BOOST_TEST(answer.size() > body.size());
   BOOST_TEST(connected.causes.size() == 1);
 }
+
+// LOST: a request was handed over, and nobody was told that its connection
+// closed.
+BOOST_AUTO_TEST_CASE(a_close_that_no_flow_is_told_of_is_reported) {
+  Connected connected;
+  connected.SendRequest();
+  connected.Turn();
+  connected.connection->on_disconnected = nullptr;
+  connected.caller.close();
+  connected.RunFor(milliseconds(50));
+  BOOST_REQUIRE(connected.closes_not_reported.size() == 1);
+  BOOST_TEST(
+      (connected.closes_not_reported.front() == CloseCause::kCallerLeft));
+}
+
+// LOST: a flow that has not ended was taken for one that has answered.
+BOOST_AUTO_TEST_CASE(a_close_after_an_answer_with_an_open_flow_is_reported) {
+  Connected connected;
+  connected.SendRequest();
+  connected.Turn();
+  int times_told = 0;
+  connected.connection->on_disconnected = [&times_told](CloseCause /*cause*/) {
+    times_told += 1;
+  };
+  connected.connection->SendAnswer(kAnswerHead, std::string(10'000'000, 'x'));
+  connected.caller.close();
+  connected.RunFor(milliseconds(50));
+  BOOST_TEST(connected.causes.size() == 1);
+  BOOST_TEST(times_told == 0);
+  BOOST_TEST(connected.closes_not_reported.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_close_that_a_flow_is_told_of_is_not_reported) {
+  Connected connected;
+  connected.SendRequest();
+  connected.Turn();
+  int times_told = 0;
+  connected.connection->on_disconnected = [&times_told](CloseCause /*cause*/) {
+    times_told += 1;
+  };
+  connected.caller.close();
+  connected.RunFor(milliseconds(50));
+  BOOST_TEST(times_told == 1);
+  BOOST_TEST(connected.closes_not_reported.empty());
+}
