A look that finds no input neither closes a caller nor ends its watch

With agents, a session looks once whether its caller has left when its socket wakes up during a request. Interrupted by a signal, that look closed the connection of a caller that waited; woken without input, the session didn't look again, and the flow wasn't told when its caller left. The fleet without agents looks again in both cases; so does the session now.

caller_session_schedule_test is new: the session over sockets with flows that use its hooks as RequestFlow does, random events (requests in parts and pipelined, half-closes, closes, resets, slow readers, long turns, a stop) and the event loop run one handler at a time. It checks that a request that was handed over is answered to its last byte or its flow is told of the close, exactly once, and that none is handed over after the close. Failed looks are put in by the test; the kernel wasn't seen making them.

--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <cerrno>
 #include <chrono>
 #include <cstdio>
 #include <sstream>
@@ -211,7 +212,11 @@
         char byte = 0;
         const ssize_t size = recv(self->stream.socket().native_handle(), &byte,
                                   1, MSG_PEEK | MSG_DONTWAIT);
-        if (size == 0 || (size < 0 && errno != EAGAIN)) {
+        const bool is_nothing_there =
+            size < 0 && (errno == EAGAIN || errno == EINTR);
+        if (is_nothing_there) {
+          self->WatchForDisconnect();
+        } else if (size <= 0) {
           self->OnDisconnect();
         }
         // Otherwise a pipelined request has arrived; it is read after this one.
