A request that arrives before an idle close is answered

With agents, the end of a session's idle time cancels its wait for input, and the connection was closed when the cancelled wait completed. A request that arrived between the two was closed without an answer, and the reset could destroy the end of the answer before it, which its caller was still reading. The completion looks for input now and reads it.

--- a/include/gooseberryturn/entry/caller_session.h
+++ b/include/gooseberryturn/entry/caller_session.h
@@ -106,6 +106,8 @@
   void StartReadTimer(Duration timeout);
   /// Cancels the read of a request until the read has ended.
   void OnReadTimeout();
+  /// True if bytes are in the receive buffer of the kernel.
+  [[nodiscard]] bool HasInput();
   void OnIdleTimeout();
   void ReadBody();
   void OnRequestRead();
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -117,7 +117,9 @@
   const std::shared_ptr<CallerSession> self = this->shared_from_this();
   this->stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
                                    [self](const error_code& error) {
-                                     if (error) {
+                                     // Input may come after the end of the
+                                     // idle time has cancelled the wait.
+                                     if (error && !self->HasInput()) {
                                        self->read_timer.Cancel();
                                        self->CloseSocket();
                                      } else {
@@ -141,10 +143,15 @@
                        [this] { this->OnReadTimeout(); });
 }
 
-void CallerSession::OnIdleTimeout() {
+bool CallerSession::HasInput() {
   error_code ignored;
+  return this->stream.socket().available(ignored) > 0;
+}
+
+void CallerSession::OnIdleTimeout() {
   // A request that has arrived already is answered.
-  if (this->stream.socket().available(ignored) == 0) {
+  if (!this->HasInput()) {
+    error_code ignored;
     this->stream.socket().cancel(ignored);
   }
 }
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -184,6 +184,23 @@
   BOOST_TEST(text.substr(0, sizeof(kOk) - 1) == kOk);
 }
 
+// Between the end of the idle time and the close of the connection.
+BOOST_AUTO_TEST_CASE(a_request_that_arrives_before_an_idle_close_is_answered) {
+  Connected connected;
+  connected.Write(MakeHead(4) + "body");
+  error_code error;
+  connected.Read(sizeof(kOk), milliseconds(200), error);
+  std::this_thread::sleep_for(kIdleTimeout + kMargin);
+  connected.context.restart();
+  connected.context.poll_one();
+  connected.Write(MakeHead(4) + "body");
+  connected.Turn();
+  const std::string text =
+      connected.Read(sizeof(kOk) - 1, milliseconds(500), error);
+  BOOST_TEST(connected.requests == 2);
+  BOOST_TEST(text.substr(0, sizeof(kOk) - 1) == kOk);
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_session_is_closed_when_its_time_ends) {
   Connected connected;
   connected.Write(MakeHead(4) + "body");
