The schedule's callers send at once, and it says how much of an answer is lost

In caller_session_schedule_test callers left Nagle's algorithm on: bytes that the test had sent stayed in the caller's kernel until the session's delayed acknowledgement, arrived at a connection that had been closed after its idle time meanwhile, and the reset took what its caller had not read. Callers turn it off; no check has changed.

--- a/tests/caller_session_schedule_test.cc
+++ b/tests/caller_session_schedule_test.cc
@@ -319,6 +319,8 @@
     peer.socket.open(tcp::v4());
     peer.socket.set_option(
         asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
+    // What was sent has arrived.
+    peer.socket.set_option(tcp::no_delay(true));
     peer.socket.connect(this->acceptor.local_endpoint());
     peer.socket.non_blocking(true);
     const std::shared_ptr<CallerSession> session =
@@ -615,6 +617,7 @@
   void CheckReceived(const Peer& peer) {
     std::size_t position = 0;
     for (const std::shared_ptr<Flow>& flow : peer.flows) {
+      const std::size_t begin = position;
       bool is_wrong = false;
       const bool is_complete =
           ReadAnswer(peer.received, *flow, position, is_wrong);
@@ -627,7 +630,11 @@
       if (!is_complete) {
         if (flow->is_answered && flow->told == 0 && peer.is_at_end &&
             !MayHaveLost(peer)) {
-          this->Fault(peer, "an answer was lost");
+          this->Fault(peer, "an answer of " +
+                                std::to_string(flow->body.size()) +
+                                " bytes was lost after " +
+                                std::to_string(peer.received.size() - begin) +
+                                " with its head");
         }
         return;
       }
