A session counts a close that leaves a request neither answered nor given up

With agents, nothing in the product would have shown a request whose connection closed without an answer while its flow went on. A session now counts it (untold_closes_total) and logs close_not_told with the request's id, also when it is destroyed during a request; a request read after the close is counted and logged as in the fleet without agents and not handed over.

--- a/include/gooseberryturn/entry/caller_session.h
+++ b/include/gooseberryturn/entry/caller_session.h
@@ -117,6 +117,9 @@
   /// it: the caller goes by what the head says.
   void DecideKeepAlive();
   void EndInRequest();
+  /// Counts and logs a request that ends neither answered nor with its flow
+  /// told: it may run on, and its caller gets nothing.
+  void CheckAnsweredOrTold();
   void Queue(std::string_view bytes);
   /// Writes `pending` unless a write is in progress. With nothing to write,
   /// ends the request or closes the connection if that was to follow.
@@ -149,6 +152,7 @@
   bool is_read_timed_out = false;
   bool keep_alive = false;
   bool in_request = false;
+  bool is_flow_told = false;
   bool is_stream_started = false;
   bool request_ends_after_write = false;
   bool closes_after_write = false;
--- a/include/gooseberryturn/observe/metrics.h
+++ b/include/gooseberryturn/observe/metrics.h
@@ -53,9 +53,10 @@
   kQuarantinesEnded,
   kMemoryFull,  ///< Requests and answers given up for want of memory.
   kLateOrders,  ///< Orders of operators and targets that were not carried out.
+  kUntoldCloses,  ///< Closes with a request neither answered nor given up.
 };
 
-inline constexpr std::size_t kMetricCount = 26;
+inline constexpr std::size_t kMetricCount = 27;
 
 /// \brief Exported names, without the prefix `gooseberryturn_`.
 inline constexpr NameTable<Metric, kMetricCount> kMetricNames = {
@@ -84,7 +85,8 @@
      "contents_quarantined_total",
      "quarantines_ended_total",
      "memory_full_total",
-     "late_orders_total"}};
+     "late_orders_total",
+     "untold_closes_total"}};
 
 /// \brief Durations that are exported as summaries with quantiles.
 enum class Timing : std::uint8_t {
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "gooseberryturn/core/id.h"
+#include "gooseberryturn/observe/log.h"
 
 namespace gooseberryturn::entry {
 
@@ -80,6 +81,9 @@
 }
 
 CallerSession::~CallerSession() {
+  if (this->in_request) {
+    this->CheckAnsweredOrTold();
+  }
   this->metrics.Add(observe::Metric::kConnections, -1);
 }
 
@@ -194,6 +198,13 @@
 
 void CallerSession::OnRequestRead() {
   this->read_timer.Cancel();
+  if (this->is_closed) {
+    // Handed over, it could run without anyone to answer.
+    this->metrics.Add(observe::Metric::kRequestsAfterClose);
+    observe::LogEvent(observe::Level::kError, this->request_id,
+                      "request_after_close", {});
+    return;
+  }
   this->in_request = true;
   const http::request<http::string_body>& message = this->parser->get();
   CallerRequest request;
@@ -343,11 +354,25 @@
 // ------------------------------------------------------------------- ending
 
 void CallerSession::EndInRequest() {
-  if (std::exchange(this->in_request, false) && this->on_request_ended) {
+  if (!std::exchange(this->in_request, false)) {
+    return;
+  }
+  this->CheckAnsweredOrTold();
+  if (this->on_request_ended) {
     this->on_request_ended();
   }
 }
 
+void CallerSession::CheckAnsweredOrTold() {
+  const bool is_answered =
+      this->request_ends_after_write || this->closes_after_write;
+  if (!is_answered && !this->is_flow_told) {
+    this->metrics.Add(observe::Metric::kUntoldCloses);
+    observe::LogEvent(observe::Level::kError, this->request_id,
+                      "close_not_told", {});
+  }
+}
+
 void CallerSession::EndRequest() {
   this->EndInRequest();
   this->request_ends_after_write = false;
@@ -366,6 +391,7 @@
 void CallerSession::OnDisconnect() {
   const std::function<void()> callback = std::move(this->on_disconnect);
   this->on_disconnect = nullptr;
+  this->is_flow_told = callback != nullptr;
   this->CloseSocket();
   if (callback) {
     callback();
--- a/tests/caller_session_schedule_test.cc
+++ b/tests/caller_session_schedule_test.cc
@@ -584,6 +584,14 @@
       this->context.restart();
       this->context.run_for(milliseconds(1));
     }
+    for (const observe::Metric metric :
+         {observe::Metric::kUntoldCloses,
+          observe::Metric::kRequestsAfterClose}) {
+      if (this->metrics.Get(metric) > 0) {
+        this->faults.push_back(std::string(observe::kMetricNames.Name(metric)) +
+                               " is not zero");
+      }
+    }
     for (const std::unique_ptr<Peer>& peer : this->peers) {
       if (!peer->session.expired()) {
         this->Fault(*peer, "a session did not end");
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -347,3 +347,47 @@
   connected.RunFor(milliseconds(50));
   BOOST_TEST(ends == 1);
 }
+
+BOOST_AUTO_TEST_CASE(a_close_that_no_flow_is_told_of_is_counted) {
+  for (const bool has_flow : {true, false}) {
+    Connected connected;
+    connected.answer.clear();
+    connected.Write(MakeHead(4) + "body");
+    connected.Turn();
+    if (!has_flow) {
+      connected.session->on_disconnect = nullptr;
+    }
+    connected.caller.close();
+    connected.RunFor(milliseconds(50));
+    BOOST_TEST(connected.metrics.Get(observe::Metric::kUntoldCloses) ==
+               (has_flow ? 0 : 1));
+    connected.session = nullptr;
+    connected.RunFor(kMargin);
+    BOOST_TEST(connected.metrics.Get(observe::Metric::kUntoldCloses) ==
+               (has_flow ? 0 : 1));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_session_that_is_dropped_during_a_request_is_counted) {
+  Connected connected;
+  connected.answer.clear();
+  connected.Write(MakeHead(4) + "body");
+  connected.Turn();
+  connected.session = nullptr;
+  connected.RunFor(kMargin);
+  BOOST_TEST(connected.metrics.Get(observe::Metric::kConnections) == 0);
+  BOOST_TEST(connected.metrics.Get(observe::Metric::kUntoldCloses) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(answers_and_refusals_count_as_no_untold_close) {
+  Connected connected;
+  connected.Write(MakeHead(4) + "body" + "no request\r\n\r\n");
+  error_code error;
+  connected.Read(kLargeBytes, std::chrono::seconds(2), error);
+  connected.caller.close();
+  connected.session = nullptr;
+  connected.RunFor(kMargin);
+  BOOST_TEST(connected.requests == 1);
+  BOOST_TEST(connected.metrics.Get(observe::Metric::kConnections) == 0);
+  BOOST_TEST(connected.metrics.Get(observe::Metric::kUntoldCloses) == 0);
+}
