--- a/tests/caller_session_schedule_test.cc
+++ b/tests/caller_session_schedule_test.cc
@@ -7,11 +7,14 @@
 #include <boost/test/unit_test.hpp>
 #include <cerrno>
 #include <chrono>
+#include <cstdint>
 #include <cstdlib>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "gooseberryturn/entry/caller_session.h"
@@ -60,7 +63,7 @@
 constexpr int kPeers = 4;
 constexpr int kSteps = 400;
 constexpr int kDefaultRounds = 30;
-constexpr char kCloses[] = "Connection: close\r\n";
+constexpr char kLengthField[] = "Content-Length: ";
 
 int ReadNumber(const char* name, int otherwise) {
   const char* text = std::getenv(name);
@@ -241,12 +244,11 @@
   is_wrong = head.find("Gooseberryturn-Request-Id: " + flow.id + "\r\n") ==
              std::string::npos;
   position = end + 4;
-  constexpr char kLength[] = "Content-Length: ";
-  const std::size_t length = head.find(kLength);
+  const std::size_t length = head.find(kLengthField);
   std::string body;
   if (length != std::string::npos) {
     const std::size_t size =
-        std::stoul(head.substr(length + sizeof(kLength) - 1));
+        std::stoul(head.substr(length + sizeof(kLengthField) - 1));
     if (text.size() < position + size) {
       return false;
     }
