--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -7,12 +7,14 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <cerrno>
 #include <chrono>
 #include <cstdio>
 #include <sstream>
 #include <utility>
 
 #include "gooseberryturn/core/id.h"
+#include "gooseberryturn/observe/log.h"
 
 namespace gooseberryturn::entry {
 
@@ -79,6 +81,9 @@
 }
 
 CallerSession::~CallerSession() {
+  if (this->in_request) {
+    this->CheckAnsweredOrTold();
+  }
   this->metrics.Add(observe::Metric::kConnections, -1);
 }
 
@@ -116,7 +121,9 @@
   const std::shared_ptr<CallerSession> self = this->shared_from_this();
   this->stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
                                    [self](const error_code& error) {
-                                     if (error) {
+                                     // Input may come after the end of the
+                                     // idle time has cancelled the wait.
+                                     if (error && !self->HasInput()) {
                                        self->read_timer.Cancel();
                                        self->CloseSocket();
                                      } else {
@@ -140,10 +147,15 @@
                        [this] { this->OnReadTimeout(); });
 }
 
-void CallerSession::OnIdleTimeout() {
+bool CallerSession::HasInput() {
   error_code ignored;
+  return this->stream.socket().available(ignored) > 0;
+}
+
+void CallerSession::OnIdleTimeout() {
   // A request that has arrived already is answered.
-  if (this->stream.socket().available(ignored) == 0) {
+  if (!this->HasInput()) {
+    error_code ignored;
     this->stream.socket().cancel(ignored);
   }
 }
@@ -186,6 +198,13 @@
 
 void CallerSession::OnRequestRead() {
   this->read_timer.Cancel();
+  if (this->is_closed) {
+    // Handed over, it could run without anyone to answer.
+    this->metrics.Add(observe::Metric::kRequestsAfterClose);
+    observe::LogEvent(observe::Level::kError, this->request_id,
+                      "request_after_close", {});
+    return;
+  }
   this->in_request = true;
   const http::request<http::string_body>& message = this->parser->get();
   CallerRequest request;
@@ -211,7 +230,11 @@
         char byte = 0;
         const ssize_t size = recv(self->stream.socket().native_handle(), &byte,
                                   1, MSG_PEEK | MSG_DONTWAIT);
-        if (size == 0 || (size < 0 && errno != EAGAIN)) {
+        const bool is_nothing_there =
+            size < 0 && (errno == EAGAIN || errno == EINTR);
+        if (is_nothing_there) {
+          self->WatchForDisconnect();
+        } else if (size <= 0) {
           self->OnDisconnect();
         }
         // Otherwise a pipelined request has arrived; it is read after this one.
@@ -331,11 +354,25 @@
 // ------------------------------------------------------------------- ending
 
 void CallerSession::EndInRequest() {
-  if (std::exchange(this->in_request, false) && this->on_request_ended) {
+  if (!std::exchange(this->in_request, false)) {
+    return;
+  }
+  this->CheckAnsweredOrTold();
+  if (this->on_request_ended) {
     this->on_request_ended();
   }
 }
 
+void CallerSession::CheckAnsweredOrTold() {
+  const bool is_answered =
+      this->request_ends_after_write || this->closes_after_write;
+  if (!is_answered && !this->is_flow_told) {
+    this->metrics.Add(observe::Metric::kClosesNotReported);
+    observe::LogEvent(observe::Level::kError, this->request_id,
+                      "close_not_reported", {});
+  }
+}
+
 void CallerSession::EndRequest() {
   this->EndInRequest();
   this->request_ends_after_write = false;
@@ -354,6 +391,7 @@
 void CallerSession::OnDisconnect() {
   const std::function<void()> callback = std::move(this->on_disconnect);
   this->on_disconnect = nullptr;
+  this->is_flow_told = callback != nullptr;
   this->CloseSocket();
   if (callback) {
     callback();
