The body of a request in an unknown transfer coding is no next request

Cause: Boost.Beast takes a request whose last transfer coding is not chunked (`identity`, an empty or unknown one, `chunked` with `identity` in a second field) to have no body, or reads it by a Content-Length beside the coding. The body stayed on the connection and ran as the caller's next request. Codings before chunked were dropped, so a target got a compressed body without being told. The same held for calls to control hosts, for callers of entries with agents, and for answers of targets, which counted as complete by their length.

Change: link::CheckTransferCoding, called by every reader after the head. Where the end of the body is not known (RFC 9112, section 6.3) and for HTTP/1.0 a request gets 400, for a coding before chunked 501 (entries with agents have one status for both); the connection is closed. Such an answer of a target is invalid, to an order or an agent an error.

--- a/include/gooseberryturn/link/message_reader.h
+++ b/include/gooseberryturn/link/message_reader.h
@@ -13,6 +13,7 @@
 
 #include "gooseberryturn/core/byte_budget.h"
 #include "gooseberryturn/link/read_buffer.h"
+#include "gooseberryturn/link/transfer_coding.h"
 
 namespace gooseberryturn::link {
 
@@ -56,7 +57,8 @@
 ///
 /// \details The head is read by itself: when the first bytes of the body of a
 /// response arrive with its head, Boost.Beast 1.74 drops the error for a body
-/// that is declared to be longer than the limit, and reads it whole.
+/// that is declared to be longer than the limit, and reads it whole. A message
+/// in a coding other than chunked ends the read, see CheckTransferCoding.
 /// \param share Holds the bytes of the body. Ends the read with
 /// `boost::asio::error::no_memory` when its budget is used up.
 /// \param on_read Called once. Keeps all the other arguments alive.
@@ -68,8 +70,10 @@
       socket, buffer, parser,
       [&socket, &buffer, &parser, &share, on_read = std::move(on_read)](
           const boost::system::error_code& error, std::size_t /*size*/) {
-        if (error) {
-          on_read(error);
+        const boost::system::error_code failure =
+            error ? error : CheckTransferCoding<kIsRequest>(parser.get());
+        if (failure) {
+          on_read(failure);
         } else {
           detail::ReadBody<kIsRequest>(socket, buffer, parser, share, on_read);
         }
--- a/include/gooseberryturn/link/read_buffer.h
+++ b/include/gooseberryturn/link/read_buffer.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 
 #include "gooseberryturn/link/header_limit.h"
+#include "gooseberryturn/link/transfer_coding.h"
 
 namespace gooseberryturn::link {
 
@@ -32,14 +33,16 @@
 };
 
 /// \brief True for an error of a read that found bytes which are no HTTP
-/// message, or one that is over a limit; false when the connection failed.
+/// message, or one that is over a limit or in an unknown coding; false when the
+/// connection failed.
 [[nodiscard]] inline bool IsMalformed(
     const boost::system::error_code& error) noexcept {
   namespace http = boost::beast::http;
-  return error.category() ==
-             http::make_error_code(http::error::bad_method).category() &&
-         error != http::error::end_of_stream &&
-         error != http::error::partial_message;
+  return error == kUnknownTransferCoding ||
+         (error.category() ==
+              http::make_error_code(http::error::bad_method).category() &&
+          error != http::error::end_of_stream &&
+          error != http::error::partial_message);
 }
 
 }  // namespace gooseberryturn::link
--- a/src/direct/caller_connection.cc
+++ b/src/direct/caller_connection.cc
@@ -142,6 +142,8 @@
   } else if (error == http::error::header_limit ||
              error == http::error::buffer_overflow) {
     this->SendError(431, "Request Header Fields Too Large");
+  } else if (error == link::kUnknownTransferCoding) {
+    this->SendError(501, "Not Implemented");
   } else if (link::IsMalformed(error)) {
     this->SendError(400, "Bad Request");
   } else {
--- a/src/direct/http_server_session.cc
+++ b/src/direct/http_server_session.cc
@@ -17,9 +17,11 @@
 
 namespace {
 
+constexpr int kBadRequest = 400;
 constexpr int kTooLarge = 413;
 constexpr int kFieldsTooLarge = 431;
 constexpr int kServerError = 500;
+constexpr int kNotImplemented = 501;
 constexpr int kUnavailable = 503;
 constexpr int kMinStatus = 200;
 constexpr int kMaxStatus = 599;
@@ -90,6 +92,15 @@
     this->Respond({kFieldsTooLarge, "application/json", "{}"}, false);
     return;
   }
+  if (error == http::error::bad_transfer_encoding ||
+      error == http::error::bad_content_length) {
+    this->Respond({kBadRequest, "application/json", "{}"}, false);
+    return;
+  }
+  if (error == link::kUnknownTransferCoding) {
+    this->Respond({kNotImplemented, "application/json", "{}"}, false);
+    return;
+  }
   if (error) {
     this->Close();
     return;
--- a/src/direct/target_connection.cc
+++ b/src/direct/target_connection.cc
@@ -154,11 +154,14 @@
   const std::shared_ptr<TargetConnection> self = this->shared_from_this();
   http::async_read_header(
       this->socket, this->buffer, *this->parser,
-      [self, number = this->exchange_number](const error_code& error,
+      [self, number = this->exchange_number](error_code error,
                                              std::size_t /*size*/) {
         if (number != self->exchange_number || !self->hooks.on_end) {
           return;
         }
+        if (!error) {
+          error = link::CheckTransferCoding<false>(self->parser->get());
+        }
         if (!error) {
           self->OnHead();
           return;
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -95,14 +95,18 @@
   this->request_id = RandomHexId();
   this->StartReadTimer(this->limits.header_timeout);
   const std::shared_ptr<CallerSession> self = this->shared_from_this();
-  http::async_read_header(this->stream, this->buffer, *this->parser,
-                          [self](error_code error, std::size_t /*size*/) {
-                            if (error) {
-                              self->OnReadError(error);
-                            } else {
-                              self->ReadBody();
-                            }
-                          });
+  http::async_read_header(
+      this->stream, this->buffer, *this->parser,
+      [self](error_code error, std::size_t /*size*/) {
+        if (!error) {
+          error = link::CheckTransferCoding<true>(self->parser->get());
+        }
+        if (error) {
+          self->OnReadError(error);
+        } else {
+          self->ReadBody();
+        }
+      });
 }
 
 void CallerSession::WaitForNextRequest() {
--- a/src/target/exchange.cc
+++ b/src/target/exchange.cc
@@ -120,7 +120,9 @@
   http::async_read_header(
       this->socket, this->read_buffer, this->parser,
       [self](const error_code& error, std::size_t /*size*/) {
-        if (self->FinishOnError(error)) {
+        if (self->FinishOnError(error) ||
+            self->FinishOnError(
+                link::CheckTransferCoding<false>(self->parser.get()))) {
           return;
         }
         self->has_head = true;
