Doc comments of RequestFlow stand above what they describe

Cause: the comment of Finish stood above RetryAfterSeconds, and \returns inside a line in HoldBytes and Registry::Remove.

Change: comments only; no behaviour changes and no test.

--- a/include/gooseberryturn/direct/registry.h
+++ b/include/gooseberryturn/direct/registry.h
@@ -131,7 +131,8 @@
   [[nodiscard]] std::set<std::string> IdsAt(const Endpoint& address) const;
   void SetAddress(TargetRecord& record, const Endpoint& address);
   void ClearAddress(const TargetRecord& record);
-  /// Removes a target. \returns The next entry.
+  /// Removes a target.
+  /// \returns The next entry.
   std::map<std::string, TargetRecord>::iterator Remove(
       std::map<std::string, TargetRecord>::iterator entry);
   /// Removes other targets at `address` that started at `start_time_ms` or
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -138,7 +138,8 @@
   void OnBody(std::string_view bytes);
   void OnEvent(const StreamEvent& event);
   /// Holds `bytes` of the answer, or gives the attempt up if the entry holds
-  /// too much already. \returns Whether they are held.
+  /// too much already.
+  /// \returns Whether they are held.
   bool HoldBytes(std::size_t bytes);
   void OnEnd(ExchangeEnd end, const std::string& cause);
   void OnStreamEnd(ExchangeEnd end, const std::string& cause);
@@ -153,9 +154,9 @@
   /// deadline, so that it is not cut while it runs.
   /// \returns Whether it was refused.
   [[nodiscard]] bool RefuseIfTooLate();
-  /// Cancels pending work, logs the outcome and leaves the entry.
   /// Seconds for the Retry-After of a refusal.
   [[nodiscard]] double RetryAfterSeconds(Reason reason);
+  /// Cancels pending work, logs the outcome and leaves the entry.
   void Finish(const std::string& outcome);
   /// Cancels the attempt in progress; its end is not reported to OnEnd.
   void CancelAttempt(HealthSignal signal);
