--- a/include/gooseberryturn/direct/request_content.h
+++ b/include/gooseberryturn/direct/request_content.h
@@ -28,13 +28,23 @@
 /// \brief Longest list of names in a log line.
 inline constexpr std::size_t kMaxJoinedBytes = 128;
 
+/// \brief Joins the names of items by commas for the log.
+/// \param name_of Returns the name of an item.
+template <typename Item, typename NameOf>
+[[nodiscard]] std::string JoinNamesOf(const std::vector<Item>& items,
+                                      NameOf name_of) {
+  std::string text;
+  for (const Item& item : items) {
+    text += (text.empty() ? "" : ",") + name_of(item);
+  }
+  return text;
+}
+
 /// \brief Joins names by commas for the log; a longer text is cut off.
 [[nodiscard]] inline std::string JoinNames(
     const std::vector<std::string>& names) {
-  std::string text;
-  for (const std::string& name : names) {
-    text += (text.empty() ? "" : ",") + name;
-  }
+  std::string text =
+      JoinNamesOf(names, [](const std::string& name) { return name; });
   text.resize(std::min(text.size(), kMaxJoinedBytes));
   return text;
 }
--- a/src/direct/control_host_suspects.cc
+++ b/src/direct/control_host_suspects.cc
@@ -17,14 +17,6 @@
 constexpr int kNotFound = 404;
 constexpr char kPlainText[] = "text/plain";
 
-std::string JoinTargets(const std::vector<TargetIncarnation>& incarnations) {
-  std::string text;
-  for (const TargetIncarnation& incarnation : incarnations) {
-    text += (text.empty() ? "" : ",") + incarnation.target;
-  }
-  return text;
-}
-
 observe::Metric MetricOf(SuspicionChange change) {
   switch (change) {
     case SuspicionChange::kHeld:
@@ -103,7 +95,10 @@
            "content_" + std::string(kSuspicionChangeNames.Name(event.change)),
            {{"content", event.content},
             {"crashes", std::to_string(event.crashes.size())},
-            {"targets", JoinTargets(event.crashes)}});
+            {"targets", JoinNamesOf(event.crashes,
+                                    [](const TargetIncarnation& incarnation) {
+                                      return incarnation.target;
+                                    })}});
 }
 
 void ControlHost::ProposeSuspects(TimePoint now) {
