The reader of messages states what it refers to once

Its two steps listed the same captures. They are members of MessageRead, which each step moves into the next. No behaviour changes and no test.

--- a/include/gooseberryturn/link/message_reader.h
+++ b/include/gooseberryturn/link/message_reader.h
@@ -27,29 +27,52 @@
 
 namespace detail {
 
+/// The read of one message; each step moves it into the next.
 template <bool kIsRequest>
-void ReadBody(boost::asio::ip::tcp::socket& socket, ReadBuffer& buffer,
-              MessageParser<kIsRequest>& parser, ByteShare& share,
-              OnMessageRead on_read) {
-  if (!share.Resize(parser.get().body().size())) {
-    on_read(boost::asio::error::no_memory);
-    return;
+struct MessageRead {
+  void ReadHead() {
+    boost::beast::http::async_read_header(
+        this->socket, this->buffer, this->parser,
+        [read = std::move(*this)](const boost::system::error_code& error,
+                                  std::size_t /*size*/) mutable {
+          const boost::system::error_code failure =
+              error ? error
+                    : CheckTransferCoding<kIsRequest>(read.parser.get());
+          if (failure) {
+            read.on_read(failure);
+          } else {
+            read.ReadBody();
+          }
+        });
   }
-  if (parser.is_done()) {
-    on_read({});
-    return;
+
+  void ReadBody() {
+    if (!this->share.Resize(this->parser.get().body().size())) {
+      this->on_read(boost::asio::error::no_memory);
+      return;
+    }
+    if (this->parser.is_done()) {
+      this->on_read({});
+      return;
+    }
+    boost::beast::http::async_read_some(
+        this->socket, this->buffer, this->parser,
+        [read = std::move(*this)](const boost::system::error_code& error,
+                                  std::size_t /*size*/) mutable {
+          if (error) {
+            read.on_read(error);
+          } else {
+            read.ReadBody();
+          }
+        });
   }
-  boost::beast::http::async_read_some(
-      socket, buffer, parser,
-      [&socket, &buffer, &parser, &share, on_read = std::move(on_read)](
-          const boost::system::error_code& error, std::size_t /*size*/) {
-        if (error) {
-          on_read(error);
-        } else {
-          ReadBody<kIsRequest>(socket, buffer, parser, share, on_read);
-        }
-      });
-}
+
+  boost::asio::ip::tcp::socket& socket;
+  ReadBuffer& buffer;
+  MessageParser<kIsRequest>& parser;
+  ByteShare& share;
+  OnMessageRead on_read;
+};
 
 }  // namespace detail
 
@@ -66,18 +89,9 @@
 void ReadMessage(boost::asio::ip::tcp::socket& socket, ReadBuffer& buffer,
                  MessageParser<kIsRequest>& parser, ByteShare& share,
                  OnMessageRead on_read) {
-  boost::beast::http::async_read_header(
-      socket, buffer, parser,
-      [&socket, &buffer, &parser, &share, on_read = std::move(on_read)](
-          const boost::system::error_code& error, std::size_t /*size*/) {
-        const boost::system::error_code failure =
-            error ? error : CheckTransferCoding<kIsRequest>(parser.get());
-        if (failure) {
-          on_read(failure);
-        } else {
-          detail::ReadBody<kIsRequest>(socket, buffer, parser, share, on_read);
-        }
-      });
+  detail::MessageRead<kIsRequest>{socket, buffer, parser, share,
+                                  std::move(on_read)}
+      .ReadHead();
 }
 
 }  // namespace gooseberryturn::link
