What answers at the address of a run is judged by the registry

The decision whether a contested run has ended stood beside the socket, in ControlHost::StateOf, without a unit test. It is Registry::StateOf now. No behaviour changes; what_answers_at_its_address_tells_if_a_run_goes_on is new.

--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -78,8 +78,6 @@
   static constexpr Duration kLeaveTimeout = std::chrono::milliseconds(2000);
   static constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(220);
-  /// A target's report shows the state of up to this time ago.
-  static constexpr Duration kMaxReportAge = std::chrono::milliseconds(1000);
   static_assert(GroupPlanner::kOrderResendInterval < kOrderTimeout,
                 "an order may be repeated while an earlier one is unanswered");
   static_assert(GroupPlanner::kProbeInterval < kProbeTimeout,
@@ -111,11 +109,6 @@
     bool has_full_state = false;  ///< Got a full update from this leader.
   };
 
-  /// What an answer from the address of a run says of it.
-  enum class RunState : std::uint8_t { kUnknown, kRunning, kEnded };
-  static constexpr NameTable<RunState, 3> kRunStateNames = {
-      {"unknown", "running", "ended"}};
-
   [[nodiscard]] Result<std::unique_ptr<consensus::Driver>> OpenLog();
   [[nodiscard]] consensus::Membership InitialMembership() const;
   /// Registers the handlers for streams from other hosts.
@@ -180,8 +173,9 @@
   /// that it leaves.
   void RecordNotices(const TargetIncarnation& incarnation,
                      const Result<HttpResponse>& response);
-  [[nodiscard]] RunState StateOf(const TargetIncarnation& run,
-                                 const Result<HttpResponse>& response) const;
+  /// The report in the answer to a probe, if it has one.
+  [[nodiscard]] std::optional<EngineReport> ReadReport(
+      const Result<HttpResponse>& response) const;
   /// Asks at the address of `run` whether it has ended. If so, the announcement
   /// that would replace it is handled.
   void ProbeContested(const TargetIncarnation& run,
--- a/include/gooseberryturn/direct/registry.h
+++ b/include/gooseberryturn/direct/registry.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <limits>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -45,6 +46,12 @@
 inline constexpr NameTable<AnnouncementResult, 5> kAnnouncementResultNames = {
     {"new", "changed", "same", "old", "contested"}};
 
+/// \brief What an answer from the address of a run says of it.
+enum class RunState : std::uint8_t { kUnknown, kRunning, kEnded };
+
+inline constexpr NameTable<RunState, 3> kRunStateNames = {
+    {"unknown", "running", "ended"}};
+
 /// \brief The targets that have announced themselves to the leader.
 ///
 /// \details A silent target is kept for kSilentRetention: it may only be
@@ -66,6 +73,15 @@
   /// others at its address, and an earlier one under its id.
   [[nodiscard]] std::vector<TargetIncarnation> ContestedRuns(
       const Announcement& announcement) const;
+  /// \brief Tells from the answer at the address of a member of a group whether
+  /// the member's run goes on. A report doesn't name its target, but no other
+  /// run is in the same group.
+  /// \param is_other_target Who answered is another target, or has no reports.
+  /// \param report What was reported, if anything.
+  [[nodiscard]] RunState StateOf(const TargetIncarnation& run,
+                                 bool is_other_target,
+                                 const std::optional<EngineReport>& report,
+                                 TimePoint now) const;
   /// \brief Removes a run that is known to have ended.
   void ConfirmEnd(const TargetIncarnation& run, TimePoint now);
   /// \brief True when the run is known to have ended, and is not just no longer
@@ -102,6 +118,8 @@
   /// Time for which a confirmed end is kept, longer than any group of the run
   /// takes to be dissolved.
   static constexpr Duration kEndRetention = std::chrono::seconds(60);
+  /// A target's report shows the state of up to this time ago.
+  static constexpr Duration kMaxReportAge = std::chrono::milliseconds(1000);
   /// Longer than announcements are usually late.
   static constexpr Duration kTakeoverTime = std::chrono::seconds(5);
   /// In that time, each with a higher sequence than the one before.
--- a/src/direct/control_host_orders.cc
+++ b/src/direct/control_host_orders.cc
@@ -82,33 +82,14 @@
       });
 }
 
-ControlHost::RunState ControlHost::StateOf(
-    const TargetIncarnation& run, const Result<HttpResponse>& response) const {
-  const TargetRecord* record = this->registry.Find(run.target);
-  if (!response.has_value() || record == nullptr) {
-    return RunState::kUnknown;
-  }
-  if (response->status == kMisdirected || response->status == kNotFound) {
-    return RunState::kEnded;  // A member of a group would have reported.
+std::optional<EngineReport> ControlHost::ReadReport(
+    const Result<HttpResponse>& response) const {
+  if (!response.has_value() || response->status != kOk) {
+    return std::nullopt;
   }
   const Result<EngineReport> report = this->dialect.read_report(response->body);
-  if (response->status != kOk || !report.has_value()) {
-    return RunState::kUnknown;
-  }
-  // A report doesn't name its target. But no other run is in the same group.
-  const std::optional<Membership>& before = record->view.engine.membership;
-  const std::optional<Membership>& reported = report->membership;
-  const bool is_in_its_group = before.has_value() && reported.has_value() &&
-                               before->group == reported->group &&
-                               before->epoch == reported->epoch &&
-                               reported->state != MemberState::kNone;
-  if (is_in_its_group) {
-    return RunState::kRunning;
-  }
-  // The report may be from before it joined.
-  const bool is_report_current =
-      Clock::now() >= record->in_group_since + kMaxReportAge;
-  return is_report_current ? RunState::kEnded : RunState::kUnknown;
+  return report.has_value() ? std::optional<EngineReport>(*report)
+                            : std::nullopt;
 }
 
 void ControlHost::ProbeContested(const TargetIncarnation& run,
@@ -126,7 +107,11 @@
         if (!this->IsLeading()) {
           return;
         }
-        const RunState state = this->StateOf(run, response);
+        const bool is_other_target =
+            response.has_value() &&
+            (response->status == kMisdirected || response->status == kNotFound);
+        const RunState state = this->registry.StateOf(
+            run, is_other_target, this->ReadReport(response), Clock::now());
         LogEvent(Level::kInfo, "", "run_contested",
                  {{"target", run.target},
                   {"by", announcement.id},
@@ -149,14 +134,7 @@
       [this, target, incarnation = record->view.Incarnation()](
           const Result<HttpResponse>& response) {
         this->RecordNotices(incarnation, response);
-        std::optional<EngineReport> report;
-        if (response.has_value() && response->status == kOk) {
-          const Result<EngineReport> read =
-              this->dialect.read_report(response->body);
-          if (read.has_value()) {
-            report = *read;
-          }
-        }
+        const std::optional<EngineReport> report = this->ReadReport(response);
         LogEvent(Level::kInfo, "", "target_probed",
                  {{"target", target},
                   {"answered", report.has_value() ? "true" : "false"}});
--- a/src/direct/registry.cc
+++ b/src/direct/registry.cc
@@ -275,6 +275,33 @@
                                          : AnnouncementResult::kChanged;
 }
 
+RunState Registry::StateOf(const TargetIncarnation& run, bool is_other_target,
+                           const std::optional<EngineReport>& report,
+                           TimePoint now) const {
+  const TargetRecord* record = this->Find(run.target);
+  if (record == nullptr) {
+    return RunState::kUnknown;
+  }
+  if (is_other_target) {
+    return RunState::kEnded;  // A member of a group would have reported.
+  }
+  if (!report.has_value()) {
+    return RunState::kUnknown;
+  }
+  const std::optional<Membership>& before = record->view.engine.membership;
+  const std::optional<Membership>& reported = report->membership;
+  const bool is_in_its_group = before.has_value() && reported.has_value() &&
+                               before->group == reported->group &&
+                               before->epoch == reported->epoch &&
+                               reported->state != MemberState::kNone;
+  if (is_in_its_group) {
+    return RunState::kRunning;
+  }
+  // The report may be from before it joined.
+  const bool is_report_current = now >= record->in_group_since + kMaxReportAge;
+  return is_report_current ? RunState::kEnded : RunState::kUnknown;
+}
+
 void Registry::MarkLeaving(const std::string& id, TimePoint now) {
   const auto known = this->records.find(id);
   if (known == this->records.end()) {
--- a/tests/direct_decision_test.cc
+++ b/tests/direct_decision_test.cc
@@ -180,6 +180,37 @@
   BOOST_TEST(!registry.Find("i1")->view.is_leaving);
 }
 
+BOOST_AUTO_TEST_CASE(what_answers_at_its_address_tells_if_a_run_goes_on) {
+  Registry registry;
+  const TargetIncarnation run = {"i1", 100};
+  const auto state = [&registry, &run](
+                         const std::optional<EngineReport>& report,
+                         std::int64_t now_ms) {
+    return registry.StateOf(run, false, report, At(now_ms));
+  };
+  EngineReport member;
+  member.membership = Membership{"g1", 7, 1, MemberState::kOpen};
+  // Nothing is known of it.
+  BOOST_TEST(
+      (registry.StateOf(run, true, member, At(0)) == RunState::kUnknown));
+  Announcement announcement = MakeAnnouncement("i1", "10.0.0.1", 100, 1);
+  announcement.engine = member;
+  (void)registry.HandleAnnouncement(announcement, At(1000));
+  BOOST_TEST((registry.StateOf(run, true, std::nullopt, At(1000)) ==
+              RunState::kEnded));
+  BOOST_TEST((state(std::nullopt, 9000) == RunState::kUnknown));
+  BOOST_TEST((state(member, 9000) == RunState::kRunning));
+  EngineReport others[4] = {member, member, member, EngineReport{}};
+  others[0].membership->group = "g2";
+  others[1].membership->epoch = 8;
+  others[2].membership->state = MemberState::kNone;
+  for (const EngineReport& other : others) {
+    // A report of up to a second ago may be from before it joined.
+    BOOST_TEST((state(other, 1999) == RunState::kUnknown));
+    BOOST_TEST((state(other, 2000) == RunState::kEnded));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_new_leader_keeps_targets_cold_until_they_announce) {
   // A cold target got 45 requests in a second after an election (on
   // tsuzuri-kyushu, groups-under-late-orders --vary --seed 265355675511). The
