Control hosts keep the pause that a target asks for

Cause: answers of targets to orders and probes that are 503 with Retry-After were taken for no answer. The leader sent the order again after 400 ms, counted a refused probe as a failed one and took the member of a group for lost.

Change: ControlHost::CallTarget sends all that the leader sends to targets. It records pauses in the same TargetNotices as entries, by the same function (RecordRequestedPause: limits, counters, log line), and sends nothing until they end. Entries have one path to targets, RequestFlow::Dispatch after TargetChooser, which keeps pauses already.

--- a/src/direct/control_host_orders.cc
+++ b/src/direct/control_host_orders.cc
@@ -1,4 +1,7 @@
+#include <utility>
+
 #include "gooseberryturn/direct/control_host.h"
+#include "gooseberryturn/direct/pause_recorder.h"
 #include "gooseberryturn/observe/log.h"
 
 namespace gooseberryturn::direct {
@@ -13,6 +16,8 @@
 constexpr int kNotFound = 404;
 constexpr int kPreconditionFailed = 412;
 constexpr int kMisdirected = 421;
+constexpr int kServiceUnavailable = 503;
+constexpr char kRetryAfter[] = "Retry-After";
 
 OrderOutcome ToOrderOutcome(int status) {
   switch (status) {
@@ -55,15 +60,36 @@
             {"status", std::to_string(response->status)}});
 }
 
+bool ControlHost::CallTarget(
+    const TargetRecord& record, const HttpRequest& call, Duration timeout,
+    std::function<void(Result<HttpResponse>)> on_response) {
+  const TargetIncarnation incarnation = record.view.Incarnation();
+  const TimePoint now = Clock::now();
+  if (this->notices.PausedUntil(incarnation, now).has_value()) {
+    return false;
+  }
+  SendHttpRequest(
+      this->context, record.view.address, call,
+      {{this->dialect.headers.target, incarnation.target}}, now + timeout,
+      [this, incarnation, on_response = std::move(on_response)](
+          const Result<HttpResponse>& response) {
+        if (response.has_value() && response->status == kServiceUnavailable) {
+          RecordRequestedPause(this->notices, incarnation,
+                               response->Header(kRetryAfter), "", this->metrics,
+                               Clock::now());
+        }
+        on_response(response);
+      });
+  return true;
+}
+
 void ControlHost::SendOrder(const Order& order) {
   const TargetRecord* record = this->registry.Find(order.target);
   if (record == nullptr) {
     return;
   }
-  const TimePoint now = Clock::now();
-  SendHttpRequest(
-      this->context, record->view.address, this->dialect.write_order(order),
-      {{this->dialect.headers.target, order.target}}, now + kOrderTimeout,
+  (void)this->CallTarget(
+      *record, this->dialect.write_order(order), kOrderTimeout,
       [this, order, incarnation = record->view.Incarnation()](
           const Result<HttpResponse>& response) {
         this->RecordNotices(incarnation, response);
@@ -98,10 +124,8 @@
   if (record == nullptr || !this->contested_targets.insert(run.target).second) {
     return;
   }
-  SendHttpRequest(
-      this->context, record->view.address, this->dialect.write_report_call(),
-      {{this->dialect.headers.target, run.target}},
-      Clock::now() + kProbeTimeout,
+  const bool is_sent = this->CallTarget(
+      *record, this->dialect.write_report_call(), kProbeTimeout,
       [this, run, announcement](const Result<HttpResponse>& response) {
         this->contested_targets.erase(run.target);
         if (!this->IsLeading()) {
@@ -121,6 +145,9 @@
           (void)this->RegisterAnnouncement(announcement);
         }
       });
+  if (!is_sent) {
+    this->contested_targets.erase(run.target);
+  }
 }
 
 void ControlHost::Probe(const std::string& target) {
@@ -128,9 +155,8 @@
   if (record == nullptr) {
     return;
   }
-  SendHttpRequest(
-      this->context, record->view.address, this->dialect.write_report_call(),
-      {{this->dialect.headers.target, target}}, Clock::now() + kProbeTimeout,
+  (void)this->CallTarget(
+      *record, this->dialect.write_report_call(), kProbeTimeout,
       [this, target, incarnation = record->view.Incarnation()](
           const Result<HttpResponse>& response) {
         this->RecordNotices(incarnation, response);
@@ -138,11 +164,14 @@
         LogEvent(Level::kInfo, "", "target_probed",
                  {{"target", target},
                   {"answered", report.has_value() ? "true" : "false"}});
-        if (this->has_taken_over) {
+        const TimePoint now = Clock::now();
+        // A target that pauses has answered: its probe has not failed.
+        const bool is_paused =
+            this->notices.PausedUntil(incarnation, now).has_value();
+        if (this->has_taken_over && !is_paused) {
           const bool is_refused = !response.has_value() &&
                                   response.error().outcome == Outcome::kNotRun;
-          this->planner.HandleProbeResult(target, report, is_refused,
-                                          Clock::now());
+          this->planner.HandleProbeResult(target, report, is_refused, now);
           this->SchedulePlan();
         }
       });
--- a/tests/direct_group_planner_test.cc
+++ b/tests/direct_group_planner_test.cc
@@ -475,3 +475,101 @@
     }
   }
 }
+
+namespace {
+
+/// A fleet of one open group, whose member `rank` pauses.
+struct PausedMember {
+  explicit PausedMember(std::size_t rank) : fleet(31) {
+    this->fleet.AddDomain("a", 2);
+    this->fleet.Run(8000);
+    this->fleet.has_traffic = true;
+    this->fleet.Run(9000);
+    BOOST_REQUIRE(this->fleet.CountOpen(kSmall) == 1U);
+    this->group = this->fleet.planner.Groups().front();
+    this->id = this->group.members[rank];
+    this->fleet.Pause(this->id, 20'000);
+  }
+
+  PlannedFleet fleet;
+  GroupView group;
+  std::string id;
+};
+
+}  // namespace
+
+// Members that refused probes and asked for a pause were taken to be lost.
+BOOST_AUTO_TEST_CASE(a_member_that_pauses_is_busy_and_not_gone) {
+  for (const std::size_t rank : {0U, 1U}) {
+    PausedMember paused(rank);
+    for (; paused.fleet.now < 19'000;) {
+      paused.fleet.planner.HandleGroupStall(paused.group.name,
+                                            At(paused.fleet.now));
+      paused.fleet.Run(paused.fleet.now + 50);
+    }
+    BOOST_TEST(paused.fleet.CountOpen(kSmall) == 1U);
+    BOOST_TEST(
+        (paused.fleet.planner.Groups().front().name == paused.group.name));
+  }
+}
+
+// Nobody asks it, but its head breaks five seconds after it and says so.
+BOOST_AUTO_TEST_CASE(a_member_that_ends_during_its_pause_is_found_by_its_head) {
+  PausedMember paused(1);
+  paused.fleet.Kill(paused.id);
+  paused.fleet.Run(13'900);
+  BOOST_TEST(paused.fleet.CountOpen(kSmall) == 1U);
+  paused.fleet.Run(15'000);
+  BOOST_TEST(paused.fleet.CountOpen(kSmall) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_pause_ends_with_the_life_of_its_target) {
+  PlannedFleet fleet(32);
+  fleet.AddDomain("a", 2);
+  fleet.Pause("a1", 300'000);
+  fleet.engines["a1"].start_time_ms = 2;
+  fleet.Run(8000);
+  BOOST_TEST(fleet.CountOpen(kSmall) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_pauses_joins_a_group_after_it) {
+  PlannedFleet fleet(32);
+  fleet.AddDomain("a", 2);
+  fleet.Pause("a1", 12'000);
+  fleet.Run(11'950);
+  BOOST_TEST(fleet.planner.Groups().empty());
+  fleet.Run(16'000);
+  BOOST_TEST(fleet.CountOpen(kSmall) == 1U);
+}
+
+// The head is told to leave after its pause, its member during it.
+BOOST_AUTO_TEST_CASE(a_group_with_a_paused_head_is_dissolved) {
+  PausedMember paused(0);
+  paused.fleet.configuration.services[0].engine->models[1].size = 3;
+  paused.fleet.Run(19'000);
+  BOOST_TEST(paused.fleet.planner.Groups().empty());
+}
+
+// Pauses that come at any time send nobody anything and break no invariant.
+BOOST_AUTO_TEST_CASE(random_pauses_are_kept_in_all_phases) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    PlannedFleet fleet(seed);
+    fleet.AddDomain("a", 10);
+    fleet.AddDomain("b", 10);
+    std::mt19937_64 random(seed);
+    std::vector<std::string> ids;
+    for (const auto& entry : fleet.engines) {
+      ids.push_back(entry.first);
+    }
+    for (std::int64_t at = 500; at < 60'000; at += 500) {
+      fleet.Run(at);
+      fleet.has_traffic = at > 8000;
+      fleet.Pause(ids[random() % ids.size()],
+                  at + static_cast<std::int64_t>(random() % 3000));
+      if (at % 8000 == 0) {
+        fleet.Kill(ids[random() % ids.size()]);
+      }
+    }
+    BOOST_TEST(fleet.CountOpen(kSmall) + fleet.CountOpen(kLarge) > 0U);
+  }
+}
