--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
@@ -22,6 +23,7 @@
 #include "gooseberryturn/direct/pending_calls.h"
 #include "gooseberryturn/direct/quorum_planner.h"
 #include "gooseberryturn/direct/registry.h"
+#include "gooseberryturn/direct/target_notices.h"
 #include "gooseberryturn/direct/view.h"
 #include "gooseberryturn/link/listener.h"
 #include "gooseberryturn/observe/metrics.h"
@@ -78,8 +80,6 @@
   static constexpr Duration kLeaveTimeout = std::chrono::milliseconds(2000);
   static constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(220);
-  /// A target's report shows the state of up to this time ago.
-  static constexpr Duration kMaxReportAge = std::chrono::milliseconds(1000);
   static_assert(GroupPlanner::kOrderResendInterval < kOrderTimeout,
                 "an order may be repeated while an earlier one is unanswered");
   static_assert(GroupPlanner::kProbeInterval < kProbeTimeout,
@@ -111,11 +111,6 @@
     bool has_full_state = false;  ///< Got a full update from this leader.
   };
 
-  /// What an answer from the address of a run says of it.
-  enum class RunState : std::uint8_t { kUnknown, kRunning, kEnded };
-  static constexpr NameTable<RunState, 3> kRunStateNames = {
-      {"unknown", "running", "ended"}};
-
   [[nodiscard]] Result<std::unique_ptr<consensus::Driver>> OpenLog();
   [[nodiscard]] consensus::Membership InitialMembership() const;
   /// Registers the handlers for streams from other hosts.
@@ -175,13 +170,20 @@
   void SchedulePlan();
   /// Copies the groups of the planner to `groups` if they changed.
   void PublishGroups();
+  /// Sends a call to a target, unless the target pauses, and records the pause
+  /// that the answer asks for. All calls to targets are sent here.
+  /// \returns Whether it is sent; `on_response` is not called otherwise.
+  bool CallTarget(const TargetRecord& record, const HttpRequest& call,
+                  Duration timeout,
+                  std::function<void(Result<HttpResponse>)> on_response);
   void SendOrder(const Order& order);
   /// Records what a target says of itself in an answer to an order or a probe:
   /// that it leaves.
   void RecordNotices(const TargetIncarnation& incarnation,
                      const Result<HttpResponse>& response);
-  [[nodiscard]] RunState StateOf(const TargetIncarnation& run,
-                                 const Result<HttpResponse>& response) const;
+  /// The report in the answer to a probe, if it has one.
+  [[nodiscard]] std::optional<EngineReport> ReadReport(
+      const Result<HttpResponse>& response) const;
   /// Asks at the address of `run` whether it has ended. If so, the announcement
   /// that would replace it is handled.
   void ProbeContested(const TargetIncarnation& run,
@@ -254,6 +256,7 @@
   std::uint64_t disk_id = 0;
 
   Registry registry;
+  TargetNotices notices;  ///< Pauses only; the registry holds who leaves.
   GroupPlanner planner;
   std::set<std::string> contested_targets;  ///< See ProbeContested.
   QuorumPlanner quorum_planner;
--- a/src/direct/control_host_orders.cc
+++ b/src/direct/control_host_orders.cc
@@ -1,4 +1,7 @@
+#include <utility>
+
 #include "gooseberryturn/direct/control_host.h"
+#include "gooseberryturn/direct/pause_recorder.h"
 #include "gooseberryturn/observe/log.h"
 
 namespace gooseberryturn::direct {
@@ -13,6 +16,8 @@
 constexpr int kNotFound = 404;
 constexpr int kPreconditionFailed = 412;
 constexpr int kMisdirected = 421;
+constexpr int kServiceUnavailable = 503;
+constexpr char kRetryAfter[] = "Retry-After";
 
 OrderOutcome ToOrderOutcome(int status) {
   switch (status) {
@@ -55,15 +60,36 @@
             {"status", std::to_string(response->status)}});
 }
 
+bool ControlHost::CallTarget(
+    const TargetRecord& record, const HttpRequest& call, Duration timeout,
+    std::function<void(Result<HttpResponse>)> on_response) {
+  const TargetIncarnation incarnation = record.view.Incarnation();
+  const TimePoint now = Clock::now();
+  if (this->notices.PausedUntil(incarnation, now).has_value()) {
+    return false;
+  }
+  SendHttpRequest(
+      this->context, record.view.address, call,
+      {{this->dialect.headers.target, incarnation.target}}, now + timeout,
+      [this, incarnation, on_response = std::move(on_response)](
+          const Result<HttpResponse>& response) {
+        if (response.has_value() && response->status == kServiceUnavailable) {
+          RecordRequestedPause(this->notices, incarnation,
+                               response->Header(kRetryAfter), "", this->metrics,
+                               Clock::now());
+        }
+        on_response(response);
+      });
+  return true;
+}
+
 void ControlHost::SendOrder(const Order& order) {
   const TargetRecord* record = this->registry.Find(order.target);
   if (record == nullptr) {
     return;
   }
-  const TimePoint now = Clock::now();
-  SendHttpRequest(
-      this->context, record->view.address, this->dialect.write_order(order),
-      {{this->dialect.headers.target, order.target}}, now + kOrderTimeout,
+  (void)this->CallTarget(
+      *record, this->dialect.write_order(order), kOrderTimeout,
       [this, order, incarnation = record->view.Incarnation()](
           const Result<HttpResponse>& response) {
         this->RecordNotices(incarnation, response);
@@ -82,33 +108,14 @@
       });
 }
 
-ControlHost::RunState ControlHost::StateOf(
-    const TargetIncarnation& run, const Result<HttpResponse>& response) const {
-  const TargetRecord* record = this->registry.Find(run.target);
-  if (!response.has_value() || record == nullptr) {
-    return RunState::kUnknown;
-  }
-  if (response->status == kMisdirected || response->status == kNotFound) {
-    return RunState::kEnded;  // A member of a group would have reported.
+std::optional<EngineReport> ControlHost::ReadReport(
+    const Result<HttpResponse>& response) const {
+  if (!response.has_value() || response->status != kOk) {
+    return std::nullopt;
   }
   const Result<EngineReport> report = this->dialect.read_report(response->body);
-  if (response->status != kOk || !report.has_value()) {
-    return RunState::kUnknown;
-  }
-  // A report doesn't name its target. But no other run is in the same group.
-  const std::optional<Membership>& before = record->view.engine.membership;
-  const std::optional<Membership>& reported = report->membership;
-  const bool is_in_its_group = before.has_value() && reported.has_value() &&
-                               before->group == reported->group &&
-                               before->epoch == reported->epoch &&
-                               reported->state != MemberState::kNone;
-  if (is_in_its_group) {
-    return RunState::kRunning;
-  }
-  // The report may be from before it joined.
-  const bool is_report_current =
-      Clock::now() >= record->in_group_since + kMaxReportAge;
-  return is_report_current ? RunState::kEnded : RunState::kUnknown;
+  return report.has_value() ? std::optional<EngineReport>(*report)
+                            : std::nullopt;
 }
 
 void ControlHost::ProbeContested(const TargetIncarnation& run,
@@ -117,16 +124,18 @@
   if (record == nullptr || !this->contested_targets.insert(run.target).second) {
     return;
   }
-  SendHttpRequest(
-      this->context, record->view.address, this->dialect.write_report_call(),
-      {{this->dialect.headers.target, run.target}},
-      Clock::now() + kProbeTimeout,
+  const bool is_sent = this->CallTarget(
+      *record, this->dialect.write_report_call(), kProbeTimeout,
       [this, run, announcement](const Result<HttpResponse>& response) {
         this->contested_targets.erase(run.target);
         if (!this->IsLeading()) {
           return;
         }
-        const RunState state = this->StateOf(run, response);
+        const bool is_other_target =
+            response.has_value() &&
+            (response->status == kMisdirected || response->status == kNotFound);
+        const RunState state = this->registry.StateOf(
+            run, is_other_target, this->ReadReport(response), Clock::now());
         LogEvent(Level::kInfo, "", "run_contested",
                  {{"target", run.target},
                   {"by", announcement.id},
@@ -136,6 +145,9 @@
           (void)this->RegisterAnnouncement(announcement);
         }
       });
+  if (!is_sent) {
+    this->contested_targets.erase(run.target);
+  }
 }
 
 void ControlHost::Probe(const std::string& target) {
@@ -143,28 +155,23 @@
   if (record == nullptr) {
     return;
   }
-  SendHttpRequest(
-      this->context, record->view.address, this->dialect.write_report_call(),
-      {{this->dialect.headers.target, target}}, Clock::now() + kProbeTimeout,
+  (void)this->CallTarget(
+      *record, this->dialect.write_report_call(), kProbeTimeout,
       [this, target, incarnation = record->view.Incarnation()](
           const Result<HttpResponse>& response) {
         this->RecordNotices(incarnation, response);
-        std::optional<EngineReport> report;
-        if (response.has_value() && response->status == kOk) {
-          const Result<EngineReport> read =
-              this->dialect.read_report(response->body);
-          if (read.has_value()) {
-            report = *read;
-          }
-        }
+        const std::optional<EngineReport> report = this->ReadReport(response);
         LogEvent(Level::kInfo, "", "target_probed",
                  {{"target", target},
                   {"answered", report.has_value() ? "true" : "false"}});
-        if (this->has_taken_over) {
+        const TimePoint now = Clock::now();
+        // A target that pauses has answered: its probe has not failed.
+        const bool is_paused =
+            this->notices.PausedUntil(incarnation, now).has_value();
+        if (this->has_taken_over && !is_paused) {
           const bool is_refused = !response.has_value() &&
                                   response.error().outcome == Outcome::kNotRun;
-          this->planner.HandleProbeResult(target, report, is_refused,
-                                          Clock::now());
+          this->planner.HandleProbeResult(target, report, is_refused, now);
           this->SchedulePlan();
         }
       });
