What a target writes is not ended for its silence

Cause: a stream or a safe request whose content was quarantined while its target wrote the answer stayed with that target, but not once the target had been silent for a second: the move to another target ended it. The caller got a cut stream, or 502, from a target that went on.

Change: such a request leaves the wait queue and stays with its target. One that its target has not begun to write is ended as before.

Tests: direct_request_flow_test plays the real EntryHost with a control host and two targets over sockets, and lets its event loop find two events in one turn: answers, cuts, refusals, silence, a half-closed caller, the next request, a deadline, held and quarantined content, a broken group, a removed target, a change, a stop, a used-up memory budget. what_a_target_writes_is_not_ended_for_its_silence failed before ("stream begun silence quarantine: incomplete", "safe begun silence quarantine: no success: 502") and passes now. Its combinations of two events are run by two_events_in_one_turn_leave_one_true_answer.

--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -86,8 +86,9 @@
   void ReadSharedParts();
   /// Quarantined content of this request, or an empty string.
   [[nodiscard]] std::string QuarantinedContent() const;
-  /// Ends the request if its content is quarantined.
-  /// \returns Whether it was ended.
+  /// Ends the request if its content is quarantined. One that its target has
+  /// begun to write stays with that target instead.
+  /// \returns Whether it must not be sent.
   [[nodiscard]] bool EndIfQuarantined();
   /// True once the target of the attempt in progress has begun to write.
   [[nodiscard]] bool IsBeingWritten() const noexcept {
--- a/src/direct/request_flow_content.cc
+++ b/src/direct/request_flow_content.cc
@@ -26,6 +26,10 @@
   if (content.empty()) {
     return false;
   }
+  if (this->IsBeingWritten()) {
+    this->LeaveQueue();
+    return true;
+  }
   this->entry.refused_contents.insert(content);
   LogEvent(Level::kInfo, this->caller_attempt_id, "content_refused",
            {{"content", content}, {"target", this->target}});
