A request sent again after a failure has its own time to wait

Cause: a request that may be repeated and was answered 5xx kept the limit of its wait that ran since it arrived. If the failure took longer than that to arrive and no target had room at once, it left the queue at the next tick: its caller got 502 with the time left unused. After a cut the limit was renewed, after an answer it was not.

Change: the limit is renewed here too.

Test: a_request_sent_again_has_its_own_time_to_wait failed before ("502 kept, 1 and 0 received") and passes now.

--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -258,6 +258,8 @@
     LogEvent(Level::kInfo, this->caller_attempt_id, "try_failed",
              {{"target", this->target}, {"end", std::to_string(status)}});
     this->possible_executions += 1;
+    this->queue_deadline =
+        std::min(this->deadline, Clock::now() + kMaxQueueTime);
     this->Dispatch();
     return;
   }
--- a/tests/direct_request_flow_test.cc
+++ b/tests/direct_request_flow_test.cc
@@ -965,3 +965,19 @@
     CheckPlay({kind, true, Event::kSilence, Event::kQuarantine});
   }
 }
+
+// A request that was to be sent again was given up at once: its time in the
+// wait queue had run since it arrived.
+BOOST_AUTO_TEST_CASE(a_request_sent_again_has_its_own_time_to_wait) {
+  Play play({Kind::kStream, false, Event::kFail, Event::kFail});
+  play.a.holds = true;
+  play.Send(kLongMs);
+  play.TurnFor(milliseconds(900));
+  play.a.BeginFailure();
+  play.TurnFor(milliseconds(500));
+  play.a.EndFailure();
+  play.TurnFor(kGoesOnAfter);
+  play.AddSecondTarget();
+  play.TurnUntilOver();
+  BOOST_TEST(play.Outcome() == "200 kept, 1 and 1 received");
+}
