A caller that reads slowly makes no target count as silent

Cause: while a caller reads slowly, its entry doesn't read from the target either. After 0.3 s the target counted as stalled: the entry reported its group to the leader, chose the target for no request, and after 1.1 s took the stream to another target, which cost a retry and a prefill, and reported the content as one that a silent target was lost with.

Change: a request that is not read from is not counted for a stall. Other requests of the target still show one.

Tests: a_caller_that_reads_slowly_does_not_make_a_target_silent failed before (the group was reported as stalled; "200 kept, 1 and 1 received" instead of 1 and 0) and passes now; a_paused_request_hides_no_stall_of_others.

--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -126,6 +126,11 @@
   /// Takes the prompt off the pending prefill work of the target: its prefill
   /// is done, or will not be done.
   void EndPrefill();
+  /// Stops or goes on reading from the target, which is not expected to send
+  /// anything meanwhile.
+  void SetPaused(bool paused);
+  /// True if the target of the attempt in progress may send and does not.
+  [[nodiscard]] bool IsTargetStalled(TimePoint now) const;
   /// Records that bytes arrived from the target.
   void OnProgress(TimePoint now);
   /// Records what the target says of itself in the head of an answer.
@@ -246,6 +251,7 @@
   bool is_sent_late = false;  ///< Last dispatched after `dispatch_by`.
   bool is_done = false;
   bool has_input_ended = false;  ///< The caller sends nothing more.
+  bool is_paused = false;        ///< The target is not read from.
   bool is_head_sent = false;     ///< The caller got the head of a stream.
   bool is_streaming = false;     ///< The current answer is an event stream.
   ResponseHead answer_head;
--- a/include/gooseberryturn/direct/target_tracker.h
+++ b/include/gooseberryturn/direct/target_tracker.h
@@ -42,6 +42,10 @@
                   TimePoint now);
   /// \brief Records that the target sent answer bytes.
   void RecordProgress(const std::string& target, TimePoint now);
+  /// \brief Records that nothing is read from `target` for a request, because
+  /// its caller reads slowly, or that reading goes on. A target that may not
+  /// send is not stalled.
+  void SetPaused(const std::string& target, bool is_paused, TimePoint now);
   /// \brief Sets the sums over all entries, which include this entry's last
   /// report.
   void SetTotals(const std::vector<InFlightWork>& totals);
@@ -54,8 +58,8 @@
   /// \brief Prompt tokens of all entries that wait for prefill at `target`.
   [[nodiscard]] std::uint32_t PendingPrefillTokens(
       const std::string& target) const;
-  /// \brief Targets with requests in flight that sent nothing for
-  /// kStallTimeout.
+  /// \brief Targets with requests in flight, not all of them paused, that sent
+  /// nothing for kStallTimeout.
   [[nodiscard]] std::vector<std::string> StalledTargets(TimePoint now) const;
   /// \brief Targets at which an exchange broke off or could not begin in the
   /// last kBrokenTime and that sent nothing since: they may have crashed.
@@ -89,6 +93,7 @@
  private:
   struct TargetState {
     std::uint32_t own_requests = 0;       ///< In flight, sent by this entry.
+    std::uint32_t paused_requests = 0;    ///< Of these, not read from.
     std::uint32_t reported_requests = 0;  ///< `own_requests` as last reported.
     std::uint32_t total_requests = 0;     ///< Of all entries, by the leader.
     // Prompt tokens that wait for prefill, counted in the same three ways.
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -75,8 +75,8 @@
   };
   this->caller->on_writable = [weak] {
     const std::shared_ptr<RequestFlow> self = weak.lock();
-    if (self != nullptr && self->connection != nullptr) {
-      self->connection->SetPaused(false);
+    if (self != nullptr) {
+      self->SetPaused(false);
     }
   };
   if (this->Admit()) {
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -121,7 +121,22 @@
   } else if (!this->HoldBytes(this->splitter.incomplete_event().size())) {
     return;
   } else if (this->caller->unsent_bytes() > CallerConnection::kHighWaterBytes) {
-    this->connection->SetPaused(true);
+    this->SetPaused(true);
+  }
+}
+
+void RequestFlow::SetPaused(bool paused) {
+  if (this->is_paused == paused) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  this->is_paused = paused;
+  this->entry.target_tracker.SetPaused(this->target, paused, now);
+  if (!paused) {
+    this->last_progress_at = now;
+  }
+  if (this->connection != nullptr) {
+    this->connection->SetPaused(paused);
   }
 }
 
@@ -188,6 +203,7 @@
     signal = HealthSignal::kGood;
   }
   this->EndPrefill();
+  this->SetPaused(false);
   this->entry.target_tracker.EndRequest(this->target, signal, now);
   this->entry.target_pool.Release(
       this->target, used, this->entry.MaxIdleConnections(this->service));
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -107,14 +107,14 @@
 
 void RequestFlow::CancelAttempt(HealthSignal signal) {
   if (this->connection != nullptr) {
-    this->ReportCut(
-        this->entry.target_tracker.IsStalled(this->target, Clock::now()));
+    this->ReportCut(this->IsTargetStalled(Clock::now()));
   }
   const std::shared_ptr<TargetConnection> used =
       std::exchange(this->connection, nullptr);
   if (used != nullptr) {
     this->attempt_number += 1;
     this->EndPrefill();
+    this->SetPaused(false);
     this->entry.target_tracker.EndRequest(this->target, signal, Clock::now());
     used->Cancel();
   }
@@ -207,8 +207,7 @@
     this->TickHeld(now);
     return;
   }
-  if (this->connection != nullptr &&
-      this->entry.target_tracker.IsStalled(this->target, now)) {
+  if (this->connection != nullptr && this->IsTargetStalled(now)) {
     this->ReportCut(true);
   }
   const bool may_move = this->connection != nullptr && !this->is_queued &&
@@ -220,12 +219,17 @@
   }
 }
 
+bool RequestFlow::IsTargetStalled(TimePoint now) const {
+  return !this->is_paused &&
+         this->entry.target_tracker.IsStalled(this->target, now);
+}
+
 bool RequestFlow::IsAttemptLost(TimePoint now) const {
   if (this->route->kind == RouteKind::kStreaming) {
     const bool is_group_broken = this->entry.view.IsBroken(this->target);
     const bool is_stream_stalled =
         now >= this->last_progress_at + kStreamStallTimeout &&
-        this->entry.target_tracker.IsStalled(this->target, now);
+        this->IsTargetStalled(now);
     return is_group_broken || is_stream_stalled;
   }
   const Duration limit = std::chrono::duration_cast<Duration>(
--- a/src/direct/target_tracker.cc
+++ b/src/direct/target_tracker.cc
@@ -16,7 +16,7 @@
 void TargetTracker::BeginRequest(const std::string& target,
                                  std::uint32_t prompt_tokens, TimePoint now) {
   TargetState& state = this->targets[target];
-  if (state.own_requests == 0) {
+  if (state.own_requests == state.paused_requests) {
     state.last_progress_at = now;
   }
   state.own_requests += 1;
@@ -53,6 +53,19 @@
   this->targets[target].last_progress_at = now;
 }
 
+void TargetTracker::SetPaused(const std::string& target, bool is_paused,
+                              TimePoint now) {
+  TargetState& state = this->targets[target];
+  if (is_paused) {
+    state.paused_requests += 1;
+    return;
+  }
+  if (state.own_requests == state.paused_requests) {
+    state.last_progress_at = now;
+  }
+  state.paused_requests -= state.paused_requests > 0 ? 1 : 0;
+}
+
 void TargetTracker::SetTotals(const std::vector<InFlightWork>& totals) {
   for (std::pair<const std::string, TargetState>& item : this->targets) {
     item.second.total_requests = 0;
@@ -108,7 +121,8 @@
 
 bool TargetTracker::IsStalled(const std::string& target, TimePoint now) const {
   const auto found = this->targets.find(target);
-  return found != this->targets.end() && found->second.own_requests > 0 &&
+  return found != this->targets.end() &&
+         found->second.own_requests > found->second.paused_requests &&
          now >= found->second.last_progress_at + kStallTimeout;
 }
 
--- a/tests/direct_request_flow_test.cc
+++ b/tests/direct_request_flow_test.cc
@@ -25,6 +25,7 @@
 #include "../platform/wire.h"
 #include "gooseberryturn/core/name_table.h"
 #include "gooseberryturn/direct/entry_host.h"
+#include "gooseberryturn/direct/target_tracker.h"
 #include "gooseberryturn/direct/view.h"
 #include "gooseberryturn/link/listener.h"
 #include "gooseberryturn/protocol/codec.h"
@@ -981,3 +982,45 @@
   play.TurnUntilOver();
   BOOST_TEST(play.Outcome() == "200 kept, 1 and 1 received");
 }
+
+// A stream was taken from its sound target, whose group was reported as
+// stalled, because its caller read slowly.
+BOOST_AUTO_TEST_CASE(a_caller_that_reads_slowly_does_not_make_a_target_silent) {
+  Play play({Kind::kStream, true, Event::kAnswer, Event::kAnswer});
+  play.a.holds = true;
+  play.a.is_big = true;
+  play.Send(4000);
+  play.AddSecondTarget();
+  play.reads = false;
+  play.a.End();
+  play.TurnFor(milliseconds(1800));
+  BOOST_TEST(play.control.stalled.empty());
+  play.reads = true;
+  play.TurnUntilOver();
+  BOOST_TEST(play.Outcome() == "200 kept, 1 and 0 received");
+}
+
+BOOST_AUTO_TEST_CASE(a_paused_request_hides_no_stall_of_others) {
+  const TimePoint begun_at = Clock::now();
+  const TimePoint later = begun_at + 2 * TargetTracker::kStallTimeout;
+  TargetTracker tracker;
+  tracker.BeginRequest("a", 0, begun_at);
+  tracker.BeginRequest("a", 0, begun_at);
+  tracker.SetPaused("a", true, begun_at);
+  BOOST_TEST(tracker.IsStalled("a", later));
+  tracker.SetPaused("a", true, begun_at);
+  BOOST_TEST(!tracker.IsStalled("a", later));
+  tracker.SetPaused("a", false, later);
+  BOOST_TEST(!tracker.IsStalled("a", later));
+  BOOST_TEST(tracker.IsStalled("a", later + TargetTracker::kStallTimeout));
+  tracker.SetPaused("a", false, later);
+  tracker.EndRequest("a", HealthSignal::kGood, later);
+  tracker.EndRequest("a", HealthSignal::kGood, later);
+  BOOST_TEST(!tracker.IsStalled("a", later + TargetTracker::kStallTimeout));
+  // A request that follows paused ones is not stalled from the start.
+  tracker.BeginRequest("a", 0, later);
+  tracker.SetPaused("a", true, later);
+  const TimePoint latest = later + 2 * TargetTracker::kStallTimeout;
+  tracker.BeginRequest("a", 0, latest);
+  BOOST_TEST(!tracker.IsStalled("a", latest));
+}
