--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -77,8 +77,9 @@
   static constexpr Duration kRecentTime = std::chrono::seconds(1);
   /// Parts of one prompt that are kept; a longer list is cut off.
   static constexpr std::size_t kMaxSharedParts = 32;
-  /// Time from the end of the caller's input, or from the last event after it,
-  /// in which a request that may be repeated has to be answered.
+  /// Time from the end of the caller's input, or from the last bytes of the
+  /// target after it, in which the answer of a request that may be repeated has
+  /// to go on.
   static constexpr Duration kInputEndTime = std::chrono::milliseconds(300);
   /// Longest body of an answer that is not streamed.
   static constexpr std::size_t kMaxBufferedBytes = 4U * 1024U * 1024U;
@@ -89,8 +90,9 @@
   void ReadSharedParts();
   /// Quarantined content of this request, or an empty string.
   [[nodiscard]] std::string QuarantinedContent() const;
-  /// Ends the request if its content is quarantined.
-  /// \returns Whether it was ended.
+  /// Ends the request if its content is quarantined. One that its target has
+  /// begun to write stays with that target instead.
+  /// \returns Whether it must not be sent.
   [[nodiscard]] bool EndIfQuarantined();
   /// True once the target of the attempt in progress has begun to write.
   [[nodiscard]] bool IsBeingWritten() const noexcept {
@@ -128,6 +130,11 @@
   /// Takes the prompt off the pending prefill work of the target: its prefill
   /// is done, or will not be done.
   void EndPrefill();
+  /// Stops or goes on reading from the target, which is not expected to send
+  /// anything meanwhile.
+  void SetPaused(bool paused);
+  /// True if the target of the attempt in progress may send and does not.
+  [[nodiscard]] bool IsTargetStalled(TimePoint now) const;
   /// Records that bytes arrived from the target.
   void OnProgress(TimePoint now);
   /// Records what the target says of itself in the head of an answer.
@@ -253,6 +260,7 @@
   bool is_done = false;
   /// When the caller ended its sending side; TimePoint() before.
   TimePoint input_ended_at;
+  bool is_paused = false;     ///< The target is not read from.
   bool is_head_sent = false;  ///< The caller got the head of a stream.
   bool is_streaming = false;  ///< The current answer is an event stream.
   ResponseHead answer_head;
