--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -4,7 +4,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
-#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
@@ -23,7 +22,6 @@
 #include "gooseberryturn/direct/pending_calls.h"
 #include "gooseberryturn/direct/quorum_planner.h"
 #include "gooseberryturn/direct/registry.h"
-#include "gooseberryturn/direct/target_notices.h"
 #include "gooseberryturn/direct/view.h"
 #include "gooseberryturn/link/listener.h"
 #include "gooseberryturn/observe/metrics.h"
@@ -170,12 +168,6 @@
   void SchedulePlan();
   /// Copies the groups of the planner to `groups` if they changed.
   void PublishGroups();
-  /// Sends a call to a target, unless the target pauses, and records the pause
-  /// that the answer asks for. All calls to targets are sent here.
-  /// \returns Whether it is sent; `on_response` is not called otherwise.
-  bool CallTarget(const TargetRecord& record, const HttpRequest& call,
-                  Duration timeout,
-                  std::function<void(Result<HttpResponse>)> on_response);
   void SendOrder(const Order& order);
   /// Records what a target says of itself in an answer to an order or a probe:
   /// that it leaves.
@@ -256,7 +248,6 @@
   std::uint64_t disk_id = 0;
 
   Registry registry;
-  TargetNotices notices;  ///< Pauses only; the registry holds who leaves.
   GroupPlanner planner;
   std::set<std::string> contested_targets;  ///< See ProbeContested.
   QuorumPlanner quorum_planner;
--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -14,7 +14,6 @@
 #include "gooseberryturn/direct/model_demand.h"
 #include "gooseberryturn/direct/model_load_limiter.h"
 #include "gooseberryturn/direct/registry.h"
-#include "gooseberryturn/direct/target_notices.h"
 #include "gooseberryturn/direct/view.h"
 
 namespace gooseberryturn::direct {
@@ -43,8 +42,6 @@
   /// itself.
   Duration member_loss_timeout = std::chrono::seconds(5);
   std::vector<ModelDemand> demand;  ///< Empty until measured.
-  /// Targets that pause are sent nothing; null if none does.
-  const TargetNotices* notices = nullptr;
 };
 
 /// \brief What the planner takes for the demand and supply of one model.
@@ -264,10 +261,6 @@
   /// is just gone may go on.
   [[nodiscard]] bool HasMemberEnded(const Group& group, const std::string& id,
                                     const PlanInput& input) const;
-  /// True for a target that has asked for a pause: it is busy, not gone, and is
-  /// sent nothing.
-  [[nodiscard]] static bool IsPaused(const TargetRecord& record,
-                                     const PlanInput& input, TimePoint now);
   /// True when several probes failed and no heartbeat has arrived since.
   [[nodiscard]] bool IsSuspect(const std::string& id,
                                const TargetRecord& record) const;
@@ -320,9 +313,8 @@
                          const PlanInput& input, PlannedActions& actions,
                          TimePoint now);
   /// Members of a broken group that may join another one.
-  [[nodiscard]] std::vector<std::string> UsableMembers(const Group& group,
-                                                       const PlanInput& input,
-                                                       TimePoint now) const;
+  [[nodiscard]] std::vector<std::string> UsableMembers(
+      const Group& group, const PlanInput& input) const;
   [[nodiscard]] FreeHosts FreeHostsByDomain(const Service& service,
                                             const PlanInput& input,
                                             TimePoint now) const;
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -138,6 +138,7 @@
   void OnProgress(TimePoint now);
   /// Records what the target says of itself in the head of an answer.
   void RecordNotices(const ResponseHead& head, TimePoint now);
+  void RecordPause(const ResponseHead& head, TimePoint now);
   /// Ends or keeps waiting a request all of whose targets pause until
   /// `resumes_at`.
   /// \returns False if it waits.
--- a/include/gooseberryturn/direct/target_notices.h
+++ b/include/gooseberryturn/direct/target_notices.h
@@ -50,11 +50,10 @@
   }
 };
 
-/// \brief What targets have said of themselves in their answers to this host,
-/// an entry or a control host: that they leave, or that they want nothing for
-/// some time.
+/// \brief What targets have said of themselves in their answers to this entry:
+/// that they leave, or that they want nothing for some time.
 ///
-/// \details An observation of one host about one incarnation of one target,
+/// \details An observation of one entry about one incarnation of one target,
 /// told by the target's id and the time of its start. No newer view,
 /// configuration or reload ends it, only a later start. The target is the one
 /// that answered: for a replica group that is its head, through which all
--- a/src/direct/control_host_leader.cc
+++ b/src/direct/control_host_leader.cc
@@ -202,8 +202,7 @@
                      this->has_traffic,
                      this->settings.heartbeat,
                      this->settings.member_loss_timeout,
-                     this->demand.Demand(now),
-                     &this->notices};
+                     this->demand.Demand(now)};
   for (const InFlightWork& work : this->SumInFlightWork(now)) {
     input.in_flight_work[work.target] = work.requests;
   }
--- a/src/direct/control_host_orders.cc
+++ b/src/direct/control_host_orders.cc
@@ -1,7 +1,4 @@
-#include <utility>
-
 #include "gooseberryturn/direct/control_host.h"
-#include "gooseberryturn/direct/pause_recorder.h"
 #include "gooseberryturn/observe/log.h"
 
 namespace gooseberryturn::direct {
@@ -16,8 +13,6 @@
 constexpr int kNotFound = 404;
 constexpr int kPreconditionFailed = 412;
 constexpr int kMisdirected = 421;
-constexpr int kServiceUnavailable = 503;
-constexpr char kRetryAfter[] = "Retry-After";
 
 OrderOutcome ToOrderOutcome(int status) {
   switch (status) {
@@ -60,36 +55,15 @@
             {"status", std::to_string(response->status)}});
 }
 
-bool ControlHost::CallTarget(
-    const TargetRecord& record, const HttpRequest& call, Duration timeout,
-    std::function<void(Result<HttpResponse>)> on_response) {
-  const TargetIncarnation incarnation = record.view.Incarnation();
-  const TimePoint now = Clock::now();
-  if (this->notices.PausedUntil(incarnation, now).has_value()) {
-    return false;
-  }
-  SendHttpRequest(
-      this->context, record.view.address, call,
-      {{this->dialect.headers.target, incarnation.target}}, now + timeout,
-      [this, incarnation, on_response = std::move(on_response)](
-          const Result<HttpResponse>& response) {
-        if (response.has_value() && response->status == kServiceUnavailable) {
-          RecordRequestedPause(this->notices, incarnation,
-                               response->Header(kRetryAfter), "", this->metrics,
-                               Clock::now());
-        }
-        on_response(response);
-      });
-  return true;
-}
-
 void ControlHost::SendOrder(const Order& order) {
   const TargetRecord* record = this->registry.Find(order.target);
   if (record == nullptr) {
     return;
   }
-  (void)this->CallTarget(
-      *record, this->dialect.write_order(order), kOrderTimeout,
+  const TimePoint now = Clock::now();
+  SendHttpRequest(
+      this->context, record->view.address, this->dialect.write_order(order),
+      {{this->dialect.headers.target, order.target}}, now + kOrderTimeout,
       [this, order, incarnation = record->view.Incarnation()](
           const Result<HttpResponse>& response) {
         this->RecordNotices(incarnation, response);
@@ -124,8 +98,10 @@
   if (record == nullptr || !this->contested_targets.insert(run.target).second) {
     return;
   }
-  const bool is_sent = this->CallTarget(
-      *record, this->dialect.write_report_call(), kProbeTimeout,
+  SendHttpRequest(
+      this->context, record->view.address, this->dialect.write_report_call(),
+      {{this->dialect.headers.target, run.target}},
+      Clock::now() + kProbeTimeout,
       [this, run, announcement](const Result<HttpResponse>& response) {
         this->contested_targets.erase(run.target);
         if (!this->IsLeading()) {
@@ -145,9 +121,6 @@
           (void)this->RegisterAnnouncement(announcement);
         }
       });
-  if (!is_sent) {
-    this->contested_targets.erase(run.target);
-  }
 }
 
 void ControlHost::Probe(const std::string& target) {
@@ -155,8 +128,9 @@
   if (record == nullptr) {
     return;
   }
-  (void)this->CallTarget(
-      *record, this->dialect.write_report_call(), kProbeTimeout,
+  SendHttpRequest(
+      this->context, record->view.address, this->dialect.write_report_call(),
+      {{this->dialect.headers.target, target}}, Clock::now() + kProbeTimeout,
       [this, target, incarnation = record->view.Incarnation()](
           const Result<HttpResponse>& response) {
         this->RecordNotices(incarnation, response);
@@ -164,14 +138,11 @@
         LogEvent(Level::kInfo, "", "target_probed",
                  {{"target", target},
                   {"answered", report.has_value() ? "true" : "false"}});
-        const TimePoint now = Clock::now();
-        // A target that pauses has answered: its probe has not failed.
-        const bool is_paused =
-            this->notices.PausedUntil(incarnation, now).has_value();
-        if (this->has_taken_over && !is_paused) {
+        if (this->has_taken_over) {
           const bool is_refused = !response.has_value() &&
                                   response.error().outcome == Outcome::kNotRun;
-          this->planner.HandleProbeResult(target, report, is_refused, now);
+          this->planner.HandleProbeResult(target, report, is_refused,
+                                          Clock::now());
           this->SchedulePlan();
         }
       });
--- a/src/direct/group_planner.cc
+++ b/src/direct/group_planner.cc
@@ -181,12 +181,6 @@
          input.registry.HasEnded({id, known_start->second});
 }
 
-bool GroupPlanner::IsPaused(const TargetRecord& record, const PlanInput& input,
-                            TimePoint now) {
-  return input.notices != nullptr &&
-         input.notices->PausedUntil(record.view.Incarnation(), now).has_value();
-}
-
 bool GroupPlanner::IsSuspect(const std::string& id,
                              const TargetRecord& record) const {
   const auto probe_state = this->probe_states.find(id);
@@ -201,7 +195,7 @@
     return true;
   }
   const TargetRecord& record = *input.registry.Find(id);
-  if (IsPaused(record, input, now) || !this->IsSuspect(id, record)) {
+  if (!this->IsSuspect(id, record)) {
     return false;
   }
   const bool is_stalled =
@@ -230,9 +224,7 @@
     if (record == nullptr) {
       continue;
     }
-    const bool needs_probe =
-        !IsPaused(*record, input, now) &&
-        (is_stalled || this->IsSilent(*record, input, now));
+    const bool needs_probe = is_stalled || this->IsSilent(*record, input, now);
     ProbeState& probe_state = this->probe_states[id];
     if (!needs_probe) {
       probe_state.failed_probes = 0;
--- a/src/direct/group_planner_adoption.cc
+++ b/src/direct/group_planner_adoption.cc
@@ -92,8 +92,7 @@
                            this->closed_epochs.count(membership->epoch) == 0;
     if (!is_orphan) {
       this->orphans.erase(entry.first);
-    } else if (!IsPaused(entry.second, input, now) &&
-               this->orphans.insert({entry.first, now}).second) {
+    } else if (this->orphans.insert({entry.first, now}).second) {
       Order order;
       order.kind = OrderKind::kLeave;
       order.target = entry.first;
--- a/src/direct/group_planner_balance.cc
+++ b/src/direct/group_planner_balance.cc
@@ -182,15 +182,14 @@
   return served;
 }
 
-std::vector<std::string> GroupPlanner::UsableMembers(const Group& group,
-                                                     const PlanInput& input,
-                                                     TimePoint now) const {
+std::vector<std::string> GroupPlanner::UsableMembers(
+    const Group& group, const PlanInput& input) const {
   std::vector<std::string> usable;
   for (const std::string& id : group.view.members) {
     const TargetRecord* record = input.registry.Find(id);
     if (record != nullptr && !record->view.is_leaving &&
         !this->IsMemberGone(group, id, input) &&
-        !this->IsSuspect(id, *record) && !IsPaused(*record, input, now)) {
+        !this->IsSuspect(id, *record)) {
       usable.push_back(id);
     }
   }
@@ -210,8 +209,7 @@
       continue;
     }
     PendingRelease& release = pending_releases[group.view.domain];
-    const std::vector<std::string> usable =
-        this->UsableMembers(group, input, now);
+    const std::vector<std::string> usable = this->UsableMembers(group, input);
     release.targets.insert(release.targets.end(), usable.begin(), usable.end());
     const TimePoint free_at = group.member_left_at.value_or(now) +
                               input.member_loss_timeout + kBreakMargin;
--- a/src/direct/group_planner_forming.cc
+++ b/src/direct/group_planner_forming.cc
@@ -47,7 +47,7 @@
         !record.is_unconfirmed && !this->IsSilent(record, input, now) &&
         this->group_by_target.count(entry.first) == 0 &&
         input.evacuated.count(record.view.data_centre) == 0 &&
-        !this->IsSuspect(entry.first, record) && !IsPaused(record, input, now);
+        !this->IsSuspect(entry.first, record);
     if (is_usable && this->IsReleased(entry.first, record, input, now)) {
       free_hosts[record.view.engine.domain].push_back(entry.first);
     }
@@ -205,7 +205,7 @@
         *group.member_left_at + input.member_loss_timeout + kBreakMargin;
     const double free_in_s =
         std::max(0.0, std::chrono::duration<double>(free_at - now).count());
-    for (const std::string& id : this->UsableMembers(group, input, now)) {
+    for (const std::string& id : this->UsableMembers(group, input)) {
       available[group.view.domain].push_back({id, free_in_s});
     }
   }
--- a/src/direct/group_planner_phases.cc
+++ b/src/direct/group_planner_phases.cc
@@ -68,8 +68,7 @@
     if (is_member && report.membership->state == MemberState::kReady) {
       ready += 1;
     } else if (now >= group.resend_at[id] && !is_member &&
-               group.acknowledged.count(id) == 0 &&
-               !IsPaused(*record, input, now)) {
+               group.acknowledged.count(id) == 0) {
       group.resend_at[id] = now + kOrderResendInterval;
       actions.orders.push_back(this->MakeOrder(OrderKind::kJoin, group, id));
     }
@@ -94,8 +93,7 @@
       return;
     }
   }
-  const TargetRecord& record = *input.registry.Find(head);
-  const EngineReport& report = record.view.engine;
+  const EngineReport& report = input.registry.Find(head)->view.engine;
   if (BelongsTo(report, group.view) &&
       report.membership->state == MemberState::kOpen) {
     this->SetPhase(group, GroupPhase::kOpen);
@@ -105,7 +103,7 @@
     this->SetPhase(group, GroupPhase::kDissolving);
     return;
   }
-  if (now >= group.resend_at[head] && !IsPaused(record, input, now)) {
+  if (now >= group.resend_at[head]) {
     // An acknowledged order is repeated too, but less often.
     const bool is_acknowledged = group.acknowledged.count(head) > 0;
     group.resend_at[head] =
@@ -179,15 +177,12 @@
   if (group.is_head_closed || is_broken) {
     return;  // Plan erases the group.
   }
-  const bool is_head_paused =
-      record != nullptr && IsPaused(*record, input, now);
-  if (now >= group.resend_at[head] && !is_head_paused) {
+  if (now >= group.resend_at[head]) {
     group.resend_at[head] = now + kOrderResendInterval;
     actions.orders.push_back(this->MakeOrder(OrderKind::kLeave, group, head));
   }
   // A head that cannot be reached breaks by itself once a member has left.
   const bool is_unreachable = group.unanswered_head_leaves > 0 ||
-                              is_head_paused ||
                               this->IsMemberDead(group, head, input, now);
   if (!is_unreachable || group.member_left_at.has_value()) {
     return;
@@ -198,8 +193,7 @@
       continue;
     }
     has_member = true;
-    if (now >= group.resend_at[id] &&
-        !IsPaused(*input.registry.Find(id), input, now)) {
+    if (now >= group.resend_at[id]) {
       group.resend_at[id] = now + kOrderResendInterval;
       actions.orders.push_back(this->MakeOrder(OrderKind::kLeave, group, id));
     }
--- a/src/direct/group_planner_staging.cc
+++ b/src/direct/group_planner_staging.cc
@@ -132,7 +132,6 @@
   return record.view.service == service.name && !record.view.is_leaving &&
          !record.is_unconfirmed && !this->IsSilent(record, input, now) &&
          !this->IsSuspect(record.view.name, record) &&
-         !IsPaused(record, input, now) &&
          !this->IsStaging(record.view.name, now);
 }
 
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -2,7 +2,6 @@
 #include <utility>
 
 #include "gooseberryturn/direct/entry_host.h"
-#include "gooseberryturn/direct/pause_recorder.h"
 #include "gooseberryturn/direct/request_flow.h"
 #include "gooseberryturn/observe/log.h"
 #include "header_text.h"
@@ -20,6 +19,7 @@
 constexpr int kMisdirected = 421;
 constexpr int kServerError = 500;
 constexpr int kServiceUnavailable = 503;
+constexpr std::size_t kMaxLoggedHeaderBytes = 64;
 constexpr char kEventStream[] = "text/event-stream";
 
 }  // namespace
@@ -53,14 +53,36 @@
              {{"target", this->target}, {"status", std::to_string(status)}});
   }
   if (status == kServiceUnavailable) {
-    RecordRequestedPause(notices, this->target_incarnation,
-                         ToView(head[http::field::retry_after]),
-                         this->caller_attempt_id, this->entry.metrics, now);
+    this->RecordPause(head, now);
   } else if (status < kServerError) {
     notices.RecordGoodAnswer(this->target_incarnation, now);
   }
 }
 
+void RequestFlow::RecordPause(const ResponseHead& head, TimePoint now) {
+  const std::string_view text = ToView(head[http::field::retry_after]);
+  const RequestedPause pause = ReadPause(text);
+  if (pause.state == PauseState::kNone) {
+    return;
+  }
+  observe::Metrics& metrics = this->entry.metrics;
+  TimePoint until = now;
+  if (pause.state == PauseState::kIgnored) {
+    metrics.Add(observe::Metric::kTargetPausesIgnored);
+  } else {
+    until = this->entry.target_tracker.notices().RecordPause(
+        this->target_incarnation, now + pause.time);
+    metrics.Add(observe::Metric::kTargetPauses);
+    metrics.Add(observe::Metric::kTargetPausesBounded,
+                pause.state == PauseState::kBounded ? 1 : 0);
+  }
+  LogEvent(Level::kInfo, this->caller_attempt_id, "target_pause",
+           {{"target", this->target},
+            {"retry_after", std::string(text.substr(0, kMaxLoggedHeaderBytes))},
+            {"as", std::string(kPauseStateNames.Name(pause.state))},
+            {"pauses_ms", std::to_string(WholeMs(until - now))}});
+}
+
 void RequestFlow::OnHead(const ResponseHead& head) {
   const TimePoint now = Clock::now();
   this->OnProgress(now);
