--- a/tests/soak_accounts_test.cc
+++ b/tests/soak_accounts_test.cc
@@ -54,7 +54,7 @@
   CutStream stream;
   BOOST_TEST(stream.Fault().empty());
   // The first target was silent for longer than a sound one may be.
-  stream.loss.end = stream.loss.begin + kSilenceAllowance;
+  stream.loss.end = stream.loss.begin + kLongestSilence + milliseconds(1);
   BOOST_TEST(stream.Fault().empty());
   // The first target had crashed, too.
   stream.loss = {};
@@ -80,7 +80,7 @@
   stream.loss.begin = stream.At(301);
   BOOST_TEST(stream.Fault() == kLost);
   stream = CutStream();
-  stream.loss.end = stream.loss.begin + kSilenceAllowance - milliseconds(1);
+  stream.loss.end = stream.loss.begin + kLongestSilence;
   BOOST_TEST(stream.Fault() == kLost);
   stream = CutStream();
   stream.loss = {stream.At(-1100), stream.At(-1), kFirstGroup};
