A head is not closed by an announced epoch

What callers saw: nothing was reported for this form.

Cause: AdvanceDissolving took a higher epoch in the record of the head for its word that it had left the group. The record is the word of one writer.

Evidence: an_announced_epoch_closes_no_open_head fails on ("a0 joined while its head a0 was open", four such joins) and holds now.

Why this works: the order to leave is sent in any case. A head that is elsewhere answers that it doesn't fit, which counts as closed as before; one that is still open closes first. Cost: one order where the shortcut took none.

--- a/src/direct/group_planner_phases.cc
+++ b/src/direct/group_planner_phases.cc
@@ -163,13 +163,10 @@
 void GroupPlanner::AdvanceDissolving(Group& group, const PlanInput& input,
                                      PlannedActions& actions, TimePoint now) {
   const std::string& head = group.view.members.front();
-  const TargetRecord* record = input.registry.Find(head);
+  // That the head is elsewhere is not read from an announcement, which may come
+  // from another writer: its answer to the order to leave says so.
   if (this->HasMemberEnded(group, head, input)) {
     group.is_head_closed = true;
-  } else if (!this->IsMemberGone(group, head, input) &&
-             !record->is_unconfirmed && record->view.engine.membership &&
-             record->view.engine.membership->epoch > group.view.epoch) {
-    group.is_head_closed = true;
   }
   const bool is_broken =
       group.member_left_at.has_value() &&
--- a/tests/direct_group_planner_test.cc
+++ b/tests/direct_group_planner_test.cc
@@ -394,9 +394,30 @@
   }
 }
 
-// The same without another writer: the record of a head that is cut off from
-// the control hosts, while entries still reach it, expired, and that counted as
-// its end.
+// One announcement under the id and the start of an open head, with a later
+// sequence, that named a higher epoch counted as the head's word that it had
+// left its group, and its members joined others while it was open.
+BOOST_AUTO_TEST_CASE(an_announced_epoch_closes_no_open_head) {
+  PlannedFleet fleet(25);
+  fleet.AddDomain("a", 10);
+  fleet.Run(8000);
+  fleet.has_traffic = true;
+  const std::vector<GroupView> before = fleet.planner.Groups();
+  BOOST_REQUIRE(!before.empty());
+  for (const GroupView& view : before) {
+    // PlannedFleet fails if a member joins another group while it is open.
+    fleet.AnnounceAs(
+        view.members.front(),
+        Membership{"elsewhere", view.epoch + 1000, 0, MemberState::kReady});
+    fleet.Run(fleet.now + 12'000);
+  }
+  BOOST_TEST(fleet.CountOpen(kSmall) + fleet.CountOpen(kLarge) ==
+             before.size());
+}
+
+// The same as in case 3 without another writer: the record of a head that is
+// cut off from the control hosts, while entries still reach it, expired, and
+// that counted as its end.
 BOOST_AUTO_TEST_CASE(a_head_that_is_no_longer_heard_of_may_still_serve) {
   PlannedFleet fleet(24);
   fleet.AddDomain("a", 4);
--- a/tests/planned_fleet.h
+++ b/tests/planned_fleet.h
@@ -96,6 +96,24 @@
     this->Register(announcement);
   }
 
+  /// An announcement of another writer, under the id, the start and the address
+  /// of an engine, and with a later sequence: the engine is in `membership`.
+  void AnnounceAs(const std::string& id,
+                  const std::optional<Membership>& membership) {
+    const FakeEngine& engine = this->engines[id];
+    Announcement announcement;
+    announcement.id = id;
+    announcement.service = kService;
+    announcement.address = {id, 1};
+    announcement.data_centre = engine.domain;
+    announcement.sequence = engine.sequence + 1000;
+    announcement.start_time_ms = engine.start_time_ms;
+    announcement.engine = EngineReport{};
+    announcement.engine->domain = engine.domain;
+    announcement.engine->membership = membership;
+    this->Register(announcement);
+  }
+
   /// Starts a new leader whose recorded groups are `views`.
   void ChangeLeader(std::uint64_t term, const std::vector<GroupView>& views) {
     this->planner.StartLeading(term, views, At(this->now));
