A run of a target is not moved to another address by an announcement

Cause: an announcement under the id and the start of a known run, with a later sequence, changed the address of its record. Orders then went to whoever listens there; its 421 to the order to leave counted as the end of the head, which went on serving.

Evidence: a_run_is_not_moved_to_another_address fails on (the record moves from 10.0.0.1 to 10.0.0.9) and holds now.

Runs without a start time are handled as before.

--- a/include/gooseberryturn/direct/registry.h
+++ b/include/gooseberryturn/direct/registry.h
@@ -64,7 +64,8 @@
 class Registry {
  public:
   /// \brief Registers or updates the target, unless the announcement is stale:
-  /// out of order, or from a run of a target that has ended since.
+  /// out of order, from a run of a target that has ended since, or from another
+  /// address than the run's.
   /// \param unix_ms The time of day; without it, any start is credible.
   AnnouncementResult HandleAnnouncement(
       const Announcement& announcement, TimePoint now,
@@ -162,9 +163,10 @@
       const Announcement& announcement) const;
   /// True when the announcement would replace another run.
   [[nodiscard]] bool ReplacesRun(const Announcement& announcement) const;
-  /// True for one that is older than a record of its target or its address.
-  [[nodiscard]] bool IsOlder(const Announcement& announcement) const;
-  /// When a record that the announcement is older than was last heard of.
+  /// True for one that is older than a record of its target or its address, or
+  /// that places a known run at another address.
+  [[nodiscard]] bool ContradictsRecord(const Announcement& announcement) const;
+  /// When a record that the announcement contradicts was last heard of.
   [[nodiscard]] TimePoint NewerHeardAt(const Announcement& announcement) const;
   /// When one of the contested runs was last heard of.
   [[nodiscard]] TimePoint ContestedHeardAt(
--- a/src/direct/registry.cc
+++ b/src/direct/registry.cc
@@ -88,7 +88,7 @@
                                      });
 }
 
-bool Registry::IsOlder(const Announcement& announcement) const {
+bool Registry::ContradictsRecord(const Announcement& announcement) const {
   const auto known = this->records.find(announcement.id);
   if (known == this->records.end()) {
     return !this->SupersedingIds(announcement).empty();
@@ -96,10 +96,13 @@
   const TargetRecord& record = known->second;
   const bool is_earlier_run =
       announcement.start_time_ms < record.view.start_time_ms;
-  const bool is_late =
-      announcement.start_time_ms == record.view.start_time_ms &&
-      announcement.sequence <= record.sequence;
-  return is_earlier_run || is_late;
+  const bool is_same_run =
+      announcement.start_time_ms == record.view.start_time_ms;
+  const bool is_late = is_same_run && announcement.sequence <= record.sequence;
+  // A run stays at its address. Without a start, runs can't be told apart.
+  const bool is_elsewhere = is_same_run && announcement.start_time_ms > 0 &&
+                            announcement.address != record.view.address;
+  return is_earlier_run || is_late || is_elsewhere;
 }
 
 TimePoint Registry::NewerHeardAt(const Announcement& announcement) const {
@@ -212,7 +215,7 @@
   if (known == this->records.end() && has_withdrawn) {
     return AnnouncementResult::kStale;
   }
-  const bool is_takeover = this->IsOlder(announcement);
+  const bool is_takeover = this->ContradictsRecord(announcement);
   if (is_takeover) {
     if (!this->TakesOver(announcement, this->NewerHeardAt(announcement), now)) {
       return AnnouncementResult::kStale;
--- a/tests/direct_decision_test.cc
+++ b/tests/direct_decision_test.cc
@@ -166,6 +166,43 @@
               AnnouncementResult::kStale));
 }
 
+// One announcement of another writer, under the id and the start of a sound
+// target, moved its record to another address. Orders for it then reached
+// another target, whose answer counted as the end of the head.
+BOOST_AUTO_TEST_CASE(a_run_is_not_moved_to_another_address) {
+  Registry registry;
+  (void)registry.HandleAnnouncement(MakeAnnouncement("i1", "10.0.0.1", 100, 1),
+                                    At(0));
+  BOOST_TEST(
+      (registry.HandleAnnouncement(MakeAnnouncement("i1", "10.0.0.9", 100, 50),
+                                   At(10)) == AnnouncementResult::kStale));
+  BOOST_TEST(registry.Find("i1")->view.address.address == "10.0.0.1");
+  BOOST_TEST(
+      (registry.HandleAnnouncement(MakeAnnouncement("i1", "10.0.0.1", 100, 2),
+                                   At(20)) == AnnouncementResult::kSame));
+  // A later run may start elsewhere.
+  BOOST_TEST(
+      (registry.HandleAnnouncement(MakeAnnouncement("i1", "10.0.0.2", 200, 1),
+                                   At(30)) == AnnouncementResult::kNew));
+  BOOST_TEST(registry.Find("i1")->view.address.address == "10.0.0.2");
+}
+
+// Where the first record was the wrong one, the target itself is believed as
+// soon as only it goes on announcing itself.
+BOOST_AUTO_TEST_CASE(a_run_recorded_at_a_wrong_address_is_corrected) {
+  Registry registry;
+  (void)registry.HandleAnnouncement(MakeAnnouncement("i1", "10.0.0.9", 100, 1),
+                                    At(0));
+  AnnouncementResult result = AnnouncementResult::kStale;
+  for (std::uint64_t sequence = 2; sequence < 9; ++sequence) {
+    result = registry.HandleAnnouncement(
+        MakeAnnouncement("i1", "10.0.0.1", 100, sequence),
+        At(1200 * static_cast<std::int64_t>(sequence)));
+  }
+  BOOST_TEST((result == AnnouncementResult::kSame));
+  BOOST_TEST(registry.Find("i1")->view.address.address == "10.0.0.1");
+}
+
 BOOST_AUTO_TEST_CASE(a_withdrawn_target_stays_leaving_until_it_restarts) {
   Registry registry;
   (void)registry.HandleAnnouncement(MakeAnnouncement("i1", "10.0.0.1", 100, 1),
