Duties and load: overview, and the types that its parts share

Settings name the platform's interface and its duties, configurations the limits within which a service is scaled, and messages between hosts carry the time of day, usage by window and learnt capacities. Nothing acts on them yet.

--- a/include/gooseberryturn/direct/configuration.h
+++ b/include/gooseberryturn/direct/configuration.h
@@ -76,12 +76,20 @@
       std::string_view name) const noexcept;
 };
 
+/// \brief Bounds within which the platform adds and removes targets.
+struct ScalingLimits {
+  std::size_t min_targets = 0;  ///< In each data centre.
+  std::size_t max_targets = 0;  ///< In each data centre.
+  double start_s = 0;           ///< From the order until a new target serves.
+};
+
 /// \brief A set of targets that serve the same requests.
 struct Service {
   std::string name;
   std::size_t max_connections = 0;  ///< To one target, in total.
   double cold_requests_per_s = 0;   ///< Limit for one cold target.
   std::optional<EngineProfile> engine;
+  std::optional<ScalingLimits> scaling;  ///< Empty if it isn't scaled.
 };
 
 /// \brief Limits on requests and connections of callers.
@@ -113,7 +121,7 @@
 };
 
 /// \brief Checks consistency across fields: unique service names, routes and
-/// team keys, known services, valid weights and timeouts.
+/// team keys, known services, valid weights, timeouts and scaling limits.
 /// \returns kBadRequest with the first error.
 [[nodiscard]] Result<void> Validate(const Configuration& configuration);
 
--- a/include/gooseberryturn/direct/dialect.h
+++ b/include/gooseberryturn/direct/dialect.h
@@ -12,6 +12,7 @@
 #include "gooseberryturn/core/time.h"
 #include "gooseberryturn/direct/announcement.h"
 #include "gooseberryturn/direct/configuration.h"
+#include "gooseberryturn/duty/calls.h"
 
 namespace gooseberryturn::direct {
 
@@ -29,6 +30,9 @@
   std::string tokens;        ///< Prompt tokens and maximum output tokens.
   std::string prompt_parts;  ///< Parts of the prompt, in order.
   std::string priority;      ///< Priority at the engine; 0 goes first.
+  std::string length_hint;   ///< Caller's estimate of the output tokens.
+  std::string lease_holder;  ///< Host that calls the platform for the fleet.
+  std::string fence;         ///< Fencing number of such a call.
 };
 
 /// \brief Value of the header `leaving` of a target that leaves.
@@ -106,6 +110,8 @@
   std::function<std::string(const std::string& message)> write_error;
   std::function<HttpRequest(const Order&)> write_order;
   std::function<HttpRequest()> write_report_call;
+  std::function<HttpRequest(const duty::UsageReport&)> write_usage_report;
+  std::function<HttpRequest(const duty::ScaleOrder&)> write_scale_order;
 };
 
 /// \brief Settings of an entry or control host that reaches targets directly.
@@ -132,6 +138,10 @@
   double retry_ratio = 0.2;  ///< Retries per first attempt.
   double retry_burst = 20;   ///< Of one service, all entries together.
   double cold_factor = 1;    ///< On the request limit of a cold target.
+  /// Health checks and published figures of targets may be wrong: what they
+  /// take well is learnt from their answers.
+  bool learns_capacity = false;
+  std::optional<duty::PlatformSettings> platform;  ///< Empty without duties.
 
   /// \brief Endpoint on which this control host listens for other hosts.
   [[nodiscard]] Endpoint link() const {
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -11,6 +11,7 @@
 #include "gooseberryturn/direct/announcement.h"
 #include "gooseberryturn/direct/configuration_text.h"
 #include "gooseberryturn/direct/crash_report.h"
+#include "gooseberryturn/direct/learnt_capacity.h"
 #include "gooseberryturn/direct/model_demand.h"
 #include "gooseberryturn/direct/target_notices.h"
 
@@ -104,6 +105,15 @@
                  takes_compressed)
 };
 
+/// \brief Requests of a team that targets began to run in one window.
+struct UsageCount {
+  std::int64_t window = 0;  ///< See duty::PlatformSettings::usage_window.
+  std::string team;
+  std::uint64_t requests = 0;
+
+  MSGPACK_DEFINE(window, team, requests)
+};
+
 /// \brief Report of an entry to the leader, sent several times a second.
 struct EntryReport {
   std::vector<InFlightWork> in_flight_work;
@@ -117,10 +127,15 @@
   std::vector<std::string> held_contents;  ///< Requests wait for a trial.
   /// Quarantined; requests with them were refused.
   std::vector<std::string> refused_contents;
+  std::int64_t unix_ms = 0;  ///< Time of day at this entry.
+  /// Totals of the last windows, counted since this entry started.
+  std::vector<UsageCount> usage;
+  std::vector<LearntCapacity> learnt_capacities;
 
   MSGPACK_DEFINE(in_flight_work, stalled_groups, cut_requests,
                  has_received_request, config_version, model_work,
-                 answered_contents, held_contents, refused_contents)
+                 answered_contents, held_contents, refused_contents, unix_ms,
+                 usage, learnt_capacities)
 };
 
 /// \brief Changes since the previous update, sent by the leader to followers.
@@ -146,11 +161,13 @@
   /// Whole requests that the next crash may quarantine: entries say whether
   /// they were answered.
   std::vector<std::string> watched;
+  std::int64_t unix_ms = 0;  ///< Time of day that the fleet goes by.
+  std::vector<LearntCapacity> learnt_capacities;  ///< Of all entries.
 
   MSGPACK_DEFINE(is_leader, leader, term, is_full, config_version, config_text,
                  targets, removed_targets, groups, removed_groups, evacuated,
                  in_flight_work, quarantined, control_hosts, entries,
-                 config_patch, held, watched)
+                 config_patch, held, watched, unix_ms, learnt_capacities)
 };
 
 /// \brief What the leader is to do with a forwarded call.
--- a/src/direct/configuration.cc
+++ b/src/direct/configuration.cc
@@ -77,6 +77,11 @@
     if (!service_names.insert(service.name).second) {
       return InvalidConfiguration("duplicate service name " + service.name);
     }
+    if (service.scaling.has_value() &&
+        service.scaling->min_targets > service.scaling->max_targets) {
+      return InvalidConfiguration("service " + service.name +
+                                  ": scaling min is above max");
+    }
   }
   std::set<std::pair<std::string, std::string>> locations;
   for (const Route& route : configuration.routes) {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -166,3 +166,49 @@
   BOOST_TEST(call.body == R"({"op":"join","group":"g7","epoch":12,"model":"m",)"
                           R"("members":["i-1","i-2"],"fence":3})");
 }
+
+// A bound that is no number, or limits that contradict each other, would leave
+// the fleet without usage reports or with an endless number of orders.
+BOOST_AUTO_TEST_CASE(duties_and_scaling_limits_are_read_and_checked) {
+  BOOST_TEST(!platform::ReadSettings(kSettings)->platform.has_value());
+  const std::string duties =
+      "cloud.address=10.9.0.1:8424\ncloud.duties=metering,other\n"
+      "cloud.duty_per_s=50.0\nbounds.lease_ms=2500\nbounds.report_window_s=4\n"
+      "contracts=base,health\n";
+  const Result<direct::HostSettings> read =
+      platform::ReadSettings(kSettings + duties);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->learns_capacity);
+  BOOST_REQUIRE(read->platform.has_value());
+  BOOST_TEST(read->platform->reports_usage);
+  BOOST_TEST(!read->platform->scales);
+  BOOST_TEST(read->platform->calls_per_s == 50);
+  BOOST_TEST((read->platform->lease_time == Milliseconds(2500)));
+  BOOST_TEST((read->platform->usage_window == std::chrono::seconds(4)));
+  for (const std::string wrong : {"0", "-1", "nan", "x"}) {
+    BOOST_TEST(!platform::ReadSettings(kSettings + duties +
+                                       "bounds.report_window_s=" + wrong + "\n")
+                    .has_value(),
+               wrong);
+  }
+  std::string text = kConfiguration;
+  text.insert(text.find(R"({"name":"s2")") + 12,
+              R"(,"scaling":{"min":2,"max":1,"boot_s":8})");
+  const Result<direct::Configuration> inverted =
+      platform::MakeDialect().read_configuration(text);
+  BOOST_REQUIRE(inverted.has_value());
+  BOOST_TEST(inverted->services[1].scaling->start_s == 8);
+  BOOST_TEST(!Validate(*inverted).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(calls_to_the_platform_name_windows_and_targets) {
+  const direct::Dialect dialect = platform::MakeDialect();
+  const direct::HttpRequest usage =
+      dialect.write_usage_report({7, {{"team-a", 4}, {"team-b", 1}}});
+  BOOST_TEST(usage.path == "/usage");
+  BOOST_TEST(usage.body ==
+             R"({"window_id":7,"counts":{"team-a":4,"team-b":1}})");
+  const direct::HttpRequest scale = dialect.write_scale_order({"s1", "za", 6});
+  BOOST_TEST(scale.path == "/scale");
+  BOOST_TEST(scale.body == R"({"service":"s1","zone":"za","desired":6})");
+}
