The leader decides how many targets each scaled service has

Nothing decided the number of targets, though a service's configuration may name limits within which the platform adds and removes them.

duty::ScalePlanner sizes a service in whole groups and spares for the demand predicted for the time at which a new target serves. Numbers rise at once and fall in small steps to the highest need within a window of 1.5 times the time to start and load. Lost and out-of-service data centres have no part. The leader runs it once a second if the platform scales; ControlHost::PublishScaleOrders is the one place where the numbers leave it.

--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -23,6 +23,7 @@
 #include "gooseberryturn/direct/quorum_planner.h"
 #include "gooseberryturn/direct/registry.h"
 #include "gooseberryturn/direct/view.h"
+#include "gooseberryturn/duty/scale_planner.h"
 #include "gooseberryturn/link/listener.h"
 #include "gooseberryturn/observe/metrics.h"
 
@@ -67,6 +68,7 @@
   static constexpr Duration kInFlightSendInterval =
       std::chrono::milliseconds(100);
   static constexpr Duration kCapacityLogInterval = std::chrono::seconds(1);
+  static constexpr Duration kScalingInterval = std::chrono::seconds(1);
   /// Followers get an update at least this often, even without changes.
   static constexpr Duration kMaxUpdateInterval = std::chrono::milliseconds(250);
   static constexpr Duration kCallTimeout = std::chrono::milliseconds(850);
@@ -163,6 +165,17 @@
   void PlanGroups(TimePoint now);
   /// Logs demand and supply of each model once per kCapacityLogInterval.
   void LogCapacities(const PlanInput& input, TimePoint now);
+  /// Decides the wanted numbers of targets once per kScalingInterval, if the
+  /// platform scales, and logs and counts the changes.
+  void PlanScaling(const PlanInput& input, TimePoint now);
+  /// Data centres with a host or target of the fleet, or with a wanted number.
+  [[nodiscard]] std::set<std::string> KnownDataCentres() const;
+  [[nodiscard]] duty::ServiceLoad MeasureServiceLoad(
+      const Service& service, const std::set<std::string>& data_centres,
+      const std::vector<ModelCapacity>& capacities, const PlanInput& input,
+      TimePoint now) const;
+  /// Takes the wanted numbers of targets, to be sent to the platform.
+  void PublishScaleOrders(std::vector<duty::ScaleOrder> orders);
   /// Plans after the events that are already queued, unless the last plan is
   /// less than kMinPlanInterval ago.
   void SchedulePlan();
@@ -278,6 +291,9 @@
   bool is_plan_scheduled = false;
   TimePoint last_plan_at;
   TimePoint next_capacity_log_at;
+  duty::ScalePlanner scale_planner;
+  std::vector<duty::ScaleOrder> scale_orders;  ///< Wanted numbers of targets.
+  TimePoint next_scaling_at;
   std::vector<InFlightWork> in_flight_work;  ///< Sum over all entries.
   TimePoint in_flight_summed_at;
   TimePoint settled_at;  ///< Full updates are sent from then on.
--- a/include/gooseberryturn/observe/metrics.h
+++ b/include/gooseberryturn/observe/metrics.h
@@ -53,10 +53,12 @@
   kQuarantinesEnded,
   kMemoryFull,  ///< Requests and answers given up for want of memory.
   kLateOrders,  ///< Orders of operators and targets that were not carried out.
-  kClosesNotReported,  ///< To the flow of the request in progress.
+  kClosesNotReported,   ///< To the flow of the request in progress.
+  kScaleChanges,        ///< Wanted numbers of targets that changed.
+  kScaleInputsIgnored,  ///< Invalid samples and sizes.
 };
 
-inline constexpr std::size_t kMetricCount = 27;
+inline constexpr std::size_t kMetricCount = 29;
 
 /// \brief Exported names, without the prefix `gooseberryturn_`.
 inline constexpr NameTable<Metric, kMetricCount> kMetricNames = {
@@ -86,7 +88,9 @@
      "quarantines_ended_total",
      "memory_full_total",
      "late_orders_total",
-     "closes_not_reported_total"}};
+     "closes_not_reported_total",
+     "scale_changes_total",
+     "scale_inputs_ignored_total"}};
 
 /// \brief Durations that are exported as summaries with quantiles.
 enum class Timing : std::uint8_t {
--- a/src/direct/control_host_leader.cc
+++ b/src/direct/control_host_leader.cc
@@ -56,6 +56,8 @@
   this->crash_tracker.Restore(this->state.suspects(), node.term(), now);
   this->proposed_suspects = protocol::Encode(this->state.suspects());
   this->demand = DemandAggregator();
+  this->scale_planner = duty::ScalePlanner();
+  this->scale_orders.clear();
   this->targets = {};
   this->groups = {};
   this->revision += 1;
@@ -223,6 +225,7 @@
   }
   this->PublishGroups();
   this->LogCapacities(input, now);
+  this->PlanScaling(input, now);
 }
 
 }  // namespace gooseberryturn::direct
