--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -170,10 +170,6 @@
   void PlanScaling(const PlanInput& input, TimePoint now);
   /// Data centres with a host or target of the fleet, or with a wanted number.
   [[nodiscard]] std::set<std::string> KnownDataCentres() const;
-  [[nodiscard]] duty::ServiceLoad MeasureServiceLoad(
-      const Service& service, const std::set<std::string>& data_centres,
-      const std::vector<ModelCapacity>& capacities, const PlanInput& input,
-      TimePoint now) const;
   /// Takes the wanted numbers of targets, to be sent to the platform.
   void PublishScaleOrders(std::vector<duty::ScaleOrder> orders);
   /// Plans after the events that are already queued, unless the last plan is
