Engine priority by rank where the requests of a service differ in priority

Entries sent the priority header only for resumed and late requests, so that a group head admitted all others in order of arrival, whatever the priority of their routes and teams.

PriorityMap spreads the ranks of the priorities of a service over 3 to 6; it is made once for each configuration. Services whose requests all have one priority are sent as before, without the header.

--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -19,6 +19,7 @@
 #include "gooseberryturn/direct/dialect.h"
 #include "gooseberryturn/direct/fleet_view.h"
 #include "gooseberryturn/direct/follow_client.h"
+#include "gooseberryturn/direct/priority_map.h"
 #include "gooseberryturn/direct/target_chooser.h"
 #include "gooseberryturn/direct/target_connection.h"
 #include "gooseberryturn/direct/target_tracker.h"
@@ -139,6 +140,7 @@
   AsyncHttpServer ready_server;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
   FleetView view;
+  PriorityMap priorities;  ///< Of the configuration in force.
   /// Base of the next patch. Held also when the configuration is not valid.
   ConfigurationText held_text;
   TargetTracker target_tracker;
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -200,6 +200,10 @@
   [[nodiscard]] bool TryTakeRetry(bool may_have_executed);
   [[nodiscard]] std::string SerializeAnswerHead() const;
   [[nodiscard]] std::string QueueKey() const;
+  /// Priority of the team, or of the route; 0 is the most urgent.
+  [[nodiscard]] int Priority() const;
+  /// Value of the priority header for the target, or empty to send none.
+  [[nodiscard]] std::optional<int> EnginePriority() const;
   /// Profile of the service's engine, or null for a plain service.
   [[nodiscard]] const EngineProfile* FindEngine() const;
   [[nodiscard]] const ModelProfile* FindModel() const;
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -301,9 +301,10 @@
              {{"version", std::to_string(update.config_version)},
               {"before", std::to_string(this->view.version())}});
   }
-  const bool has_new_limits = table != nullptr;
+  const bool has_new_configuration = table != nullptr;
   this->view.Apply(update, std::move(table));
-  if (has_new_limits) {
+  if (has_new_configuration) {
+    this->priorities = PriorityMap(this->view.routes()->configuration());
     for (const std::shared_ptr<CallerConnection>& caller : this->callers) {
       caller->SetLimits(this->LimitsInForce());
     }
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -23,13 +23,6 @@
 constexpr int kUnavailable = 503;
 constexpr char kBearer[] = "Bearer ";
 constexpr char kLastEventId[] = "Last-Event-ID";
-/// Engine priority of a resumed stream: its caller has waited already. At the
-/// engine 0 goes first; other requests than these two kinds are sent without a
-/// priority.
-constexpr char kResumedPriority[] = "2";
-/// Engine priority of a request that can no longer meet its objective: it must
-/// not displace one that can.
-constexpr char kLatePriority[] = "7";
 constexpr double kPercent = 100;
 constexpr double kMsPerSecond = 1000;
 /// Of one prompt, whatever its caller claims.
@@ -263,9 +256,7 @@
     this->Hold(now);
     return;
   }
-  const int priority = this->team != nullptr && this->team->priority
-                           ? *this->team->priority
-                           : this->route->priority;
+  const int priority = this->Priority();
   // Requests with the same queue key that rank higher go first.
   const bool must_wait =
       !this->is_head_sent &&
@@ -360,6 +351,21 @@
   return true;
 }
 
+int RequestFlow::Priority() const {
+  return this->team != nullptr && this->team->priority ? *this->team->priority
+                                                       : this->route->priority;
+}
+
+std::optional<int> RequestFlow::EnginePriority() const {
+  if (this->last_event_id.has_value()) {
+    return PriorityMap::kResumed;
+  }
+  if (this->is_sent_late && !this->model.empty()) {
+    return PriorityMap::kLate;
+  }
+  return this->entry.priorities.EnginePriority(this->service, this->Priority());
+}
+
 std::string RequestFlow::SerializeRequest(const std::string& target_id) const {
   const HeaderNames& names = this->entry.dialect.headers;
   std::string bytes = std::string(this->message.method_string()) + " " +
@@ -389,9 +395,10 @@
   }
   if (this->last_event_id.has_value()) {
     add(kLastEventId, std::to_string(*this->last_event_id));
-    add(names.priority, kResumedPriority);
-  } else if (this->is_sent_late && !this->model.empty()) {
-    add(names.priority, kLatePriority);
+  }
+  const std::optional<int> engine_priority = this->EnginePriority();
+  if (engine_priority.has_value()) {
+    add(names.priority, std::to_string(*engine_priority));
   }
   const bool has_body =
       !this->message.body().empty() ||
--- /dev/null
+++ b/tests/priority_map_test.cc
@@ -0,0 +1,113 @@
+#define BOOST_TEST_MODULE priority_map
+#include "gooseberryturn/direct/priority_map.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "direct_fixtures.h"
+#include "gooseberryturn/direct/configuration.h"
+
+/// Which requests are sent with an engine priority, and with which one.
+using namespace gooseberryturn;          // NOLINT
+using namespace gooseberryturn::direct;  // NOLINT
+
+namespace {
+
+/// One route to the service "engines" for each of `priorities`.
+Configuration MakeRoutes(const std::vector<int>& priorities) {
+  Configuration configuration = MakeConfiguration();
+  for (const int priority : priorities) {
+    Route route = configuration.routes[0];
+    route.name = "engines-" + std::to_string(priority);
+    route.path_prefix = "/" + route.name;
+    route.priority = priority;
+    route.services = {{"engines", 1}};
+    configuration.routes.push_back(route);
+  }
+  return configuration;
+}
+
+int Sent(const PriorityMap& priorities, int priority) {
+  return priorities.EnginePriority("engines", priority).value_or(-1);
+}
+
+}  // namespace
+
+// Deployments without priorities must be served as before: without the header.
+BOOST_AUTO_TEST_CASE(requests_of_one_priority_are_sent_without_the_header) {
+  const PriorityMap priorities(MakeRoutes({4, 4}));
+  BOOST_TEST(!priorities.HasSeveral("engines"));
+  BOOST_TEST(!priorities.EnginePriority("engines", 4).has_value());
+  BOOST_TEST(!priorities.EnginePriority("unknown", 4).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_most_urgent_goes_before_the_default_of_the_engine) {
+  const PriorityMap priorities(MakeRoutes({9, 0}));
+  BOOST_TEST(priorities.HasSeveral("engines"));
+  BOOST_TEST(Sent(priorities, 0) == PriorityMap::kMostUrgent);
+  BOOST_TEST(Sent(priorities, 9) == PriorityMap::kLeastUrgent);
+}
+
+// Priorities far apart, or negative, must not leave the range of the engine.
+BOOST_AUTO_TEST_CASE(ranks_decide_and_not_the_distances_of_priorities) {
+  const PriorityMap priorities(MakeRoutes({-7, 1, 1000}));
+  BOOST_TEST(Sent(priorities, -7) == 3);
+  BOOST_TEST(Sent(priorities, 1) == 4);
+  BOOST_TEST(Sent(priorities, 1000) == 6);
+}
+
+BOOST_AUTO_TEST_CASE(many_priorities_keep_their_order_in_the_range) {
+  std::vector<int> all;
+  for (int priority = 0; priority < 12; ++priority) {
+    all.push_back(priority);
+  }
+  const PriorityMap priorities(MakeRoutes(all));
+  int before = PriorityMap::kResumed;
+  for (const int priority : all) {
+    const int sent = Sent(priorities, priority);
+    BOOST_TEST(sent >= before);
+    BOOST_TEST(sent > PriorityMap::kResumed);
+    BOOST_TEST(sent < PriorityMap::kLate);
+    before = sent;
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_priority_counts_as_a_neighbour) {
+  const PriorityMap priorities(MakeRoutes({1, 5}));
+  BOOST_TEST(Sent(priorities, 0) == PriorityMap::kMostUrgent);
+  BOOST_TEST(Sent(priorities, 3) == PriorityMap::kLeastUrgent);
+  BOOST_TEST(Sent(priorities, 8) == PriorityMap::kLeastUrgent);
+}
+
+// A team's own priority replaces that of the route.
+BOOST_AUTO_TEST_CASE(teams_with_priorities_of_their_own_count) {
+  Configuration configuration = MakeRoutes({4});
+  configuration.has_teams = true;
+  configuration.teams = {{"one", {"k1"}, {}}, {"two", {"k2"}, 1}};
+  const PriorityMap different(configuration);
+  BOOST_TEST(Sent(different, 1) == PriorityMap::kMostUrgent);
+  BOOST_TEST(Sent(different, 4) == PriorityMap::kLeastUrgent);
+  configuration.teams[0].priority = 1;
+  BOOST_TEST(!PriorityMap(configuration).HasSeveral("engines"));
+}
+
+BOOST_AUTO_TEST_CASE(teams_do_not_count_on_public_routes) {
+  Configuration configuration = MakeRoutes({4});
+  configuration.has_teams = true;
+  configuration.teams = {{"one", {"k1"}, {}}, {"two", {"k2"}, 1}};
+  configuration.routes.back().is_public = true;
+  BOOST_TEST(!PriorityMap(configuration).HasSeveral("engines"));
+}
+
+// Plain targets know no priority header.
+BOOST_AUTO_TEST_CASE(plain_services_have_no_engine_priority) {
+  Configuration configuration = MakeRoutes({});
+  Route urgent = configuration.routes[0];
+  urgent.path_prefix = "/urgent/";
+  urgent.priority = 3;
+  configuration.routes.push_back(urgent);
+  const PriorityMap priorities(configuration);
+  BOOST_TEST(!priorities.EnginePriority("orders", 3).has_value());
+}
