Waiting requests in fair order of their teams, early retries last

A team that sends ten times as much as others, or retries at once, took the capacity of all: the wait queue knew no teams. Within a priority, the team with the least engine time now goes first (FairOrder, start-time fair queueing), and a request that was refused and comes back before its Retry-After stands behind first attempts (EarlyRetries). With one team the order is the earlier one.

The queue is indexed by model, rank and team.

DispatchOrder and CountAhead had no user left but tests. The tests go on with Next and GoesFirst and expect the same order; where the count was expected to be 1, they check that there is one request ahead and none without it.

--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -17,6 +17,7 @@
 #include "gooseberryturn/direct/caller_connection.h"
 #include "gooseberryturn/direct/cut_reports.h"
 #include "gooseberryturn/direct/dialect.h"
+#include "gooseberryturn/direct/early_retries.h"
 #include "gooseberryturn/direct/fleet_view.h"
 #include "gooseberryturn/direct/follow_client.h"
 #include "gooseberryturn/direct/priority_map.h"
@@ -102,6 +103,9 @@
   void Tick();
   /// Tries to dispatch the requests in the wait queue.
   void DispatchQueued();
+  /// Tries to dispatch one of them.
+  /// \returns False if those behind it have to wait too.
+  [[nodiscard]] bool TryDispatchQueued(std::uint64_t flow_id);
   /// Closes connections and aborts requests as their deadlines pass.
   void AdvanceLeave(TimePoint now);
   /// \brief Number of entries among which the limits of a target or service are
@@ -149,6 +153,7 @@
   std::shared_ptr<ByteBudget> held_bytes;
   TargetConnectionPool target_pool;
   WaitQueue wait_queue;
+  EarlyRetries early_retries;
   DemandMeter demand;
   std::map<std::string, routing::RetryBudget> retry_budgets;
   std::map<std::uint64_t, std::shared_ptr<RequestFlow>> flows;
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -126,6 +126,10 @@
   void StartAttempt(const std::string& target_id);
   [[nodiscard]] std::string SerializeRequest(
       const std::string& target_id) const;
+  /// The request as the wait queue orders it.
+  [[nodiscard]] QueuedRequest DescribeQueued() const;
+  /// True if its caller was refused and came back before its Retry-After.
+  [[nodiscard]] bool IsEarlyRetry() const;
   /// Takes the prompt off the pending prefill work of the target: its prefill
   /// is done, or will not be done.
   void EndPrefill();
@@ -207,7 +211,8 @@
   /// Profile of the service's engine, or null for a plain service.
   [[nodiscard]] const EngineProfile* FindEngine() const;
   [[nodiscard]] const ModelProfile* FindModel() const;
-  /// Adds the engine time that this request needs to the measured demand.
+  /// Estimates the engine time that this request needs, and adds it to the
+  /// measured demand.
   void RecordDemand();
   /// Longest wait before dispatch with which the first event is still expected
   /// within the route's objective.
@@ -225,6 +230,8 @@
   std::string service;
   std::string model;
   double prompt_tokens = 0;
+  double engine_ms = 0;         ///< Engine time that it is expected to need.
+  bool is_early_retry = false;  ///< Came back before its Retry-After.
   /// Ids of the parts of the prompt that other requests may have too: all but
   /// the last.
   std::vector<std::string> shared_parts;
--- a/include/gooseberryturn/observe/metrics.h
+++ b/include/gooseberryturn/observe/metrics.h
@@ -54,9 +54,10 @@
   kMemoryFull,  ///< Requests and answers given up for want of memory.
   kLateOrders,  ///< Orders of operators and targets that were not carried out.
   kClosesNotReported,  ///< To the flow of the request in progress.
+  kEarlyRetries,       ///< Requests that came back before their Retry-After.
 };
 
-inline constexpr std::size_t kMetricCount = 27;
+inline constexpr std::size_t kMetricCount = 28;
 
 /// \brief Exported names, without the prefix `gooseberryturn_`.
 inline constexpr NameTable<Metric, kMetricCount> kMetricNames = {
@@ -86,7 +87,8 @@
      "quarantines_ended_total",
      "memory_full_total",
      "late_orders_total",
-     "closes_not_reported_total"}};
+     "closes_not_reported_total",
+     "early_retries_total"}};
 
 /// \brief Durations that are exported as summaries with quantiles.
 enum class Timing : std::uint8_t {
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -388,23 +388,28 @@
   this->is_dispatching_queued = true;
   const TimePoint now = Clock::now();
   for (const std::string& queue_key : this->wait_queue.QueueKeys()) {
-    for (const std::uint64_t flow_id :
-         this->wait_queue.DispatchOrder(queue_key, now)) {
-      const auto found = this->flows.find(flow_id);
-      if (found == this->flows.end()) {
-        this->wait_queue.Remove(flow_id);
-        continue;
-      }
-      const std::shared_ptr<RequestFlow> flow = found->second;
-      // One that moves to another target must not hold up those behind it.
-      if (!flow->TryDispatch() && !flow->IsMoving()) {
-        break;
-      }
+    std::set<std::uint64_t> tried;
+    std::optional<std::uint64_t> next =
+        this->wait_queue.Next(queue_key, now, tried);
+    while (next.has_value() && this->TryDispatchQueued(*next)) {
+      tried.insert(*next);
+      next = this->wait_queue.Next(queue_key, now, tried);
     }
   }
   this->is_dispatching_queued = false;
 }
 
+bool EntryHost::TryDispatchQueued(std::uint64_t flow_id) {
+  const auto found = this->flows.find(flow_id);
+  if (found == this->flows.end()) {
+    this->wait_queue.Remove(flow_id);
+    return true;
+  }
+  const std::shared_ptr<RequestFlow> flow = found->second;
+  // One that moves to another target must not hold up those behind it.
+  return flow->TryDispatch() || flow->IsMoving();
+}
+
 void EntryHost::RecordLoopDelay(TimePoint now) {
   if (this->next_tick_at == TimePoint()) {
     return;
@@ -425,6 +430,7 @@
   this->SettleAnswers(now);
   this->SendReport(now);
   this->target_pool.Expire(now);
+  this->early_retries.Expire(now);
   std::vector<std::shared_ptr<RequestFlow>> open;
   open.reserve(this->flows.size());
   for (const auto& entry : this->flows) {
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -183,6 +183,10 @@
   this->queue_deadline =
       std::min(this->deadline, this->received_at + kMaxQueueTime);
   this->RecordDemand();
+  this->is_early_retry = this->IsEarlyRetry();
+  if (this->is_early_retry) {
+    this->entry.metrics.Add(observe::Metric::kEarlyRetries);
+  }
   this->entry.RetryBudgetOf(this->service)
       .RecordFirstAttempt(static_cast<std::int64_t>(
           kPercent * this->entry.settings.retry_ratio));
@@ -211,6 +215,12 @@
   return engine == nullptr ? nullptr : engine->FindModel(this->model);
 }
 
+bool RequestFlow::IsEarlyRetry() const {
+  return !this->entry.early_retries.empty() &&
+         this->entry.early_retries.IsEarly(this->Fingerprint(),
+                                           this->received_at);
+}
+
 void RequestFlow::RecordDemand() {
   const ModelProfile* model_profile = this->FindModel();
   if (model_profile != nullptr) {
@@ -219,10 +229,10 @@
                                      this->prompt_tokens);
     const double output_tokens = this->entry.demand.MeanAnswerTokens(
         this->route->name, engine.mean_output_tokens);
-    this->entry.demand.RecordRequest(
-        this->service, this->model,
-        EngineTimeMs(engine, *model_profile, this->prompt_tokens,
-                     output_tokens));
+    this->engine_ms = EngineTimeMs(engine, *model_profile, this->prompt_tokens,
+                                   output_tokens);
+    this->entry.demand.RecordRequest(this->service, this->model,
+                                     this->engine_ms);
   }
 }
 
@@ -256,12 +266,10 @@
     this->Hold(now);
     return;
   }
-  const int priority = this->Priority();
+  const QueuedRequest queued = this->DescribeQueued();
   // Requests with the same queue key that rank higher go first.
   const bool must_wait =
-      !this->is_head_sent &&
-      this->entry.wait_queue.CountAhead(this->QueueKey(), priority,
-                                        this->dispatch_by, now) > 0;
+      !this->is_head_sent && !this->entry.wait_queue.GoesFirst(queued, now);
   if (!must_wait && this->TryDispatch()) {
     return;
   }
@@ -269,8 +277,7 @@
     return;
   }
   this->is_queued = true;
-  this->entry.wait_queue.Add({this->flow_id, this->QueueKey(), priority,
-                              this->dispatch_by, this->queue_deadline});
+  this->entry.wait_queue.Add(queued);
 }
 
 bool RequestFlow::IsUnservable(ChoiceFailure reason) const {
@@ -343,6 +350,7 @@
   if (this->IsMoving() && !this->TryLeaveTarget(now)) {
     return true;
   }
+  this->entry.wait_queue.RecordDispatched(this->DescribeQueued());
   this->load_at_choice = choice.load;
   this->expected_first_event_ms = choice.expected_ms;
   this->predicted_first_event_ms = this->entry.chooser.PredictFirstEventMs(
@@ -351,6 +359,19 @@
   return true;
 }
 
+QueuedRequest RequestFlow::DescribeQueued() const {
+  QueuedRequest queued;
+  queued.id = this->flow_id;
+  queued.queue_key = this->QueueKey();
+  queued.priority = this->Priority();
+  queued.dispatch_by = this->dispatch_by;
+  queued.queue_deadline = this->queue_deadline;
+  queued.team = this->team == nullptr ? "" : this->team->name;
+  queued.engine_ms = this->engine_ms;
+  queued.is_early_retry = this->is_early_retry;
+  return queued;
+}
+
 int RequestFlow::Priority() const {
   return this->team != nullptr && this->team->priority ? *this->team->priority
                                                        : this->route->priority;
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -28,6 +28,8 @@
 /// Bounds of the Retry-After, which is drawn at random between them.
 constexpr double kMinRetryAfterS = 0.15;
 constexpr double kMaxRetryAfterS = 0.7;
+/// The Retry-After is rounded to this.
+constexpr double kRetryAfterStepS = 0.01;
 /// Upper bound of the Retry-After as a share of the remaining time. Callers
 /// honour one of at most a third of their remaining time.
 constexpr double kRetryAfterShare = 0.25;
@@ -98,6 +100,11 @@
     std::array<char, 32> text{};
     std::snprintf(text.data(), text.size(), "%.2f", retry_after_s);
     lines += std::string("Retry-After: ") + text.data() + "\r\n";
+    if (reason == Reason::kOverloaded) {
+      this->entry.early_retries.Record(
+          this->Fingerprint(),
+          Clock::now() + FromSeconds(retry_after_s - kRetryAfterStepS));
+    }
   }
   this->caller->SendAnswer(std::move(lines), "");
   this->entry.metrics.CountRefusal(reason);
--- a/src/direct/wait_queue.cc
+++ b/src/direct/wait_queue.cc
@@ -1,107 +1,244 @@
 #include "gooseberryturn/direct/wait_queue.h"
 
 #include <algorithm>
-#include <iterator>
-#include <set>
 #include <tuple>
 
 namespace gooseberryturn::direct {
 
 namespace {
 
-/// True when `a` is to be dispatched before `b`.
-bool GoesBefore(const QueuedRequest& a, const QueuedRequest& b, TimePoint now) {
-  const bool is_late_a = now >= a.dispatch_by;
-  const bool is_late_b = now >= b.dispatch_by;
-  if (is_late_a != is_late_b) {
-    return is_late_b;
+using Skipped = std::set<std::uint64_t>;
+
+/// An id newer than all in the queue.
+constexpr std::uint64_t kNewestId = ~std::uint64_t{0};
+
+}  // namespace
+
+std::string QueueKey(const std::string& service, const std::string& model) {
+  return service + "/" + model;
+}
+
+bool WaitQueue::Rank::operator<(const Rank& other) const noexcept {
+  return std::tie(this->is_late, this->priority, this->is_early_retry) <
+         std::tie(other.is_late, other.priority, other.is_early_retry);
+}
+
+bool WaitQueue::Place::operator<(const Place& other) const noexcept {
+  return std::tie(this->rank, this->start, this->position) <
+         std::tie(other.rank, other.start, other.position);
+}
+
+WaitQueue::Rank WaitQueue::RankOf(const QueuedRequest& request, bool is_late) {
+  return {is_late, request.priority, request.is_early_retry};
+}
+
+WaitQueue::Position WaitQueue::PositionOf(const QueuedRequest& request,
+                                          bool is_late) {
+  if (is_late) {
+    return {request.queue_deadline.time_since_epoch(), request.id};
+  }
+  // The newest goes first, also of those with the same `dispatch_by`.
+  return {-request.dispatch_by.time_since_epoch(), kNewestId - request.id};
+}
+
+const FairOrder& WaitQueue::FairOrderOf(const std::string& queue_key,
+                                        int priority) const {
+  static const FairOrder kUnused;
+  const auto orders = this->fair_orders.find(queue_key);
+  if (orders == this->fair_orders.end()) {
+    return kUnused;
   }
-  if (a.priority != b.priority) {
-    return a.priority < b.priority;
+  const auto order = orders->second.find(priority);
+  return order == orders->second.end() ? kUnused : order->second;
+}
+
+void WaitQueue::Insert(ModelQueue& queue, const Stored& stored) {
+  const QueuedRequest& request = stored.request;
+  TeamLine& line = queue.ranks[RankOf(request, stored.is_late)][request.team];
+  if (line.positions.empty()) {
+    line.finish = this->FairOrderOf(request.queue_key, request.priority)
+                      .Finish(request.team);
   }
-  if (is_late_a) {
-    return std::tie(a.queue_deadline, a.id) < std::tie(b.queue_deadline, b.id);
+  line.positions.insert(PositionOf(request, stored.is_late));
+  if (stored.is_late) {
+    queue.late_count += 1;
+  } else {
+    queue.on_time_by_dispatch_by.insert({request.dispatch_by, request.id});
   }
-  return std::tie(a.dispatch_by, a.id) > std::tie(b.dispatch_by, b.id);
 }
 
-}  // namespace
+void WaitQueue::Erase(ModelQueue& queue, const Stored& stored) {
+  const QueuedRequest& request = stored.request;
+  const auto rank = queue.ranks.find(RankOf(request, stored.is_late));
+  const auto line = rank->second.find(request.team);
+  line->second.positions.erase(PositionOf(request, stored.is_late));
+  if (line->second.positions.empty()) {
+    rank->second.erase(line);
+  }
+  if (rank->second.empty()) {
+    queue.ranks.erase(rank);
+  }
+  if (stored.is_late) {
+    queue.late_count -= 1;
+  } else {
+    queue.on_time_by_dispatch_by.erase({request.dispatch_by, request.id});
+  }
+}
 
-std::string QueueKey(const std::string& service, const std::string& model) {
-  return service + "/" + model;
+void WaitQueue::Add(const QueuedRequest& request) {
+  this->Remove(request.id);
+  Stored& stored = this->requests[request.id];
+  stored.request = request;
+  this->Insert(this->queues[request.queue_key], stored);
+  this->by_queue_deadline.insert({request.queue_deadline, request.id});
+}
+
+void WaitQueue::Remove(std::uint64_t id) {
+  const auto found = this->requests.find(id);
+  if (found == this->requests.end()) {
+    return;
+  }
+  const QueuedRequest& request = found->second.request;
+  const auto queue = this->queues.find(request.queue_key);
+  this->Erase(queue->second, found->second);
+  if (queue->second.ranks.empty()) {
+    this->queues.erase(queue);
+  }
+  this->by_queue_deadline.erase({request.queue_deadline, id});
+  this->requests.erase(found);
 }
 
-std::vector<std::uint64_t> WaitQueue::DispatchOrder(
-    const std::string& queue_key, TimePoint now) const {
-  std::vector<QueuedRequest> matching;
-  for (const std::pair<const std::uint64_t, QueuedRequest>& entry :
-       this->requests) {
-    if (entry.second.queue_key == queue_key) {
-      matching.push_back(entry.second);
+WaitQueue::ModelQueue* WaitQueue::UpToDate(const std::string& queue_key,
+                                           TimePoint now) {
+  const auto found = this->queues.find(queue_key);
+  if (found == this->queues.end()) {
+    return nullptr;
+  }
+  ModelQueue& queue = found->second;
+  while (!queue.on_time_by_dispatch_by.empty() &&
+         now >= queue.on_time_by_dispatch_by.begin()->first) {
+    Stored& stored =
+        this->requests.at(queue.on_time_by_dispatch_by.begin()->second);
+    this->Erase(queue, stored);
+    stored.is_late = true;
+    this->Insert(queue, stored);
+  }
+  return &queue;
+}
+
+std::optional<WaitQueue::Place> WaitQueue::FirstPlace(
+    const std::string& queue_key, const ModelQueue& queue,
+    const Skipped& skipped) const {
+  for (const std::pair<const Rank, TeamLines>& rank : queue.ranks) {
+    const FairOrder& order = this->FairOrderOf(queue_key, rank.first.priority);
+    const bool is_late = rank.first.is_late;
+    std::optional<Place> first;
+    for (const std::pair<const std::string, TeamLine>& line : rank.second) {
+      const auto position = std::find_if(
+          line.second.positions.begin(), line.second.positions.end(),
+          [&skipped, is_late](const Position& candidate) {
+            const std::uint64_t id =
+                is_late ? candidate.second : kNewestId - candidate.second;
+            return skipped.empty() || skipped.count(id) == 0;
+          });
+      if (position == line.second.positions.end()) {
+        continue;
+      }
+      const Place place = {rank.first, order.StartAfter(line.second.finish),
+                           *position};
+      if (!first.has_value() || place < *first) {
+        first = place;
+      }
+    }
+    if (first.has_value()) {
+      return first;
     }
   }
-  std::sort(matching.begin(), matching.end(),
-            [now](const QueuedRequest& a, const QueuedRequest& b) {
-              return GoesBefore(a, b, now);
-            });
-  std::vector<std::uint64_t> ids;
-  ids.reserve(matching.size());
-  for (const QueuedRequest& request : matching) {
-    ids.push_back(request.id);
+  return std::nullopt;
+}
+
+std::optional<std::uint64_t> WaitQueue::Next(const std::string& queue_key,
+                                             TimePoint now,
+                                             const Skipped& skipped) {
+  const ModelQueue* queue = this->UpToDate(queue_key, now);
+  if (queue == nullptr) {
+    return std::nullopt;
+  }
+  const std::optional<Place> first =
+      this->FirstPlace(queue_key, *queue, skipped);
+  if (!first.has_value()) {
+    return std::nullopt;
+  }
+  return first->rank.is_late ? first->position.second
+                             : kNewestId - first->position.second;
+}
+
+bool WaitQueue::GoesFirst(const QueuedRequest& request, TimePoint now) {
+  const ModelQueue* queue = this->UpToDate(request.queue_key, now);
+  if (queue == nullptr) {
+    return true;
+  }
+  QueuedRequest candidate = request;
+  candidate.id = kNewestId;
+  candidate.queue_deadline = request.dispatch_by;
+  const bool is_late = now >= request.dispatch_by;
+  const double start = this->FairOrderOf(request.queue_key, request.priority)
+                           .Start(request.team);
+  const Place place = {RankOf(candidate, is_late), start,
+                       PositionOf(candidate, is_late)};
+  const std::optional<Place> first =
+      this->FirstPlace(request.queue_key, *queue, {});
+  return !first.has_value() || place < *first;
+}
+
+void WaitQueue::RecordDispatched(const QueuedRequest& request) {
+  FairOrder& order = this->fair_orders[request.queue_key][request.priority];
+  order.RecordDispatched(request.team, request.engine_ms);
+  const auto queue = this->queues.find(request.queue_key);
+  if (queue == this->queues.end()) {
+    return;
+  }
+  for (const bool is_late : {false, true}) {
+    for (const bool is_early_retry : {false, true}) {
+      const auto rank =
+          queue->second.ranks.find({is_late, request.priority, is_early_retry});
+      if (rank == queue->second.ranks.end()) {
+        continue;
+      }
+      const auto line = rank->second.find(request.team);
+      if (line != rank->second.end()) {
+        line->second.finish = order.Finish(request.team);
+      }
+    }
   }
-  return ids;
 }
 
 std::vector<std::string> WaitQueue::QueueKeys() const {
-  std::set<std::string> queue_keys;
-  for (const std::pair<const std::uint64_t, QueuedRequest>& entry :
-       this->requests) {
-    queue_keys.insert(entry.second.queue_key);
+  std::vector<std::string> queue_keys;
+  queue_keys.reserve(this->queues.size());
+  for (const std::pair<const std::string, ModelQueue>& queue : this->queues) {
+    queue_keys.push_back(queue.first);
   }
-  return {queue_keys.begin(), queue_keys.end()};
+  return queue_keys;
 }
 
 std::vector<std::uint64_t> WaitQueue::TakeExpired(TimePoint now) {
   std::vector<std::uint64_t> expired;
-  for (auto entry = this->requests.begin(); entry != this->requests.end();) {
-    const bool is_expired = now >= entry->second.queue_deadline;
-    if (is_expired) {
-      expired.push_back(entry->first);
-    }
-    entry = is_expired ? this->requests.erase(entry) : std::next(entry);
+  while (!this->by_queue_deadline.empty() &&
+         now >= this->by_queue_deadline.begin()->first) {
+    expired.push_back(this->by_queue_deadline.begin()->second);
+    this->Remove(expired.back());
   }
   return expired;
 }
 
 std::size_t WaitQueue::Count(const std::string& queue_key, bool is_late,
-                             TimePoint now) const {
-  std::size_t count = 0;
-  for (const std::pair<const std::uint64_t, QueuedRequest>& entry :
-       this->requests) {
-    const QueuedRequest& request = entry.second;
-    const bool counts = request.queue_key == queue_key &&
-                        (now >= request.dispatch_by) == is_late;
-    count += counts ? 1 : 0;
-  }
-  return count;
-}
-
-std::size_t WaitQueue::CountAhead(const std::string& queue_key, int priority,
-                                  TimePoint dispatch_by, TimePoint now) const {
-  QueuedRequest candidate;
-  candidate.id = ~std::uint64_t{0};  // Newer than all in the queue.
-  candidate.queue_key = queue_key;
-  candidate.priority = priority;
-  candidate.dispatch_by = dispatch_by;
-  candidate.queue_deadline = dispatch_by;
-  std::size_t ahead = 0;
-  for (const std::pair<const std::uint64_t, QueuedRequest>& entry :
-       this->requests) {
-    const bool is_ahead = entry.second.queue_key == queue_key &&
-                          GoesBefore(entry.second, candidate, now);
-    ahead += is_ahead ? 1 : 0;
-  }
-  return ahead;
+                             TimePoint now) {
+  const ModelQueue* queue = this->UpToDate(queue_key, now);
+  if (queue == nullptr) {
+    return 0;
+  }
+  return is_late ? queue->late_count : queue->on_time_by_dispatch_by.size();
 }
 
 }  // namespace gooseberryturn::direct
--- a/tests/direct_fixtures.h
+++ b/tests/direct_fixtures.h
@@ -1,7 +1,9 @@
 #ifndef GOOSEBERRYTURN_TESTS_DIRECT_FIXTURES_H_
 #define GOOSEBERRYTURN_TESTS_DIRECT_FIXTURES_H_
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +14,7 @@
 #include "gooseberryturn/direct/fleet_view.h"
 #include "gooseberryturn/direct/quorum_planner.h"
 #include "gooseberryturn/direct/target_chooser.h"
+#include "gooseberryturn/direct/wait_queue.h"
 
 /// Inputs of the decision classes of a fleet without agents.
 namespace gooseberryturn::direct {
@@ -103,6 +106,21 @@
   return request;
 }
 
+/// Ids of the requests in `queue`, in the order in which they would be
+/// dispatched if all of them were at `now`.
+inline std::vector<std::uint64_t> DispatchOrder(WaitQueue queue,
+                                                const std::string& queue_key,
+                                                TimePoint now) {
+  std::vector<std::uint64_t> ids;
+  std::optional<std::uint64_t> next = queue.Next(queue_key, now, {});
+  while (next.has_value()) {
+    ids.push_back(*next);
+    queue.Remove(*next);
+    next = queue.Next(queue_key, now, {});
+  }
+  return ids;
+}
+
 inline consensus::Membership MakeVoters(
     const std::vector<consensus::NodeId>& ids) {
   consensus::Membership membership;
--- a/tests/direct_placement_test.cc
+++ b/tests/direct_placement_test.cc
@@ -351,9 +351,13 @@
   queue.Add({5, "m", 1, At(50), At(800)});    // Late, leaves the queue first.
   queue.Add({6, "other", 0, At(400), At(1100)});
   const std::vector<std::uint64_t> expected = {4, 3, 2, 5, 1};
-  BOOST_TEST(queue.DispatchOrder("m", At(200)) == expected,
+  BOOST_TEST(DispatchOrder(queue, "m", At(200)) == expected,
              boost::test_tools::per_element());
-  BOOST_TEST(queue.CountAhead("m", 1, At(400), At(200)) == 1U);
+  // Only the more urgent one goes before it.
+  const QueuedRequest newest = {7, "m", 1, At(400), At(1100)};
+  BOOST_TEST(!queue.GoesFirst(newest, At(200)));
+  queue.Remove(4);
+  BOOST_TEST(queue.GoesFirst(newest, At(200)));
 }
 
 BOOST_AUTO_TEST_CASE(most_served_requests_are_on_time_in_overload) {
@@ -369,7 +373,7 @@
     queue.Add({next, "m", 1, At(ms + 300), At(ms + 1200)});
     next += 1;
     (void)queue.TakeExpired(At(ms));
-    const std::vector<std::uint64_t> order = queue.DispatchOrder("m", At(ms));
+    const std::vector<std::uint64_t> order = DispatchOrder(queue, "m", At(ms));
     if (ms % 20 == 0 && !order.empty()) {
       served += 1;
       on_time += ms <= arrived[order.front()] + 300 ? 1 : 0;
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -245,12 +246,11 @@
     this->result.arrived += 1;
     Entry& entry = *this->entries[request.entry];
     entry.chooser.RecordPrompt("engines", "small", request.prompt_tokens);
-    const bool must_wait =
-        entry.queue.CountAhead("m", 1, this->DispatchBy(request),
-                               At(this->now_ms)) > 0;
+    const QueuedRequest queued = {id, "m", 1, this->DispatchBy(request),
+                                  At(request.arrived_ms + kMaxQueueMs)};
+    const bool must_wait = !entry.queue.GoesFirst(queued, At(this->now_ms));
     if (must_wait || !this->TryDispatch(id)) {
-      entry.queue.Add({id, "m", 1, this->DispatchBy(request),
-                       At(request.arrived_ms + kMaxQueueMs)});
+      entry.queue.Add(queued);
     }
   }
 
@@ -300,11 +300,10 @@
 
   void DispatchQueued(std::size_t number) {
     Entry& entry = *this->entries[number];
-    for (const std::uint64_t id :
-         entry.queue.DispatchOrder("m", At(this->now_ms))) {
-      if (!this->TryDispatch(id)) {
-        break;
-      }
+    std::optional<std::uint64_t> next =
+        entry.queue.Next("m", At(this->now_ms), {});
+    while (next.has_value() && this->TryDispatch(*next)) {
+      next = entry.queue.Next("m", At(this->now_ms), {});
     }
     for (const std::uint64_t id : entry.queue.TakeExpired(At(this->now_ms))) {
       this->result.rejected += 1;
