Less urgent requests leave room for more urgent ones of their model

Urgent requests were late or refused behind a burst of less urgent ones, which filled the prefill and slots of all heads. AdmissionReserve keeps room at each head for the more urgent arrivals measured, refuses at once what would wait in vain, and spreads the Retry-After over the time that the work takes. Entries divide room by priority. Nothing changes for services with one priority.

New counters: closed_out_total, and refusals_with_room_total for a refusal with under half of the slots taken and nothing waiting.

--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 
+#include "gooseberryturn/direct/admission_reserve.h"
 #include "gooseberryturn/direct/answered_contents.h"
 #include "gooseberryturn/direct/async_http.h"
 #include "gooseberryturn/direct/caller_connection.h"
@@ -90,6 +91,14 @@
       const FleetUpdate& update) const;
   /// Lets the chooser divide the room that new figures show.
   void BeginRound(TimePoint now);
+  /// Brings the reserves up to date with the configuration and open groups.
+  void UpdateReserves();
+  /// The reserve of a model whose requests differ in priority, or null.
+  [[nodiscard]] AdmissionReserve* FindReserve(const std::string& queue_key);
+  /// True if less than half of the slots of the model are taken and none of its
+  /// requests waits.
+  [[nodiscard]] bool HasIdleRoom(const std::string& service,
+                                 const std::string& model, TimePoint now);
   /// Sends a report if one is due or further groups are stalled.
   void SendReport(TimePoint now);
   /// True if this entry is leaving and may have ended before `deadline`, so
@@ -154,6 +163,8 @@
   TargetConnectionPool target_pool;
   WaitQueue wait_queue;
   EarlyRetries early_retries;
+  /// By queue key, of models whose requests differ in priority.
+  std::map<std::string, AdmissionReserve> reserves;
   DemandMeter demand;
   std::map<std::string, routing::RetryBudget> retry_budgets;
   std::map<std::uint64_t, std::shared_ptr<RequestFlow>> flows;
--- a/include/gooseberryturn/direct/fair_order.h
+++ b/include/gooseberryturn/direct/fair_order.h
@@ -43,9 +43,15 @@
   /// finished, 0 if the team is not ahead of the virtual time.
   [[nodiscard]] double Finish(const std::string& team) const;
   /// \brief Records that a request of `team` was dispatched.
-  /// \param engine_ms Engine time of the request. A value below kMinCostMs, or
-  /// one that is not a number, counts as kMinCostMs.
+  /// \param engine_ms Engine time of the request, bounded by CostMs.
   void RecordDispatched(const std::string& team, double engine_ms);
+  /// \brief What a request with `engine_ms` costs its team: a value below
+  /// kMinCostMs, or one that is not a number, counts as kMinCostMs.
+  [[nodiscard]] static double CostMs(double engine_ms) noexcept {
+    // The comparison is false for a value that is not a number.
+    return engine_ms > kMinCostMs ? std::min(engine_ms, kMaxCostMs)
+                                  : kMinCostMs;
+  }
   /// \brief Number of teams that are ahead of the virtual time.
   [[nodiscard]] std::size_t size() const noexcept {
     return this->finish_by_team.size();
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -130,6 +130,14 @@
   [[nodiscard]] QueuedRequest DescribeQueued() const;
   /// True if its caller was refused and came back before its Retry-After.
   [[nodiscard]] bool IsEarlyRetry() const;
+  /// True if it would wait in vain: more urgent requests wait, and their
+  /// arrivals leave too little for it.
+  [[nodiscard]] bool IsClosedOut(TimePoint now);
+  /// Seconds over which callers that are refused for want of capacity should
+  /// come back.
+  [[nodiscard]] double ReturnTimeSeconds(TimePoint now);
+  /// Counts a refusal for want of capacity, and whether there was room.
+  void RecordOverload(TimePoint now);
   /// Takes the prompt off the pending prefill work of the target: its prefill
   /// is done, or will not be done.
   void EndPrefill();
--- a/include/gooseberryturn/direct/room_share.h
+++ b/include/gooseberryturn/direct/room_share.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -13,8 +14,9 @@
 
 /// \brief Pool of RoomShare for requests with one queue key that compete with
 /// each other: those that can still meet their objective, or those that are
-/// late.
-[[nodiscard]] std::string RoomPool(const std::string& queue_key, bool is_late);
+/// late; of one priority only, if that is given.
+[[nodiscard]] std::string RoomPool(const std::string& queue_key, bool is_late,
+                                   std::optional<int> priority = std::nullopt);
 
 /// \brief Divides room at group heads among the entries that see it.
 ///
--- a/include/gooseberryturn/direct/target_chooser.h
+++ b/include/gooseberryturn/direct/target_chooser.h
@@ -60,6 +60,11 @@
   /// when it cannot be met any more.
   std::optional<double> time_to_objective_ms;
   bool is_resumed = false;  ///< Resumes a stream broken off elsewhere.
+  /// Number of more urgent requests for which room is kept at each head.
+  double reserved_requests = 0;
+  /// Its priority, where room is kept for more urgent requests: it then shares
+  /// room only with requests of the same priority.
+  std::optional<int> room_priority;
   /// Requests of its pool that wait at this entry, with this one.
   std::size_t waiting = 1;
 
@@ -70,7 +75,8 @@
   /// \brief The pool of RoomShare that it belongs to.
   [[nodiscard]] std::string Pool() const {
     return RoomPool(QueueKey(this->service, this->model),
-                    !this->time_to_objective_ms.has_value());
+                    !this->time_to_objective_ms.has_value(),
+                    this->room_priority);
   }
 };
 
@@ -139,6 +145,9 @@
   /// \brief Requests sent to a group head beyond its slots. They fill slots
   /// that became free since the other entries last reported their load.
   static constexpr std::uint32_t kMaxBeyondSlots = 2;
+  /// \brief Largest share of a head's slots, and of the prefill that may wait
+  /// there, that is kept for more urgent requests.
+  static constexpr double kMaxReservedShare = 0.75;
   /// \brief Most requests in flight at a plain target.
   static constexpr std::uint32_t kMaxPlainRequests = 16;
 
--- a/include/gooseberryturn/direct/wait_queue.h
+++ b/include/gooseberryturn/direct/wait_queue.h
@@ -75,6 +75,13 @@
   /// objective, or that are late.
   [[nodiscard]] std::size_t Count(const std::string& queue_key, bool is_late,
                                   TimePoint now);
+  /// \brief The same by priority, for those that have waiting requests.
+  [[nodiscard]] std::map<int, std::size_t> CountByPriority(
+      const std::string& queue_key, bool is_late, TimePoint now);
+  /// \brief Engine time of the requests with `queue_key` that can still meet
+  /// their objective and are more urgent than `priority`, milliseconds.
+  [[nodiscard]] double MoreUrgentMs(const std::string& queue_key, int priority,
+                                    TimePoint now);
   [[nodiscard]] std::size_t size() const noexcept {
     return this->requests.size();
   }
@@ -113,6 +120,9 @@
     std::map<Rank, TeamLines> ranks;
     std::set<std::pair<TimePoint, std::uint64_t>> on_time_by_dispatch_by;
     std::size_t late_count = 0;
+    /// Engine time of the requests that are not late, by priority. Whole
+    /// microseconds, so that the sum of none is 0.
+    std::map<int, std::int64_t> on_time_us;
   };
   /// By priority.
   using FairOrders = std::map<int, FairOrder>;
--- a/include/gooseberryturn/observe/metrics.h
+++ b/include/gooseberryturn/observe/metrics.h
@@ -55,9 +55,12 @@
   kLateOrders,  ///< Orders of operators and targets that were not carried out.
   kClosesNotReported,  ///< To the flow of the request in progress.
   kEarlyRetries,       ///< Requests that came back before their Retry-After.
+  kClosedOut,          ///< Refused at once for more urgent requests.
+  /// Refused as overloaded while half of the slots were free and none waited.
+  kRefusalsWithRoom,
 };
 
-inline constexpr std::size_t kMetricCount = 28;
+inline constexpr std::size_t kMetricCount = 30;
 
 /// \brief Exported names, without the prefix `gooseberryturn_`.
 inline constexpr NameTable<Metric, kMetricCount> kMetricNames = {
@@ -88,7 +91,9 @@
      "memory_full_total",
      "late_orders_total",
      "closes_not_reported_total",
-     "early_retries_total"}};
+     "early_retries_total",
+     "closed_out_total",
+     "refusals_with_room_total"}};
 
 /// \brief Durations that are exported as summaries with quantiles.
 enum class Timing : std::uint8_t {
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -313,6 +313,7 @@
     this->target_tracker.SetTotals(update.in_flight_work);
     this->BeginRound(Clock::now());
   }
+  this->UpdateReserves();
   for (const std::string& removed : update.removed_targets) {
     this->target_pool.CloseIdle(removed);
   }
@@ -330,14 +331,75 @@
 void EntryHost::BeginRound(TimePoint now) {
   RoomShare::WaitingByPool waiting;
   for (const std::string& key : this->wait_queue.QueueKeys()) {
+    const bool is_by_priority = this->FindReserve(key) != nullptr;
     for (const bool is_late : {false, true}) {
-      waiting[RoomPool(key, is_late)] =
-          this->wait_queue.Count(key, is_late, now);
+      if (!is_by_priority) {
+        waiting[RoomPool(key, is_late)] =
+            this->wait_queue.Count(key, is_late, now);
+        continue;
+      }
+      for (const std::pair<const int, std::size_t>& count :
+           this->wait_queue.CountByPriority(key, is_late, now)) {
+        waiting[RoomPool(key, is_late, count.first)] = count.second;
+      }
     }
   }
   this->chooser.BeginRound(this->view.entries(), waiting, now);
 }
 
+void EntryHost::UpdateReserves() {
+  if (this->view.routes() == nullptr) {
+    return;
+  }
+  std::map<std::string, AdmissionReserve> before = std::move(this->reserves);
+  this->reserves.clear();
+  for (const Service& service : this->view.routes()->configuration().services) {
+    if (!this->priorities.HasSeveral(service.name)) {
+      continue;
+    }
+    for (const ModelProfile& model : service.engine->models) {
+      const std::string key = QueueKey(service.name, model.name);
+      AdmissionReserve& reserve = this->reserves[key];
+      reserve = std::move(before[key]);
+      reserve.SetCapacity(
+          {this->view.Heads(service.name, model).size(), this->view.entries()});
+      reserve.on_closed = [key](int priority, std::size_t refused) {
+        LogEvent(Level::kInfo, "", "priority_closed",
+                 {{"model", key},
+                  {"priority", std::to_string(priority)},
+                  {"refused", std::to_string(refused)}});
+      };
+    }
+  }
+}
+
+AdmissionReserve* EntryHost::FindReserve(const std::string& queue_key) {
+  const auto found = this->reserves.find(queue_key);
+  return found == this->reserves.end() ? nullptr : &found->second;
+}
+
+bool EntryHost::HasIdleRoom(const std::string& service,
+                            const std::string& model, TimePoint now) {
+  const Service* found =
+      this->view.routes()->configuration().FindService(service);
+  const ModelProfile* profile = found != nullptr && found->engine.has_value()
+                                    ? found->engine->FindModel(model)
+                                    : nullptr;
+  const std::string key = QueueKey(service, model);
+  const bool has_waiting = this->wait_queue.Count(key, false, now) > 0 ||
+                           this->wait_queue.Count(key, true, now) > 0;
+  if (profile == nullptr || has_waiting) {
+    return false;
+  }
+  std::size_t load = 0;
+  std::size_t slots = 0;
+  for (const TargetView* head : this->view.Heads(service, *profile)) {
+    load += this->target_tracker.Load(head->name);
+    slots += found->engine->slots;
+  }
+  return 2 * load < slots;
+}
+
 void EntryHost::SendReport(TimePoint now) {
   EntryReport report;
   std::vector<std::string> suspects = this->target_tracker.StalledTargets(now);
--- a/src/direct/fair_order.cc
+++ b/src/direct/fair_order.cc
@@ -8,11 +8,8 @@
 }
 
 void FairOrder::RecordDispatched(const std::string& team, double engine_ms) {
-  // The comparison is false for a value that is not a number.
-  const double cost_ms =
-      engine_ms > kMinCostMs ? std::min(engine_ms, kMaxCostMs) : kMinCostMs;
   const double start = this->Start(team);
-  const double finish = start + cost_ms;
+  const double finish = start + CostMs(engine_ms);
   const auto known = this->finish_by_team.find(team);
   if (known != this->finish_by_team.end()) {
     this->teams_by_finish.erase({known->second, team});
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -233,6 +233,11 @@
                                    output_tokens);
     this->entry.demand.RecordRequest(this->service, this->model,
                                      this->engine_ms);
+    AdmissionReserve* reserve = this->entry.FindReserve(this->QueueKey());
+    if (reserve != nullptr) {
+      reserve->RecordArrival(this->Priority(), this->engine_ms,
+                             this->received_at);
+    }
   }
 }
 
@@ -276,10 +281,29 @@
   if (this->is_done) {
     return;
   }
+  if (this->IsClosedOut(now)) {
+    this->entry.metrics.Add(observe::Metric::kClosedOut);
+    this->Refuse(kUnavailable, Reason::kOverloaded);
+    return;
+  }
   this->is_queued = true;
   this->entry.wait_queue.Add(queued);
 }
 
+bool RequestFlow::IsClosedOut(TimePoint now) {
+  AdmissionReserve* reserve = this->entry.FindReserve(this->QueueKey());
+  const bool may_be_refused =
+      !this->is_head_sent && !this->IsMoving() && this->tried_targets.empty();
+  if (reserve == nullptr || !may_be_refused) {
+    return false;
+  }
+  const int priority = this->Priority();
+  const double urgent_ms =
+      this->entry.wait_queue.MoreUrgentMs(this->QueueKey(), priority, now);
+  return reserve->IsClosed(priority, urgent_ms, this->queue_deadline - now,
+                           now);
+}
+
 bool RequestFlow::IsUnservable(ChoiceFailure reason) const {
   if (this->is_head_sent || this->IsMoving()) {
     return false;
@@ -329,8 +353,18 @@
         objective_ms *
         (request.is_resumed ? kResumedPrefillWaitShare : kLatePrefillWaitShare);
   }
-  const std::size_t waiting =
-      this->entry.wait_queue.Count(this->QueueKey(), is_late, now);
+  const AdmissionReserve* reserve = this->entry.FindReserve(this->QueueKey());
+  std::size_t waiting = 0;
+  if (reserve != nullptr) {
+    const int priority = this->Priority();
+    request.room_priority = priority;
+    request.reserved_requests =
+        request.is_resumed ? 0 : reserve->ReservedRequests(priority, now);
+    waiting = this->entry.wait_queue.CountByPriority(this->QueueKey(), is_late,
+                                                     now)[priority];
+  } else {
+    waiting = this->entry.wait_queue.Count(this->QueueKey(), is_late, now);
+  }
   request.waiting = waiting + (this->is_queued ? 0 : 1);
   this->is_sent_late = is_late;
   const Choice choice = this->entry.chooser.Choose(
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <limits>
 #include <utility>
 
 #include "gooseberryturn/direct/crash_tracker.h"
@@ -82,9 +83,47 @@
   }
   const double remaining_s =
       std::chrono::duration<double>(this->deadline - now).count();
+  const double max_s = std::max(0.0, remaining_s) * kRetryAfterShare;
+  const double return_time_s =
+      reason == Reason::kOverloaded ? this->ReturnTimeSeconds(now) : 0;
+  if (return_time_s > kMaxRetryAfterS) {
+    const double latest_s = std::min(return_time_s, max_s);
+    std::uniform_real_distribution<double> draw(
+        std::min(kMinRetryAfterS, latest_s), latest_s);
+    return draw(this->entry.random);
+  }
   std::uniform_real_distribution<double> draw(kMinRetryAfterS, kMaxRetryAfterS);
-  return std::min(draw(this->entry.random),
-                  std::max(0.0, remaining_s) * kRetryAfterShare);
+  return std::min(draw(this->entry.random), max_s);
+}
+
+double RequestFlow::ReturnTimeSeconds(TimePoint now) {
+  const AdmissionReserve* reserve = this->entry.FindReserve(this->QueueKey());
+  if (reserve == nullptr) {
+    return 0;
+  }
+  const int priority = this->Priority();
+  // Requests of its own priority wait before it, too.
+  const int less_urgent =
+      priority < std::numeric_limits<int>::max() ? priority + 1 : priority;
+  const double waiting_ms =
+      this->entry.wait_queue.MoreUrgentMs(this->QueueKey(), less_urgent, now);
+  return std::chrono::duration<double>(
+             reserve->ReturnTime(priority, waiting_ms, now))
+      .count();
+}
+
+void RequestFlow::RecordOverload(TimePoint now) {
+  AdmissionReserve* reserve = this->entry.FindReserve(this->QueueKey());
+  if (reserve != nullptr) {
+    reserve->RecordRefusal(this->engine_ms, now);
+  }
+  if (this->entry.HasIdleRoom(this->service, this->model, now)) {
+    this->entry.metrics.Add(observe::Metric::kRefusalsWithRoom);
+    LogEvent(Level::kWarn, this->caller_attempt_id, "refused_with_room",
+             {{"route", this->route->name},
+              {"model", this->model},
+              {"tries", std::to_string(this->tried_targets.size())}});
+  }
 }
 
 void RequestFlow::Refuse(int status, Reason reason) {
@@ -101,6 +140,7 @@
     std::snprintf(text.data(), text.size(), "%.2f", retry_after_s);
     lines += std::string("Retry-After: ") + text.data() + "\r\n";
     if (reason == Reason::kOverloaded) {
+      this->RecordOverload(Clock::now());
       this->entry.early_retries.Record(
           this->Fingerprint(),
           Clock::now() + FromSeconds(retry_after_s - kRetryAfterStepS));
--- a/src/direct/room_share.cc
+++ b/src/direct/room_share.cc
@@ -5,8 +5,10 @@
 
 namespace gooseberryturn::direct {
 
-std::string RoomPool(const std::string& queue_key, bool is_late) {
-  return queue_key + (is_late ? "/late" : "");
+std::string RoomPool(const std::string& queue_key, bool is_late,
+                     std::optional<int> priority) {
+  return queue_key + (is_late ? "/late" : "") +
+         (priority.has_value() ? "/" + std::to_string(*priority) : "");
 }
 
 void RoomShare::BeginRound(std::size_t entries, const WaitingByPool& waiting,
--- a/src/direct/target_chooser.cc
+++ b/src/direct/target_chooser.cc
@@ -28,6 +28,12 @@
 /// Share of a cold target's rate limit that all entries together use.
 constexpr double kColdRateShare = 0.8;
 
+/// What is left of `limit` when `reserved` of it is kept for others, but for a
+/// part that is never kept.
+double WithoutReserve(double limit, double reserved) {
+  return limit - std::min(reserved, TargetChooser::kMaxReservedShare * limit);
+}
+
 /// Milliseconds of a decode step: one token for each active sequence.
 double DecodeStepMs(const EngineProfile& engine, double load) {
   const double sequences = std::min(load, static_cast<double>(engine.slots));
@@ -151,12 +157,23 @@
       model.time_factor *
           (PrefillMs(engine, load, request.prompt_tokens) +
            static_cast<double>(engine.stride) * DecodeStepMs(engine, load));
+  const auto history = this->models.find({request.service, request.model});
+  const double typical_tokens = history == this->models.end()
+                                    ? request.prompt_tokens
+                                    : history->second.mean_prompt_tokens;
+  candidate.typical_ms = model.time_factor *
+                         PrefillMs(engine, load, std::max(1.0, typical_tokens));
   const bool is_late = !request.time_to_objective_ms.has_value();
   const double slots = static_cast<double>(engine.slots);
-  const double slot_room = is_late && !request.is_resumed
-                               ? kLateSlotShare * slots - load
-                               : slots + kMaxBeyondSlots - load;
-  double prefill_room_ms = request.max_prefill_wait_ms - prefill_wait_ms;
+  const double slot_limit = is_late && !request.is_resumed
+                                ? kLateSlotShare * slots
+                                : slots + kMaxBeyondSlots;
+  const double slot_room =
+      WithoutReserve(slot_limit, request.reserved_requests) - load;
+  const double max_prefill_wait_ms =
+      WithoutReserve(request.max_prefill_wait_ms,
+                     request.reserved_requests * candidate.typical_ms);
+  double prefill_room_ms = max_prefill_wait_ms - prefill_wait_ms;
   if (!is_late) {
     const double predicted_ms = this->PredictFirstEventMs(
         request.service, request.model, candidate.expected_ms);
@@ -166,12 +183,6 @@
   if (slot_room <= 0 || prefill_room_ms < 0) {
     return std::nullopt;
   }
-  const auto history = this->models.find({request.service, request.model});
-  const double typical_tokens = history == this->models.end()
-                                    ? request.prompt_tokens
-                                    : history->second.mean_prompt_tokens;
-  candidate.typical_ms = model.time_factor *
-                         PrefillMs(engine, load, std::max(1.0, typical_tokens));
   const double prefill_room =
       (prefill_room_ms + kPrefillPerRoundMs) / candidate.typical_ms;
   candidate.room = std::min(slot_room, std::max(1.0, prefill_room));
--- a/src/direct/wait_queue.cc
+++ b/src/direct/wait_queue.cc
@@ -1,6 +1,7 @@
 #include "gooseberryturn/direct/wait_queue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace gooseberryturn::direct {
@@ -9,9 +10,22 @@
 
 using Skipped = std::set<std::uint64_t>;
 
+constexpr double kUsPerMs = 1000;
+
+std::int64_t EngineTimeUs(const QueuedRequest& request) {
+  return std::llround(kUsPerMs * FairOrder::CostMs(request.engine_ms));
+}
+
 /// An id newer than all in the queue.
 constexpr std::uint64_t kNewestId = ~std::uint64_t{0};
 
+/// Id of the request at `position` of a team. Positions of requests that are
+/// not late hold the distance to kNewestId, so that the newest goes first.
+std::uint64_t IdAt(const std::pair<Duration, std::uint64_t>& position,
+                   bool is_late) {
+  return is_late ? position.second : kNewestId - position.second;
+}
+
 }  // namespace
 
 std::string QueueKey(const std::string& service, const std::string& model) {
@@ -43,13 +57,13 @@
 
 const FairOrder& WaitQueue::FairOrderOf(const std::string& queue_key,
                                         int priority) const {
-  static const FairOrder kUnused;
+  static const FairOrder unused;
   const auto orders = this->fair_orders.find(queue_key);
   if (orders == this->fair_orders.end()) {
-    return kUnused;
+    return unused;
   }
   const auto order = orders->second.find(priority);
-  return order == orders->second.end() ? kUnused : order->second;
+  return order == orders->second.end() ? unused : order->second;
 }
 
 void WaitQueue::Insert(ModelQueue& queue, const Stored& stored) {
@@ -64,6 +78,7 @@
     queue.late_count += 1;
   } else {
     queue.on_time_by_dispatch_by.insert({request.dispatch_by, request.id});
+    queue.on_time_us[request.priority] += EngineTimeUs(request);
   }
 }
 
@@ -82,6 +97,7 @@
     queue.late_count -= 1;
   } else {
     queue.on_time_by_dispatch_by.erase({request.dispatch_by, request.id});
+    queue.on_time_us[request.priority] -= EngineTimeUs(request);
   }
 }
 
@@ -134,18 +150,19 @@
     const bool is_late = rank.first.is_late;
     std::optional<Place> first;
     for (const std::pair<const std::string, TeamLine>& line : rank.second) {
+      const double start = order.StartAfter(line.second.finish);
+      if (first.has_value() && start > first->start) {
+        continue;
+      }
       const auto position = std::find_if(
           line.second.positions.begin(), line.second.positions.end(),
           [&skipped, is_late](const Position& candidate) {
-            const std::uint64_t id =
-                is_late ? candidate.second : kNewestId - candidate.second;
-            return skipped.empty() || skipped.count(id) == 0;
+            return skipped.count(IdAt(candidate, is_late)) == 0;
           });
       if (position == line.second.positions.end()) {
         continue;
       }
-      const Place place = {rank.first, order.StartAfter(line.second.finish),
-                           *position};
+      const Place place = {rank.first, start, *position};
       if (!first.has_value() || place < *first) {
         first = place;
       }
@@ -169,8 +186,7 @@
   if (!first.has_value()) {
     return std::nullopt;
   }
-  return first->rank.is_late ? first->position.second
-                             : kNewestId - first->position.second;
+  return IdAt(first->position, first->rank.is_late);
 }
 
 bool WaitQueue::GoesFirst(const QueuedRequest& request, TimePoint now) {
@@ -241,4 +257,35 @@
   return is_late ? queue->late_count : queue->on_time_by_dispatch_by.size();
 }
 
+std::map<int, std::size_t> WaitQueue::CountByPriority(
+    const std::string& queue_key, bool is_late, TimePoint now) {
+  std::map<int, std::size_t> counts;
+  const ModelQueue* queue = this->UpToDate(queue_key, now);
+  if (queue == nullptr) {
+    return counts;
+  }
+  for (const std::pair<const Rank, TeamLines>& rank : queue->ranks) {
+    if (rank.first.is_late != is_late) {
+      continue;
+    }
+    for (const std::pair<const std::string, TeamLine>& line : rank.second) {
+      counts[rank.first.priority] += line.second.positions.size();
+    }
+  }
+  return counts;
+}
+
+double WaitQueue::MoreUrgentMs(const std::string& queue_key, int priority,
+                               TimePoint now) {
+  const ModelQueue* queue = this->UpToDate(queue_key, now);
+  if (queue == nullptr) {
+    return 0;
+  }
+  std::int64_t sum_us = 0;
+  for (const std::pair<const int, std::int64_t>& known : queue->on_time_us) {
+    sum_us += known.first < priority ? known.second : 0;
+  }
+  return static_cast<double>(sum_us) / kUsPerMs;
+}
+
 }  // namespace gooseberryturn::direct
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -14,7 +14,9 @@
 #include <vector>
 
 #include "direct_fixtures.h"
+#include "gooseberryturn/direct/admission_reserve.h"
 #include "gooseberryturn/direct/fleet_view.h"
+#include "gooseberryturn/direct/priority_map.h"
 #include "gooseberryturn/direct/target_chooser.h"
 #include "gooseberryturn/direct/target_tracker.h"
 #include "gooseberryturn/direct/wait_queue.h"
@@ -24,12 +26,25 @@
 /// steps of one millisecond.
 namespace gooseberryturn::direct {
 
+/// \brief Requests of one priority in a simulation.
+struct SimulatedClass {
+  int priority = 1;
+  /// Requests that arrive in a second, over all entries.
+  double requests_per_s = 0;
+  std::int64_t from_ms = 0;
+  std::int64_t until_ms = 1'000'000'000;
+};
+
 /// \brief What a simulation plays.
 struct SimulatedLoad {
   std::size_t entries = 16;
   std::size_t heads = 4;
   /// Requests that arrive in a second, over all entries.
   double requests_per_s = 0;
+  /// Replace `requests_per_s`, in the order of their priorities.
+  std::vector<SimulatedClass> classes;
+  bool sends_priorities = false;  ///< To the engines, by PriorityMap.
+  bool reserves_room = false;     ///< By AdmissionReserve.
   double mean_prompt_tokens = 1600;
   double mean_events = 18;
   double objective_ms = 500;
@@ -47,6 +62,10 @@
   std::size_t on_time = 0;
   std::size_t late = 0;
   std::size_t rejected = 0;
+  /// Of `rejected`, those that did not wait first.
+  std::size_t rejected_at_once = 0;
+  /// By priority, if the load has classes.
+  std::map<int, SimulatedResult> by_priority;
   /// Variance of the requests that one head gets in 200 ms, divided by their
   /// mean: 1 for independent arrivals.
   double dispersion = 0;
@@ -64,12 +83,19 @@
     std::uint64_t id = 0;
     double prompt_tokens = 0;
     std::int64_t events = 1;
+    int priority = 5;  ///< 0 goes first.
   };
 
   SimulatedEngine(const EngineProfile& profile, const ModelProfile& model)
       : profile(profile), model(model) {}
 
-  void Add(const Request& request) { this->waiting.push_back(request); }
+  void Add(const Request& request) {
+    const auto behind = std::find_if(this->waiting.begin(), this->waiting.end(),
+                                     [&request](const Request& other) {
+                                       return other.priority > request.priority;
+                                     });
+    this->waiting.insert(behind, request);
+  }
 
   /// \brief Ends the pass in progress if it is over, and begins the next one.
   /// Appends the requests whose first or last event it made.
@@ -178,13 +204,24 @@
   }
 
   [[nodiscard]] SimulatedResult Run() {
-    std::exponential_distribution<double> gap(this->load.requests_per_s / 1000);
-    double next_arrival_ms = gap(this->random);
+    if (this->load.classes.empty()) {
+      this->load.classes = {{1, this->load.requests_per_s}};
+    }
+    std::vector<double> next_arrivals_ms;
+    for (const SimulatedClass& arriving : this->load.classes) {
+      next_arrivals_ms.push_back(static_cast<double>(arriving.from_ms) +
+                                 this->DrawGapMs(arriving));
+    }
     for (this->now_ms = 0; this->now_ms < this->load.duration_ms;
          ++this->now_ms) {
-      while (next_arrival_ms <= static_cast<double>(this->now_ms)) {
-        this->Arrive();
-        next_arrival_ms += gap(this->random);
+      for (std::size_t number = 0; number < next_arrivals_ms.size(); ++number) {
+        const SimulatedClass& arriving = this->load.classes[number];
+        double& next_ms = next_arrivals_ms[number];
+        while (next_ms <= static_cast<double>(this->now_ms) &&
+               this->now_ms < arriving.until_ms) {
+          this->Arrive(arriving.priority);
+          next_ms += this->DrawGapMs(arriving);
+        }
       }
       this->AdvanceEngines();
       this->ExchangeReports();
@@ -203,6 +240,8 @@
  private:
   struct Request {
     std::size_t entry = 0;
+    int priority = 1;
+    double engine_ms = 0;
     std::int64_t arrived_ms = 0;
     std::int64_t sent_ms = 0;
     double prompt_tokens = 0;
@@ -218,13 +257,25 @@
     TargetTracker tracker;
     TargetChooser chooser;
     WaitQueue queue;
+    AdmissionReserve reserve;
     std::vector<InFlightWork> reported;
   };
 
   static constexpr std::int64_t kReportMs = 100;
   static constexpr std::int64_t kMaxQueueMs = 1200;
 
-  void Arrive() {
+  [[nodiscard]] double DrawGapMs(const SimulatedClass& arriving) {
+    std::exponential_distribution<double> gap(arriving.requests_per_s / 1000);
+    return gap(this->random);
+  }
+
+  /// Counts an event for the whole load and for its priority.
+  void Record(int priority, std::size_t SimulatedResult::*count) {
+    this->result.*count += 1;
+    this->result.by_priority[priority].*count += 1;
+  }
+
+  void Arrive(int priority) {
     // Most prompts are short, a few are long.
     constexpr double kPromptSigma = 0.8;
     constexpr double kMaxPromptFactor = 3;
@@ -243,15 +294,53 @@
     request.prompt_tokens = std::min(
         prompt(this->random), kMaxPromptFactor * this->load.mean_prompt_tokens);
     request.events = 1 + events(this->random);
-    this->result.arrived += 1;
+    request.priority = priority;
+    request.engine_ms = EngineTimeMs(*this->service->engine, *this->model,
+                                     request.prompt_tokens,
+                                     this->service->engine->mean_output_tokens);
+    this->Record(priority, &SimulatedResult::arrived);
     Entry& entry = *this->entries[request.entry];
+    entry.reserve.RecordArrival(priority, request.engine_ms, At(this->now_ms));
     entry.chooser.RecordPrompt("engines", "small", request.prompt_tokens);
-    const QueuedRequest queued = {id, "m", 1, this->DispatchBy(request),
-                                  At(request.arrived_ms + kMaxQueueMs)};
+    QueuedRequest queued = {id, "m", priority, this->DispatchBy(request),
+                            At(request.arrived_ms + kMaxQueueMs)};
+    queued.engine_ms = request.engine_ms;
     const bool must_wait = !entry.queue.GoesFirst(queued, At(this->now_ms));
-    if (must_wait || !this->TryDispatch(id)) {
-      entry.queue.Add(queued);
+    if (!must_wait && this->TryDispatch(id)) {
+      return;
+    }
+    if (this->IsClosedOut(entry, priority)) {
+      this->Record(priority, &SimulatedResult::rejected);
+      this->Record(priority, &SimulatedResult::rejected_at_once);
+      this->requests.erase(id);
+      return;
+    }
+    entry.queue.Add(queued);
+  }
+
+  [[nodiscard]] bool IsClosedOut(Entry& entry, int priority) {
+    const TimePoint now = At(this->now_ms);
+    return this->load.reserves_room &&
+           entry.reserve.IsClosed(priority,
+                                  entry.queue.MoreUrgentMs("m", priority, now),
+                                  Milliseconds(kMaxQueueMs), now);
+  }
+
+  /// Priority at the engine, as an entry sends it.
+  [[nodiscard]] int EnginePriority(const Request& request, bool is_late) const {
+    constexpr int kDefault = 5;
+    if (this->load.classes.size() < 2) {
+      return kDefault;
+    }
+    if (is_late) {
+      return PriorityMap::kLate;
     }
+    if (!this->load.sends_priorities) {
+      return kDefault;
+    }
+    return request.priority == this->load.classes.front().priority
+               ? PriorityMap::kMostUrgent
+               : PriorityMap::kLeastUrgent;
   }
 
   [[nodiscard]] TimePoint DispatchBy(const Request& request) const {
@@ -279,8 +368,15 @@
           this->load.objective_ms -
           static_cast<double>(this->now_ms - request.arrived_ms);
     }
-    asked.waiting =
-        std::max<std::size_t>(1, entry.queue.Count("m", is_late, now));
+    if (this->load.reserves_room) {
+      asked.reserved_requests =
+          entry.reserve.ReservedRequests(request.priority, now);
+      asked.room_priority = request.priority;
+    }
+    asked.waiting = std::max<std::size_t>(
+        1, this->load.reserves_room ? entry.queue.CountByPriority(
+                                          "m", is_late, now)[request.priority]
+                                    : entry.queue.Count("m", is_late, now));
     const Choice choice =
         entry.chooser.Choose(asked, this->view, entry.tracker, 1.5, now);
     if (choice.target == nullptr) {
@@ -293,7 +389,8 @@
     entry.tracker.BeginRequest(
         request.target, static_cast<std::uint32_t>(request.prompt_tokens), now);
     this->engines.at(request.target)
-        .Add({id, request.prompt_tokens, request.events});
+        .Add({id, request.prompt_tokens, request.events,
+              this->EnginePriority(request, is_late)});
     this->sent[{request.target, this->now_ms / 200}] += 1;
     return true;
   }
@@ -306,7 +403,7 @@
       next = entry.queue.Next("m", At(this->now_ms), {});
     }
     for (const std::uint64_t id : entry.queue.TakeExpired(At(this->now_ms))) {
-      this->result.rejected += 1;
+      this->Record(this->requests.at(id).priority, &SimulatedResult::rejected);
       this->requests.erase(id);
     }
   }
@@ -343,9 +440,9 @@
     entry.chooser.RecordFirstEvent("engines", "small", request.expected_ms,
                                    engine_ms);
     if (total_ms <= this->load.objective_ms) {
-      this->result.on_time += 1;
+      this->Record(request.priority, &SimulatedResult::on_time);
     } else {
-      this->result.late += 1;
+      this->Record(request.priority, &SimulatedResult::late);
     }
   }
 
@@ -368,12 +465,20 @@
 
   void StartRound(Entry& entry) {
     const TimePoint now = At(this->now_ms);
-    entry.chooser.BeginRound(this->entries.size(),
-                             {{RoomPool(QueueKey("engines", "small"), false),
-                               entry.queue.Count("m", false, now)},
-                              {RoomPool(QueueKey("engines", "small"), true),
-                               entry.queue.Count("m", true, now)}},
-                             now);
+    entry.reserve.SetCapacity({this->load.heads, this->entries.size()});
+    RoomShare::WaitingByPool waiting;
+    const std::string key = QueueKey("engines", "small");
+    for (const bool is_late : {false, true}) {
+      if (!this->load.reserves_room) {
+        waiting[RoomPool(key, is_late)] = entry.queue.Count("m", is_late, now);
+        continue;
+      }
+      for (const std::pair<const int, std::size_t>& count :
+           entry.queue.CountByPriority("m", is_late, now)) {
+        waiting[RoomPool(key, is_late, count.first)] = count.second;
+      }
+    }
+    entry.chooser.BeginRound(this->entries.size(), waiting, now);
   }
 
   [[nodiscard]] std::vector<InFlightWork> Totals() const {
