Expected output tokens from the caller's length hint

The engine time of a request counted the mean length of its route. With a valid hint it now counts the hint, corrected by the past ratio of tokens to hint on that route (LengthEstimator), in the measured demand and in the order of teams. Without a hint nothing changes; invalid ones are ignored and counted.

--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -21,6 +21,7 @@
 #include "gooseberryturn/direct/early_retries.h"
 #include "gooseberryturn/direct/fleet_view.h"
 #include "gooseberryturn/direct/follow_client.h"
+#include "gooseberryturn/direct/length_estimator.h"
 #include "gooseberryturn/direct/priority_map.h"
 #include "gooseberryturn/direct/target_chooser.h"
 #include "gooseberryturn/direct/target_connection.h"
@@ -166,6 +167,7 @@
   /// By queue key, of models whose requests differ in priority.
   std::map<std::string, AdmissionReserve> reserves;
   DemandMeter demand;
+  LengthEstimator lengths;
   std::map<std::string, routing::RetryBudget> retry_budgets;
   std::map<std::uint64_t, std::shared_ptr<RequestFlow>> flows;
   std::set<std::shared_ptr<CallerConnection>> callers;
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -85,6 +85,9 @@
 
  private:
   [[nodiscard]] bool Admit();
+  /// Reads the caller's estimate of the output tokens; an invalid one is
+  /// ignored and counted.
+  void ReadHint();
   /// Reads `shared_parts`, at most kMaxSharedParts.
   void ReadSharedParts();
   /// Quarantined content of this request, or an empty string.
@@ -238,6 +241,7 @@
   std::string service;
   std::string model;
   double prompt_tokens = 0;
+  std::optional<double> length_hint;  ///< Output tokens expected by the caller.
   double engine_ms = 0;         ///< Engine time that it is expected to need.
   bool is_early_retry = false;  ///< Came back before its Retry-After.
   /// Ids of the parts of the prompt that other requests may have too: all but
--- a/include/gooseberryturn/observe/metrics.h
+++ b/include/gooseberryturn/observe/metrics.h
@@ -58,9 +58,10 @@
   kClosedOut,          ///< Refused at once for more urgent requests.
   /// Refused as overloaded while half of the slots were free and none waited.
   kRefusalsWithRoom,
+  kLengthHintsIgnored,  ///< Of callers; no whole number, or out of range.
 };
 
-inline constexpr std::size_t kMetricCount = 30;
+inline constexpr std::size_t kMetricCount = 31;
 
 /// \brief Exported names, without the prefix `gooseberryturn_`.
 inline constexpr NameTable<Metric, kMetricCount> kMetricNames = {
@@ -93,7 +94,8 @@
      "closes_not_reported_total",
      "early_retries_total",
      "closed_out_total",
-     "refusals_with_room_total"}};
+     "refusals_with_room_total",
+     "length_hints_ignored_total"}};
 
 /// \brief Durations that are exported as summaries with quantiles.
 enum class Timing : std::uint8_t {
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -171,6 +171,7 @@
   this->model = std::string(this->message[names.model]);
   this->prompt_tokens = static_cast<double>(std::clamp<std::int64_t>(
       ReadNumber(ToView(this->message[names.tokens]), 0), 0, kMaxPromptTokens));
+  this->ReadHint();
   const std::int64_t caller_timeout_ms = ReadNumber(
       ToView(this->message[names.deadline]), this->route->timeout_ms);
   this->deadline =
@@ -193,6 +194,18 @@
   return true;
 }
 
+void RequestFlow::ReadHint() {
+  const std::string& name = this->entry.dialect.headers.length_hint;
+  const auto field = this->message.find(name);
+  if (name.empty() || field == this->message.end()) {
+    return;
+  }
+  this->length_hint = ReadLengthHint(ToView(field->value()));
+  if (!this->length_hint.has_value()) {
+    this->entry.metrics.Add(observe::Metric::kLengthHintsIgnored);
+  }
+}
+
 bool RequestFlow::RefuseIfTooLate() {
   const bool may_have_run =
       this->IsMoving() || this->is_head_sent || this->possible_executions > 0;
@@ -227,8 +240,12 @@
     const EngineProfile& engine = *this->FindEngine();
     this->entry.chooser.RecordPrompt(this->service, this->model,
                                      this->prompt_tokens);
-    const double output_tokens = this->entry.demand.MeanAnswerTokens(
+    const double mean_tokens = this->entry.demand.MeanAnswerTokens(
         this->route->name, engine.mean_output_tokens);
+    const double output_tokens =
+        this->entry.lengths
+            .Expect(this->route->name, this->length_hint, mean_tokens)
+            .tokens;
     this->engine_ms = EngineTimeMs(engine, *model_profile, this->prompt_tokens,
                                    output_tokens);
     this->entry.demand.RecordRequest(this->service, this->model,
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -244,9 +244,11 @@
   }
   this->caller->EndChunks();
   if (this->FindEngine() != nullptr) {
-    this->entry.demand.RecordAnswer(
-        this->route->name, static_cast<double>(this->event_count) *
-                               static_cast<double>(this->FindEngine()->stride));
+    const double tokens = static_cast<double>(this->event_count) *
+                          static_cast<double>(this->FindEngine()->stride);
+    this->entry.demand.RecordAnswer(this->route->name, tokens);
+    this->entry.lengths.RecordAnswer(this->route->name, this->length_hint,
+                                     tokens);
   }
   this->entry.metrics.Add(observe::Metric::kAnswers);
   this->Finish("served");
