--- a/bench/decision_bench.cc
+++ b/bench/decision_bench.cc
@@ -1,6 +1,7 @@
 // Measures control decisions at the design size, in simulated time and without
 // sockets: group availability under host failures for the best-fit policy and
-// its first-fit baseline, planning times, and the sizes of views and deltas.
+// its first-fit baseline, planning times, the sizes of views and deltas, and an
+// entry's decisions about one request.
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
@@ -12,6 +13,10 @@
 #include <vector>
 
 #include "gooseberryturn/control/state.h"
+#include "gooseberryturn/direct/admission_reserve.h"
+#include "gooseberryturn/direct/early_retries.h"
+#include "gooseberryturn/direct/length_estimator.h"
+#include "gooseberryturn/direct/wait_queue.h"
 #include "gooseberryturn/placement/planner.h"
 #include "gooseberryturn/protocol/codec.h"
 #include "gooseberryturn/routing/group_chooser.h"
@@ -198,6 +203,110 @@
   std::map<std::string, double> serving_from;  ///< By name of the group.
 };
 
+/// Microseconds for each of `count` calls of `decide`.
+template <typename Decide>
+double MeasureUs(int count, const Decide& decide) {
+  const std::chrono::steady_clock::time_point start =
+      std::chrono::steady_clock::now();
+  for (int number = 0; number < count; ++number) {
+    decide(number);
+  }
+  return 1e6 * SecondsSince(start) / count;
+}
+
+/// Measures what an entry decides about one request while 1,000 requests of
+/// `teams` teams wait for one model.
+void MeasureWaitingRequests(int teams) {
+  constexpr std::uint64_t kWaiting = 1000;
+  constexpr int kCalls = 20'000;
+  const TimePoint now(std::chrono::seconds(100));
+  direct::WaitQueue queue;
+  std::vector<direct::QueuedRequest> requests;
+  for (std::uint64_t id = 1; id <= kWaiting; ++id) {
+    direct::QueuedRequest request;
+    request.id = id;
+    request.queue_key = direct::QueueKey("llm", "large");
+    request.priority = static_cast<int>(id % 3);
+    request.dispatch_by =
+        now + Milliseconds(static_cast<std::int64_t>(id * 7 % 400));
+    request.queue_deadline = request.dispatch_by + Milliseconds(900);
+    request.team =
+        "team-" + std::to_string(id % static_cast<std::uint64_t>(teams));
+    request.engine_ms = 10 + static_cast<double>(id % 50);
+    request.is_early_retry = id % 10 == 0;
+    queue.Add(request);
+    requests.push_back(request);
+  }
+  const std::string key = requests.front().queue_key;
+  std::size_t found = 0;
+  const double first_us = MeasureUs(kCalls, [&](int number) {
+    found += queue.GoesFirst(requests[number % kWaiting], now) ? 1 : 0;
+  });
+  const double count_us =
+      MeasureUs(kCalls, [&](int) { found += queue.Count(key, false, now); });
+  const double urgent_us = MeasureUs(kCalls, [&](int) {
+    found += queue.MoreUrgentMs(key, 2, now) > 0 ? 1 : 0;
+  });
+  // The next one is dispatched, and takes its place again.
+  const double next_us = MeasureUs(kCalls, [&](int) {
+    const std::uint64_t id = queue.Next(key, now, {}).value();
+    const direct::QueuedRequest& request = requests[id - 1];
+    queue.RecordDispatched(request);
+    queue.Remove(id);
+    queue.Add(request);
+  });
+  std::printf(
+      "{\"bench\":\"wait_queue\",\"waiting\":%zu,\"teams\":%d,"
+      "\"goes_first_us\":%.2f,\"count_us\":%.2f,\"more_urgent_us\":%.2f,"
+      "\"dispatch_next_us\":%.2f,\"found\":%zu}\n",
+      queue.size(), teams, first_us, count_us, urgent_us, next_us, found);
+}
+
+/// Measures the other decisions of an entry about one request.
+void MeasureAdmission() {
+  constexpr int kCalls = 100'000;
+  constexpr int kPriorities = 8;
+  const TimePoint start(std::chrono::seconds(100));
+  direct::AdmissionReserve reserve;
+  reserve.SetCapacity({400, 21});
+  const double arrival_us = MeasureUs(kCalls, [&](int number) {
+    reserve.RecordArrival(number % kPriorities, 20,
+                          start + Milliseconds(number));
+  });
+  const TimePoint now = start + Milliseconds(kCalls);
+  double sum = 0;
+  const double share_us = MeasureUs(kCalls, [&](int number) {
+    sum += reserve.ReservedRequests(number % kPriorities, now);
+  });
+  const double closed_us = MeasureUs(kCalls, [&](int number) {
+    sum += reserve.IsClosed(number % kPriorities, 50,
+                            std::chrono::milliseconds(1200), now)
+               ? 1
+               : 0;
+  });
+  direct::EarlyRetries refusals;
+  for (std::size_t number = 0; number < direct::EarlyRetries::kMaxRefusals;
+       ++number) {
+    refusals.Record(std::to_string(number), now + std::chrono::seconds(1));
+  }
+  const double early_us = MeasureUs(kCalls, [&](int number) {
+    sum += refusals.IsEarly(std::to_string(number), now) ? 1 : 0;
+  });
+  direct::LengthEstimator lengths;
+  for (int number = 0; number < 100; ++number) {
+    lengths.RecordAnswer("chat", 100, 50 + number);
+  }
+  const double length_us = MeasureUs(kCalls, [&](int number) {
+    sum += lengths.Expect("chat", 1 + number % 500, 100).tokens;
+  });
+  std::printf(
+      "{\"bench\":\"admission\",\"priorities\":%d,\"arrival_us\":%.2f,"
+      "\"reserved_requests_us\":%.2f,\"closed_us\":%.2f,\"early_retry_us\":%."
+      "2f,"
+      "\"length_us\":%.2f,\"sum\":%.0f}\n",
+      kPriorities, arrival_us, share_us, closed_us, early_us, length_us, sum);
+}
+
 /// A fleet to simulate and its rate of host failures.
 struct FleetSize {
   const char* name;
@@ -378,5 +487,9 @@
     SimulateDay(fleet_size, Policy::kBestFit, seed);
   }
   MeasureViews();
+  for (const int teams : {1, 50, 100, 400}) {
+    MeasureWaitingRequests(teams);
+  }
+  MeasureAdmission();
   return 0;
 }
