Merge priority, fair order, reserve and cost of requests

Where requests of a service differ in priority, group heads admit urgent ones first and keep room for them; teams that wait share the engine time.

--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -12,13 +12,17 @@
 #include <set>
 #include <string>
 
+#include "gooseberryturn/direct/admission_reserve.h"
 #include "gooseberryturn/direct/answered_contents.h"
 #include "gooseberryturn/direct/async_http.h"
 #include "gooseberryturn/direct/caller_connection.h"
 #include "gooseberryturn/direct/cut_reports.h"
 #include "gooseberryturn/direct/dialect.h"
+#include "gooseberryturn/direct/early_retries.h"
 #include "gooseberryturn/direct/fleet_view.h"
 #include "gooseberryturn/direct/follow_client.h"
+#include "gooseberryturn/direct/length_estimator.h"
+#include "gooseberryturn/direct/priority_map.h"
 #include "gooseberryturn/direct/target_chooser.h"
 #include "gooseberryturn/direct/target_connection.h"
 #include "gooseberryturn/direct/target_tracker.h"
@@ -88,6 +92,14 @@
       const FleetUpdate& update) const;
   /// Lets the chooser divide the room that new figures show.
   void BeginRound(TimePoint now);
+  /// Brings the reserves up to date with the configuration and open groups.
+  void UpdateReserves();
+  /// The reserve of a model whose requests differ in priority, or null.
+  [[nodiscard]] AdmissionReserve* FindReserve(const std::string& queue_key);
+  /// True if less than half of the slots of the model are taken and none of its
+  /// requests waits.
+  [[nodiscard]] bool HasIdleRoom(const std::string& service,
+                                 const std::string& model, TimePoint now);
   /// Sends a report if one is due or further groups are stalled.
   void SendReport(TimePoint now);
   /// True if this entry is leaving and may have ended before `deadline`, so
@@ -101,6 +113,9 @@
   void Tick();
   /// Tries to dispatch the requests in the wait queue.
   void DispatchQueued();
+  /// Tries to dispatch one of them.
+  /// \returns False if those behind it have to wait too.
+  [[nodiscard]] bool TryDispatchQueued(std::uint64_t flow_id);
   /// Closes connections and aborts requests as their deadlines pass.
   void AdvanceLeave(TimePoint now);
   /// \brief Number of entries among which the limits of a target or service are
@@ -139,6 +154,7 @@
   AsyncHttpServer ready_server;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
   FleetView view;
+  PriorityMap priorities;  ///< Of the configuration in force.
   /// Base of the next patch. Held also when the configuration is not valid.
   ConfigurationText held_text;
   TargetTracker target_tracker;
@@ -147,7 +163,11 @@
   std::shared_ptr<ByteBudget> held_bytes;
   TargetConnectionPool target_pool;
   WaitQueue wait_queue;
+  EarlyRetries early_retries;
+  /// By queue key, of models whose requests differ in priority.
+  std::map<std::string, AdmissionReserve> reserves;
   DemandMeter demand;
+  LengthEstimator lengths;
   std::map<std::string, routing::RetryBudget> retry_budgets;
   std::map<std::uint64_t, std::shared_ptr<RequestFlow>> flows;
   std::set<std::shared_ptr<CallerConnection>> callers;
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -85,6 +85,9 @@
 
  private:
   [[nodiscard]] bool Admit();
+  /// Reads the caller's estimate of the output tokens; an invalid one is
+  /// ignored and counted.
+  void ReadHint();
   /// Reads `shared_parts`, at most kMaxSharedParts.
   void ReadSharedParts();
   /// Quarantined content of this request, or an empty string.
@@ -126,6 +129,18 @@
   void StartAttempt(const std::string& target_id);
   [[nodiscard]] std::string SerializeRequest(
       const std::string& target_id) const;
+  /// The request as the wait queue orders it.
+  [[nodiscard]] QueuedRequest DescribeQueued() const;
+  /// True if its caller was refused and came back before its Retry-After.
+  [[nodiscard]] bool IsEarlyRetry() const;
+  /// True if it would wait in vain: more urgent requests wait, and their
+  /// arrivals leave too little for it.
+  [[nodiscard]] bool IsClosedOut(TimePoint now);
+  /// Seconds over which callers that are refused for want of capacity should
+  /// come back.
+  [[nodiscard]] double ReturnTimeSeconds(TimePoint now);
+  /// Counts a refusal for want of capacity, and whether there was room.
+  void RecordOverload(TimePoint now);
   /// Takes the prompt off the pending prefill work of the target: its prefill
   /// is done, or will not be done.
   void EndPrefill();
@@ -200,10 +215,15 @@
   [[nodiscard]] bool TryTakeRetry(bool may_have_executed);
   [[nodiscard]] std::string SerializeAnswerHead() const;
   [[nodiscard]] std::string QueueKey() const;
+  /// Priority of the team, or of the route; 0 is the most urgent.
+  [[nodiscard]] int Priority() const;
+  /// Value of the priority header for the target, or empty to send none.
+  [[nodiscard]] std::optional<int> EnginePriority() const;
   /// Profile of the service's engine, or null for a plain service.
   [[nodiscard]] const EngineProfile* FindEngine() const;
   [[nodiscard]] const ModelProfile* FindModel() const;
-  /// Adds the engine time that this request needs to the measured demand.
+  /// Estimates the engine time that this request needs, and adds it to the
+  /// measured demand.
   void RecordDemand();
   /// Longest wait before dispatch with which the first event is still expected
   /// within the route's objective.
@@ -221,6 +241,9 @@
   std::string service;
   std::string model;
   double prompt_tokens = 0;
+  std::optional<double> length_hint;  ///< Output tokens expected by the caller.
+  double engine_ms = 0;         ///< Engine time that it is expected to need.
+  bool is_early_retry = false;  ///< Came back before its Retry-After.
   /// Ids of the parts of the prompt that other requests may have too: all but
   /// the last.
   std::vector<std::string> shared_parts;
--- a/include/gooseberryturn/observe/metrics.h
+++ b/include/gooseberryturn/observe/metrics.h
@@ -56,9 +56,14 @@
   kClosesNotReported,   ///< To the flow of the request in progress.
   kScaleChanges,        ///< Wanted numbers of targets that changed.
   kScaleInputsIgnored,  ///< Invalid samples and sizes.
+  kEarlyRetries,        ///< Requests that came back before their Retry-After.
+  kClosedOut,           ///< Refused at once for more urgent requests.
+  /// Refused as overloaded while half of the slots were free and none waited.
+  kRefusalsWithRoom,
+  kLengthHintsIgnored,  ///< Of callers; no whole number, or out of range.
 };
 
-inline constexpr std::size_t kMetricCount = 29;
+inline constexpr std::size_t kMetricCount = 33;
 
 /// \brief Exported names, without the prefix `gooseberryturn_`.
 inline constexpr NameTable<Metric, kMetricCount> kMetricNames = {
@@ -90,7 +95,11 @@
      "late_orders_total",
      "closes_not_reported_total",
      "scale_changes_total",
-     "scale_inputs_ignored_total"}};
+     "scale_inputs_ignored_total",
+     "early_retries_total",
+     "closed_out_total",
+     "refusals_with_room_total",
+     "length_hints_ignored_total"}};
 
 /// \brief Durations that are exported as summaries with quantiles.
 enum class Timing : std::uint8_t {
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -301,9 +301,10 @@
              {{"version", std::to_string(update.config_version)},
               {"before", std::to_string(this->view.version())}});
   }
-  const bool has_new_limits = table != nullptr;
+  const bool has_new_configuration = table != nullptr;
   this->view.Apply(update, std::move(table));
-  if (has_new_limits) {
+  if (has_new_configuration) {
+    this->priorities = PriorityMap(this->view.routes()->configuration());
     for (const std::shared_ptr<CallerConnection>& caller : this->callers) {
       caller->SetLimits(this->LimitsInForce());
     }
@@ -312,6 +313,7 @@
     this->target_tracker.SetTotals(update.in_flight_work);
     this->BeginRound(Clock::now());
   }
+  this->UpdateReserves();
   for (const std::string& removed : update.removed_targets) {
     this->target_pool.CloseIdle(removed);
   }
@@ -329,14 +331,75 @@
 void EntryHost::BeginRound(TimePoint now) {
   RoomShare::WaitingByPool waiting;
   for (const std::string& key : this->wait_queue.QueueKeys()) {
+    const bool is_by_priority = this->FindReserve(key) != nullptr;
     for (const bool is_late : {false, true}) {
-      waiting[RoomPool(key, is_late)] =
-          this->wait_queue.Count(key, is_late, now);
+      if (!is_by_priority) {
+        waiting[RoomPool(key, is_late)] =
+            this->wait_queue.Count(key, is_late, now);
+        continue;
+      }
+      for (const std::pair<const int, std::size_t>& count :
+           this->wait_queue.CountByPriority(key, is_late, now)) {
+        waiting[RoomPool(key, is_late, count.first)] = count.second;
+      }
     }
   }
   this->chooser.BeginRound(this->view.entries(), waiting, now);
 }
 
+void EntryHost::UpdateReserves() {
+  if (this->view.routes() == nullptr) {
+    return;
+  }
+  std::map<std::string, AdmissionReserve> before = std::move(this->reserves);
+  this->reserves.clear();
+  for (const Service& service : this->view.routes()->configuration().services) {
+    if (!this->priorities.HasSeveral(service.name)) {
+      continue;
+    }
+    for (const ModelProfile& model : service.engine->models) {
+      const std::string key = QueueKey(service.name, model.name);
+      AdmissionReserve& reserve = this->reserves[key];
+      reserve = std::move(before[key]);
+      reserve.SetCapacity(
+          {this->view.Heads(service.name, model).size(), this->view.entries()});
+      reserve.on_closed = [key](int priority, std::size_t refused) {
+        LogEvent(Level::kInfo, "", "priority_closed",
+                 {{"model", key},
+                  {"priority", std::to_string(priority)},
+                  {"refused", std::to_string(refused)}});
+      };
+    }
+  }
+}
+
+AdmissionReserve* EntryHost::FindReserve(const std::string& queue_key) {
+  const auto found = this->reserves.find(queue_key);
+  return found == this->reserves.end() ? nullptr : &found->second;
+}
+
+bool EntryHost::HasIdleRoom(const std::string& service,
+                            const std::string& model, TimePoint now) {
+  const Service* found =
+      this->view.routes()->configuration().FindService(service);
+  const ModelProfile* profile = found != nullptr && found->engine.has_value()
+                                    ? found->engine->FindModel(model)
+                                    : nullptr;
+  const std::string key = QueueKey(service, model);
+  const bool has_waiting = this->wait_queue.Count(key, false, now) > 0 ||
+                           this->wait_queue.Count(key, true, now) > 0;
+  if (profile == nullptr || has_waiting) {
+    return false;
+  }
+  std::size_t load = 0;
+  std::size_t slots = 0;
+  for (const TargetView* head : this->view.Heads(service, *profile)) {
+    load += this->target_tracker.Load(head->name);
+    slots += found->engine->slots;
+  }
+  return 2 * load < slots;
+}
+
 void EntryHost::SendReport(TimePoint now) {
   EntryReport report;
   std::vector<std::string> suspects = this->target_tracker.StalledTargets(now);
@@ -387,23 +450,28 @@
   this->is_dispatching_queued = true;
   const TimePoint now = Clock::now();
   for (const std::string& queue_key : this->wait_queue.QueueKeys()) {
-    for (const std::uint64_t flow_id :
-         this->wait_queue.DispatchOrder(queue_key, now)) {
-      const auto found = this->flows.find(flow_id);
-      if (found == this->flows.end()) {
-        this->wait_queue.Remove(flow_id);
-        continue;
-      }
-      const std::shared_ptr<RequestFlow> flow = found->second;
-      // One that moves to another target must not hold up those behind it.
-      if (!flow->TryDispatch() && !flow->IsMoving()) {
-        break;
-      }
+    std::set<std::uint64_t> tried;
+    std::optional<std::uint64_t> next =
+        this->wait_queue.Next(queue_key, now, tried);
+    while (next.has_value() && this->TryDispatchQueued(*next)) {
+      tried.insert(*next);
+      next = this->wait_queue.Next(queue_key, now, tried);
     }
   }
   this->is_dispatching_queued = false;
 }
 
+bool EntryHost::TryDispatchQueued(std::uint64_t flow_id) {
+  const auto found = this->flows.find(flow_id);
+  if (found == this->flows.end()) {
+    this->wait_queue.Remove(flow_id);
+    return true;
+  }
+  const std::shared_ptr<RequestFlow> flow = found->second;
+  // One that moves to another target must not hold up those behind it.
+  return flow->TryDispatch() || flow->IsMoving();
+}
+
 void EntryHost::RecordLoopDelay(TimePoint now) {
   if (this->next_tick_at == TimePoint()) {
     return;
@@ -424,6 +492,7 @@
   this->SettleAnswers(now);
   this->SendReport(now);
   this->target_pool.Expire(now);
+  this->early_retries.Expire(now);
   std::vector<std::shared_ptr<RequestFlow>> open;
   open.reserve(this->flows.size());
   for (const auto& entry : this->flows) {
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -23,13 +23,6 @@
 constexpr int kUnavailable = 503;
 constexpr char kBearer[] = "Bearer ";
 constexpr char kLastEventId[] = "Last-Event-ID";
-/// Engine priority of a resumed stream: its caller has waited already. At the
-/// engine 0 goes first; other requests than these two kinds are sent without a
-/// priority.
-constexpr char kResumedPriority[] = "2";
-/// Engine priority of a request that can no longer meet its objective: it must
-/// not displace one that can.
-constexpr char kLatePriority[] = "7";
 constexpr double kPercent = 100;
 constexpr double kMsPerSecond = 1000;
 /// Of one prompt, whatever its caller claims.
@@ -178,6 +171,7 @@
   this->model = std::string(this->message[names.model]);
   this->prompt_tokens = static_cast<double>(std::clamp<std::int64_t>(
       ReadNumber(ToView(this->message[names.tokens]), 0), 0, kMaxPromptTokens));
+  this->ReadHint();
   const std::int64_t caller_timeout_ms = ReadNumber(
       ToView(this->message[names.deadline]), this->route->timeout_ms);
   this->deadline =
@@ -190,12 +184,28 @@
   this->queue_deadline =
       std::min(this->deadline, this->received_at + kMaxQueueTime);
   this->RecordDemand();
+  this->is_early_retry = this->IsEarlyRetry();
+  if (this->is_early_retry) {
+    this->entry.metrics.Add(observe::Metric::kEarlyRetries);
+  }
   this->entry.RetryBudgetOf(this->service)
       .RecordFirstAttempt(static_cast<std::int64_t>(
           kPercent * this->entry.settings.retry_ratio));
   return true;
 }
 
+void RequestFlow::ReadHint() {
+  const std::string& name = this->entry.dialect.headers.length_hint;
+  const auto field = this->message.find(name);
+  if (name.empty() || field == this->message.end()) {
+    return;
+  }
+  this->length_hint = ReadLengthHint(ToView(field->value()));
+  if (!this->length_hint.has_value()) {
+    this->entry.metrics.Add(observe::Metric::kLengthHintsIgnored);
+  }
+}
+
 bool RequestFlow::RefuseIfTooLate() {
   const bool may_have_run =
       this->IsMoving() || this->is_head_sent || this->possible_executions > 0;
@@ -218,18 +228,33 @@
   return engine == nullptr ? nullptr : engine->FindModel(this->model);
 }
 
+bool RequestFlow::IsEarlyRetry() const {
+  return !this->entry.early_retries.empty() &&
+         this->entry.early_retries.IsEarly(this->Fingerprint(),
+                                           this->received_at);
+}
+
 void RequestFlow::RecordDemand() {
   const ModelProfile* model_profile = this->FindModel();
   if (model_profile != nullptr) {
     const EngineProfile& engine = *this->FindEngine();
     this->entry.chooser.RecordPrompt(this->service, this->model,
                                      this->prompt_tokens);
-    const double output_tokens = this->entry.demand.MeanAnswerTokens(
+    const double mean_tokens = this->entry.demand.MeanAnswerTokens(
         this->route->name, engine.mean_output_tokens);
-    this->entry.demand.RecordRequest(
-        this->service, this->model,
-        EngineTimeMs(engine, *model_profile, this->prompt_tokens,
-                     output_tokens));
+    const double output_tokens =
+        this->entry.lengths
+            .Expect(this->route->name, this->length_hint, mean_tokens)
+            .tokens;
+    this->engine_ms = EngineTimeMs(engine, *model_profile, this->prompt_tokens,
+                                   output_tokens);
+    this->entry.demand.RecordRequest(this->service, this->model,
+                                     this->engine_ms);
+    AdmissionReserve* reserve = this->entry.FindReserve(this->QueueKey());
+    if (reserve != nullptr) {
+      reserve->RecordArrival(this->Priority(), this->engine_ms,
+                             this->received_at);
+    }
   }
 }
 
@@ -263,23 +288,37 @@
     this->Hold(now);
     return;
   }
-  const int priority = this->team != nullptr && this->team->priority
-                           ? *this->team->priority
-                           : this->route->priority;
+  const QueuedRequest queued = this->DescribeQueued();
   // Requests with the same queue key that rank higher go first.
   const bool must_wait =
-      !this->is_head_sent &&
-      this->entry.wait_queue.CountAhead(this->QueueKey(), priority,
-                                        this->dispatch_by, now) > 0;
+      !this->is_head_sent && !this->entry.wait_queue.GoesFirst(queued, now);
   if (!must_wait && this->TryDispatch()) {
     return;
   }
   if (this->is_done) {
     return;
   }
+  if (this->IsClosedOut(now)) {
+    this->entry.metrics.Add(observe::Metric::kClosedOut);
+    this->Refuse(kUnavailable, Reason::kOverloaded);
+    return;
+  }
   this->is_queued = true;
-  this->entry.wait_queue.Add({this->flow_id, this->QueueKey(), priority,
-                              this->dispatch_by, this->queue_deadline});
+  this->entry.wait_queue.Add(queued);
+}
+
+bool RequestFlow::IsClosedOut(TimePoint now) {
+  AdmissionReserve* reserve = this->entry.FindReserve(this->QueueKey());
+  const bool may_be_refused =
+      !this->is_head_sent && !this->IsMoving() && this->tried_targets.empty();
+  if (reserve == nullptr || !may_be_refused) {
+    return false;
+  }
+  const int priority = this->Priority();
+  const double urgent_ms =
+      this->entry.wait_queue.MoreUrgentMs(this->QueueKey(), priority, now);
+  return reserve->IsClosed(priority, urgent_ms, this->queue_deadline - now,
+                           now);
 }
 
 bool RequestFlow::IsUnservable(ChoiceFailure reason) const {
@@ -331,8 +370,18 @@
         objective_ms *
         (request.is_resumed ? kResumedPrefillWaitShare : kLatePrefillWaitShare);
   }
-  const std::size_t waiting =
-      this->entry.wait_queue.Count(this->QueueKey(), is_late, now);
+  const AdmissionReserve* reserve = this->entry.FindReserve(this->QueueKey());
+  std::size_t waiting = 0;
+  if (reserve != nullptr) {
+    const int priority = this->Priority();
+    request.room_priority = priority;
+    request.reserved_requests =
+        request.is_resumed ? 0 : reserve->ReservedRequests(priority, now);
+    waiting = this->entry.wait_queue.CountByPriority(this->QueueKey(), is_late,
+                                                     now)[priority];
+  } else {
+    waiting = this->entry.wait_queue.Count(this->QueueKey(), is_late, now);
+  }
   request.waiting = waiting + (this->is_queued ? 0 : 1);
   this->is_sent_late = is_late;
   const Choice choice = this->entry.chooser.Choose(
@@ -352,6 +401,7 @@
   if (this->IsMoving() && !this->TryLeaveTarget(now)) {
     return true;
   }
+  this->entry.wait_queue.RecordDispatched(this->DescribeQueued());
   this->load_at_choice = choice.load;
   this->expected_first_event_ms = choice.expected_ms;
   this->predicted_first_event_ms = this->entry.chooser.PredictFirstEventMs(
@@ -360,6 +410,34 @@
   return true;
 }
 
+QueuedRequest RequestFlow::DescribeQueued() const {
+  QueuedRequest queued;
+  queued.id = this->flow_id;
+  queued.queue_key = this->QueueKey();
+  queued.priority = this->Priority();
+  queued.dispatch_by = this->dispatch_by;
+  queued.queue_deadline = this->queue_deadline;
+  queued.team = this->team == nullptr ? "" : this->team->name;
+  queued.engine_ms = this->engine_ms;
+  queued.is_early_retry = this->is_early_retry;
+  return queued;
+}
+
+int RequestFlow::Priority() const {
+  return this->team != nullptr && this->team->priority ? *this->team->priority
+                                                       : this->route->priority;
+}
+
+std::optional<int> RequestFlow::EnginePriority() const {
+  if (this->last_event_id.has_value()) {
+    return PriorityMap::kResumed;
+  }
+  if (this->is_sent_late && !this->model.empty()) {
+    return PriorityMap::kLate;
+  }
+  return this->entry.priorities.EnginePriority(this->service, this->Priority());
+}
+
 std::string RequestFlow::SerializeRequest(const std::string& target_id) const {
   const HeaderNames& names = this->entry.dialect.headers;
   std::string bytes = std::string(this->message.method_string()) + " " +
@@ -389,9 +467,10 @@
   }
   if (this->last_event_id.has_value()) {
     add(kLastEventId, std::to_string(*this->last_event_id));
-    add(names.priority, kResumedPriority);
-  } else if (this->is_sent_late && !this->model.empty()) {
-    add(names.priority, kLatePriority);
+  }
+  const std::optional<int> engine_priority = this->EnginePriority();
+  if (engine_priority.has_value()) {
+    add(names.priority, std::to_string(*engine_priority));
   }
   const bool has_body =
       !this->message.body().empty() ||
