Duties: lease, usage ledger, fleet time and calls as decisions without a network

Cause: usage reports and scale orders have to be made by one host at a time, and nothing in the fleet did so.

Change: DutyLease decides whether the leader may call the platform, under the index of the log entry that names it as its token. UsageMeter counts at an entry, UsageLedger adds up and closes windows at the leader, and UsageRecord keeps in the log the totals of ended entries and the content of closed windows. DutyRunner connects them with the log; no program owns one yet.

New log commands and fields are appended.

--- a/include/gooseberryturn/direct/fleet_state.h
+++ b/include/gooseberryturn/direct/fleet_state.h
@@ -11,6 +11,8 @@
 #include "gooseberryturn/consensus/types.h"
 #include "gooseberryturn/core/name_table.h"
 #include "gooseberryturn/direct/view.h"
+#include "gooseberryturn/duty/calls.h"
+#include "gooseberryturn/duty/usage_record.h"
 
 namespace gooseberryturn::direct {
 
@@ -18,12 +20,17 @@
 enum class FleetCommandKind : std::uint8_t {
   kPutConfiguration,
   kEvacuate,
-  kFleetDelta,  ///< Changes of targets and groups.
-  kSuspects,    ///< All content that is suspected or quarantined.
+  kFleetDelta,        ///< Changes of targets and groups.
+  kSuspects,          ///< All content that is suspected or quarantined.
+  kTakeDuties,        ///< Names the host that calls the platform.
+  kAddUsage,          ///< Totals of entries that have ended.
+  kCloseUsage,        ///< Sets the content of a window.
+  kAcknowledgeUsage,  ///< The platform has the report of a window.
 };
 
-inline constexpr NameTable<FleetCommandKind, 4> kFleetCommandKindNames = {
-    {"put_configuration", "evacuate", "note", "suspects"}};
+inline constexpr NameTable<FleetCommandKind, 8> kFleetCommandKindNames = {
+    {"put_configuration", "evacuate", "note", "suspects", "take_duties",
+     "add_usage", "close_usage", "acknowledge_usage"}};
 
 /// \brief Changes of the leader's targets and groups.
 ///
@@ -42,6 +49,15 @@
   MSGPACK_DEFINE(targets, removed_targets, groups, removed_groups)
 };
 
+/// \brief Part of a command that concerns usage.
+struct UsageChange {
+  std::vector<duty::EntryUsage> totals;  ///< Of kAddUsage.
+  std::int64_t window = 0;               ///< Of the other kinds.
+  duty::TeamCounts counts;               ///< Of kCloseUsage.
+
+  MSGPACK_DEFINE(totals, window, counts)
+};
+
 /// \brief A command of an operator, or the leader's FleetDelta.
 struct FleetCommand {
   FleetCommandKind kind = FleetCommandKind::kPutConfiguration;
@@ -56,13 +72,15 @@
   /// FleetState::Revision.
   bool is_conditional = false;
   std::uint64_t revision = 0;
+  std::string duty_host;  ///< Of kTakeDuties.
+  UsageChange usage;
 
   MSGPACK_DEFINE(kind, version, text, data_centre, is_evacuated, delta,
-                 suspects, is_conditional, revision)
+                 suspects, is_conditional, revision, duty_host, usage)
 };
 
 /// \brief The replicated state: configuration, data centres out of service,
-/// targets, groups and content that crashes targets.
+/// targets, groups, content that crashes targets, and duties.
 ///
 /// \details A configuration with the same or a lower version than the current
 /// one is ignored, whatever its content.
@@ -107,6 +125,14 @@
   [[nodiscard]] const std::vector<SuspectRecord>& suspects() const noexcept {
     return this->known_suspects;
   }
+  /// \brief The host named last to call the platform; its fencing token is the
+  /// log index of the command that named it, 0 if there was none.
+  [[nodiscard]] const duty::Holder& duty_holder() const noexcept {
+    return this->holder;
+  }
+  [[nodiscard]] const duty::UsageRecord& usage() const noexcept {
+    return this->usage_record;
+  }
 
  private:
   void PutConfiguration(const FleetCommand& command);
@@ -122,10 +148,13 @@
   std::map<std::string, GroupView> known_groups;
   std::vector<SuspectRecord> known_suspects;
   std::map<std::string, consensus::Index> revisions;  ///< By data centre.
+  duty::Holder holder;
+  duty::UsageRecord usage_record;
 
  public:
   MSGPACK_DEFINE(applied, config_version, config_text, evacuated_data_centres,
-                 known_targets, known_groups, known_suspects, revisions)
+                 known_targets, known_groups, known_suspects, revisions, holder,
+                 usage_record)
 };
 
 }  // namespace gooseberryturn::direct
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -14,6 +14,7 @@
 #include "gooseberryturn/direct/learnt_capacity.h"
 #include "gooseberryturn/direct/model_demand.h"
 #include "gooseberryturn/direct/target_notices.h"
+#include "gooseberryturn/duty/usage_record.h"
 
 namespace gooseberryturn::direct {
 
@@ -105,15 +106,6 @@
                  takes_compressed)
 };
 
-/// \brief Requests of a team that targets began to run in one window.
-struct UsageCount {
-  std::int64_t window = 0;  ///< See duty::PlatformSettings::usage_window.
-  std::string team;
-  std::uint64_t requests = 0;
-
-  MSGPACK_DEFINE(window, team, requests)
-};
-
 /// \brief Report of an entry to the leader, sent several times a second.
 struct EntryReport {
   std::vector<InFlightWork> in_flight_work;
@@ -128,8 +120,9 @@
   /// Quarantined; requests with them were refused.
   std::vector<std::string> refused_contents;
   std::int64_t unix_ms = 0;  ///< Time of day at this entry.
-  /// Totals of the last windows, counted since this entry started.
-  std::vector<UsageCount> usage;
+  /// Totals that changed since the last report on this stream, or all of the
+  /// last windows in its first one; see duty::UsageMeter.
+  std::vector<duty::UsageCount> usage;
   std::vector<LearntCapacity> learnt_capacities;
 
   MSGPACK_DEFINE(in_flight_work, stalled_groups, cut_requests,
--- a/include/gooseberryturn/duty/calls.h
+++ b/include/gooseberryturn/duty/calls.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <msgpack.hpp>
 #include <string>
 
 #include "gooseberryturn/core/endpoint.h"
@@ -39,6 +40,8 @@
 struct Holder {
   std::string host;
   std::uint64_t fence = 0;
+
+  MSGPACK_DEFINE(host, fence)
 };
 
 /// \brief Requests that targets began to run in one window, by team.
@@ -52,6 +55,9 @@
   std::string service;
   std::string data_centre;
   std::size_t targets = 0;
+  /// Targets there are, as far as known. Not sent: an order for this number is
+  /// left out unless another one was given before.
+  std::size_t present = 0;
 };
 
 }  // namespace gooseberryturn::duty
--- a/include/gooseberryturn/observe/metrics.h
+++ b/include/gooseberryturn/observe/metrics.h
@@ -54,9 +54,18 @@
   kMemoryFull,  ///< Requests and answers given up for want of memory.
   kLateOrders,  ///< Orders of operators and targets that were not carried out.
   kClosesNotReported,  ///< To the flow of the request in progress.
+  kPlatformCalls,      ///< Calls to the platform that were made.
+  kPlatformCallsFailed,
+  kPlatformConflicts,     ///< Rejected for a higher fencing token.
+  kPlatformCallsLimited,  ///< Rejected by the platform's rate limit.
+  kUsageWindowsClosed,    ///< Content was written to the log.
+  kUsageWindowsDropped,   ///< The platform was down for too long.
+  kUsageWindowsWaiting,   ///< Closed and not acknowledged.
+  kUsageLateRequests,     ///< Reported after their window was closed.
+  kUsageCountsIgnored,    ///< Not valid.
 };
 
-inline constexpr std::size_t kMetricCount = 27;
+inline constexpr std::size_t kMetricCount = 36;
 
 /// \brief Exported names, without the prefix `gooseberryturn_`.
 inline constexpr NameTable<Metric, kMetricCount> kMetricNames = {
@@ -86,7 +95,16 @@
      "quarantines_ended_total",
      "memory_full_total",
      "late_orders_total",
-     "closes_not_reported_total"}};
+     "closes_not_reported_total",
+     "platform_calls_total",
+     "platform_calls_failed_total",
+     "platform_conflicts_total",
+     "platform_calls_limited_total",
+     "usage_windows_closed_total",
+     "usage_windows_dropped_total",
+     "usage_windows_waiting",
+     "usage_late_requests_total",
+     "usage_counts_ignored_total"}};
 
 /// \brief Durations that are exported as summaries with quantiles.
 enum class Timing : std::uint8_t {
--- a/src/direct/fleet_state.cc
+++ b/src/direct/fleet_state.cc
@@ -46,6 +46,21 @@
     case FleetCommandKind::kSuspects:
       this->known_suspects = command->suspects;
       break;
+    case FleetCommandKind::kTakeDuties:
+      this->holder = {command->duty_host, entry.index};
+      break;
+    case FleetCommandKind::kAddUsage:
+      for (const duty::EntryUsage& totals : command->usage.totals) {
+        this->usage_record.AddTotals(totals);
+      }
+      break;
+    case FleetCommandKind::kCloseUsage:
+      this->usage_record.CloseWindow(command->usage.window,
+                                     command->usage.counts);
+      break;
+    case FleetCommandKind::kAcknowledgeUsage:
+      this->usage_record.Acknowledge(command->usage.window);
+      break;
   }
 }
 
