Usage of the entry on the leader's own host is kept in the log

Cause: what an entry had counted in open windows was lost when it was killed together with the leader. The loss of one machine does that where a control host and an entry share it: up to 1/12 of a window in a domain of 12 entries.

Change: the leader writes the totals of the entry with its own host name to the log every 0.5 s, as it does with those of entries that have ended.

No test kills both programs of one host.

--- a/include/gooseberryturn/direct/fleet_state.h
+++ b/include/gooseberryturn/direct/fleet_state.h
@@ -23,7 +23,7 @@
   kFleetDelta,        ///< Changes of targets and groups.
   kSuspects,          ///< All content that is suspected or quarantined.
   kTakeDuties,        ///< Names the host that calls the platform.
-  kAddUsage,          ///< Totals of entries that have ended.
+  kAddUsage,          ///< Totals of entries; see duty::UsageLedger.
   kCloseUsage,        ///< Sets the content of a window.
   kAcknowledgeUsage,  ///< The platform has the report of a window.
 };
--- a/include/gooseberryturn/duty/usage_ledger.h
+++ b/include/gooseberryturn/duty/usage_ledger.h
@@ -37,8 +37,10 @@
   /// \brief Records the report of an entry.
   void RecordReport(const EntryRun& run, const std::vector<UsageCount>& counts,
                     TimePoint now);
-  /// \brief Totals of entries that have ended and are not in the log yet.
-  [[nodiscard]] std::vector<EntryUsage> EndedTotals(const UsageRecord& record,
+  /// \brief Totals that the log lacks, of entries that have ended and of the
+  /// entry on `own_host`, which may be lost together with this leader.
+  [[nodiscard]] std::vector<EntryUsage> TotalsToLog(const UsageRecord& record,
+                                                    const std::string& own_host,
                                                     TimePoint now) const;
   /// \brief The next window and its content, if it is to be closed.
   [[nodiscard]] std::optional<UsageReport> NextClosed(const UsageRecord& record,
--- a/src/direct/duty_runner.cc
+++ b/src/direct/duty_runner.cc
@@ -141,7 +141,8 @@
   this->next_totals_at = now + kTotalsInterval;
   FleetCommand command;
   command.kind = FleetCommandKind::kAddUsage;
-  command.usage.totals = this->ledger.EndedTotals(this->state.usage(), now);
+  command.usage.totals =
+      this->ledger.TotalsToLog(this->state.usage(), this->host, now);
   if (!command.usage.totals.empty()) {
     this->ProposeUsage(command, this->is_proposing_totals);
   }
--- a/src/duty/usage_ledger.cc
+++ b/src/duty/usage_ledger.cc
@@ -65,14 +65,16 @@
   }
 }
 
-std::vector<EntryUsage> UsageLedger::EndedTotals(const UsageRecord& record,
+std::vector<EntryUsage> UsageLedger::TotalsToLog(const UsageRecord& record,
+                                                 const std::string& own_host,
                                                  TimePoint now) const {
-  std::vector<EntryUsage> ended;
+  std::vector<EntryUsage> missing;
   for (const std::pair<const EntryRun, Entry>& known : this->entries) {
     const Entry& entry = known.second;
     const bool has_ended =
         entry.is_replaced || now >= entry.heard_at + kSilenceTimeout;
-    if (!has_ended) {
+    const bool is_on_own_host = known.first.host == own_host;
+    if (!has_ended && !is_on_own_host) {
       continue;
     }
     EntryUsage usage = {known.first, entry.totals};
@@ -84,10 +86,10 @@
     const WindowCounts before = merged;
     MergeTotals(merged, usage.counts);
     if (merged != before) {
-      ended.push_back(std::move(usage));
+      missing.push_back(std::move(usage));
     }
   }
-  return ended;
+  return missing;
 }
 
 TeamCounts UsageLedger::Sum(const UsageRecord& record,
--- a/tests/duty_test.cc
+++ b/tests/duty_test.cc
@@ -489,7 +489,7 @@
   void RunLeader() {
     this->ledger.Expire(this->record, this->unix_ms, this->now);
     for (const EntryUsage& ended :
-         this->ledger.EndedTotals(this->record, this->now)) {
+         this->ledger.TotalsToLog(this->record, "leader", this->now)) {
       this->record.AddTotals(ended);
     }
     const std::optional<UsageReport> next =
@@ -576,11 +576,13 @@
   ledger.RecordReport(second, {{window, "a", 2}}, At(seconds(3)));
   // Of a run that has ended: written to the log once.
   const std::vector<EntryUsage> ended =
-      ledger.EndedTotals(record, At(seconds(3)));
+      ledger.TotalsToLog(record, "leader", At(seconds(3)));
   BOOST_REQUIRE(ended.size() == 1U);
   record.AddTotals(ended[0]);
   record.AddTotals(ended[0]);
-  BOOST_TEST(ledger.EndedTotals(record, At(seconds(3))).empty());
+  BOOST_TEST(ledger.TotalsToLog(record, "leader", At(seconds(3))).empty());
+  // A live entry is written only by the leader on its own host.
+  BOOST_TEST(ledger.TotalsToLog(record, "entry", At(seconds(3))).size() == 1U);
   BOOST_TEST(!ledger.NextClosed(record, kUnixMs + 4000, At(seconds(4))));
   // The entry has not gone on to the next window.
   BOOST_TEST(!ledger.NextClosed(record, kUnixMs + 5100, At(seconds(5))));
@@ -635,8 +637,10 @@
   for (std::int64_t window = 1; window <= 40; ++window) {
     reports[window] = {{"a", 1}};
   }
+  constexpr int kDataCentres = 40;
   std::vector<ScaleOrder> orders;
-  for (int zone = 0; zone < 40; ++zone) {
+  orders.reserve(kDataCentres);
+  for (int zone = 0; zone < kDataCentres; ++zone) {
     orders.push_back({"s", std::to_string(zone), 5});
   }
   queue.SetScaleTargets(orders);
