The leader carries out the duties, and entries count usage for it

Cause: nothing called the platform; the decisions had no owner.

Change: a control host whose settings name the platform and a duty owns a DutyRunner, ticks it while it leads, and passes it the reports of entries. An entry counts a stream at its first event and another request when it was handed over, and reports changed totals and its time of day. SendHttpRequest can ask right before it writes whether the request may still be sent, and then resets a connection that is given up: the kernel would go on to transmit the request. Calls without that question are made as before. Without a platform in the settings nothing of this exists.

--- a/include/gooseberryturn/direct/async_http.h
+++ b/include/gooseberryturn/direct/async_http.h
@@ -135,10 +135,15 @@
 /// \brief Sends one HTTP request over a new connection.
 /// \param on_response Receives the response, or an error when `deadline` passes
 /// or the connection fails.
+/// \param may_send Asked once connected, right before the request is written;
+/// if it says no, the request is not sent. With this function a request that is
+/// given up is also discarded by the kernel, which would otherwise go on to
+/// transmit what is in its send buffer.
 void SendHttpRequest(boost::asio::io_context& context, const Endpoint& peer,
                      const HttpRequest& call,
                      const std::vector<HttpHeader>& headers, TimePoint deadline,
-                     std::function<void(Result<HttpResponse>)> on_response);
+                     std::function<void(Result<HttpResponse>)> on_response,
+                     std::function<bool()> may_send = nullptr);
 
 }  // namespace gooseberryturn::direct
 
--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -17,6 +17,7 @@
 #include "gooseberryturn/direct/configuration_text.h"
 #include "gooseberryturn/direct/crash_tracker.h"
 #include "gooseberryturn/direct/dialect.h"
+#include "gooseberryturn/direct/duty_runner.h"
 #include "gooseberryturn/direct/fleet_state.h"
 #include "gooseberryturn/direct/group_planner.h"
 #include "gooseberryturn/direct/pending_calls.h"
@@ -228,6 +229,12 @@
   /// Adds the configuration to an update if the follower lacks it.
   void AddConfiguration(Follower& follower, FleetUpdate& update);
 
+  /// Creates `duties` if the settings name a platform and a duty.
+  void CreateDuties();
+  void SendToPlatform(const duty::PlatformCall& call, TimePoint deadline,
+                      std::function<bool()> may_send,
+                      const DutyHooks::OnOutcome& on_outcome);
+
   // Not leading.
   /// Asks the other control hosts to be added to the quorum.
   void RequestToJoin(TimePoint now);
@@ -251,6 +258,7 @@
   GroupPlanner planner;
   std::set<std::string> contested_targets;  ///< See ProbeContested.
   QuorumPlanner quorum_planner;
+  std::unique_ptr<DutyRunner> duties;  ///< Null without duties.
   CrashTracker crash_tracker;
   std::uint64_t sent_suspects_revision = 0;      ///< Of the crash tracker.
   std::uint64_t proposed_suspects_revision = 0;  ///< Of the crash tracker.
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -23,6 +24,7 @@
 #include "gooseberryturn/direct/target_connection.h"
 #include "gooseberryturn/direct/target_tracker.h"
 #include "gooseberryturn/direct/wait_queue.h"
+#include "gooseberryturn/duty/usage_meter.h"
 #include "gooseberryturn/observe/metrics.h"
 #include "gooseberryturn/routing/retry_budget.h"
 
@@ -148,6 +150,7 @@
   TargetConnectionPool target_pool;
   WaitQueue wait_queue;
   DemandMeter demand;
+  std::optional<duty::UsageMeter> usage_meter;  ///< If usage is reported.
   std::map<std::string, routing::RetryBudget> retry_budgets;
   std::map<std::uint64_t, std::shared_ptr<RequestFlow>> flows;
   std::set<std::shared_ptr<CallerConnection>> callers;
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -139,6 +139,11 @@
   /// Records what the target says of itself in the head of an answer.
   void RecordNotices(const ResponseHead& head, TimePoint now);
   void RecordPause(const ResponseHead& head, TimePoint now);
+  /// Passes the beginning of an attempt to the usage meter.
+  void MeterBegin(TimePoint now);
+  void MeterFirstEvent(TimePoint now);
+  /// The same for the end of an attempt; `used` may be null.
+  void MeterEnd(ExchangeEnd end, const TargetConnection* used);
   /// Ends or keeps waiting a request all of whose targets pause until
   /// `resumes_at`.
   /// \returns False if it waits.
--- a/include/gooseberryturn/direct/target_connection.h
+++ b/include/gooseberryturn/direct/target_connection.h
@@ -76,6 +76,10 @@
   /// \brief True if another request may be sent on this connection.
   [[nodiscard]] bool is_reusable() const noexcept { return this->reusable; }
   [[nodiscard]] bool is_connected() const noexcept { return this->connected; }
+  /// \brief True if the request of the latest exchange was sent whole.
+  [[nodiscard]] bool is_request_sent() const noexcept {
+    return this->is_written;
+  }
   /// \brief When an idle connection should no longer be used.
   [[nodiscard]] TimePoint idle_until() const noexcept {
     return this->idle_deadline;
--- a/src/direct/async_http.cc
+++ b/src/direct/async_http.cc
@@ -33,11 +33,13 @@
 class ClientSession : public std::enable_shared_from_this<ClientSession> {
  public:
   ClientSession(asio::io_context& context, Endpoint peer,
-                std::function<void(Result<HttpResponse>)> on_response)
+                std::function<void(Result<HttpResponse>)> on_response,
+                std::function<bool()> may_send)
       : peer(std::move(peer)),
         socket(context),
         timer(context),
-        on_response(std::move(on_response)) {}
+        on_response(std::move(on_response)),
+        may_send(std::move(may_send)) {}
 
   void Start(const HttpRequest& call, const std::vector<HttpHeader>& headers,
              TimePoint deadline) {
@@ -81,6 +83,11 @@
 
  private:
   void Write() {
+    if (this->may_send && !this->may_send()) {
+      this->Finish(tl::make_unexpected(MakeError(
+          this->peer, Outcome::kNotRun, "the request may not be sent now")));
+      return;
+    }
     const std::shared_ptr<ClientSession> self = this->shared_from_this();
     http::async_write(this->socket, this->request,
                       [self](error_code error, std::size_t /*size*/) {
@@ -129,6 +136,10 @@
         std::exchange(this->on_response, nullptr);
     this->timer.cancel();
     error_code ignored;
+    if (this->may_send && !result.has_value()) {
+      // Resets the connection, so that nothing is transmitted any more.
+      this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     this->socket.close(ignored);
     done(std::move(result));
   }
@@ -137,6 +148,7 @@
   tcp::socket socket;
   asio::steady_timer timer;
   std::function<void(Result<HttpResponse>)> on_response;
+  std::function<bool()> may_send;  ///< Empty if it always may.
   link::ReadBuffer buffer;
   http::request<http::string_body> request;
   ByteShare share;  ///< Without a budget: answers are short and few.
@@ -248,8 +260,10 @@
 void SendHttpRequest(asio::io_context& context, const Endpoint& peer,
                      const HttpRequest& call,
                      const std::vector<HttpHeader>& headers, TimePoint deadline,
-                     std::function<void(Result<HttpResponse>)> on_response) {
-  std::make_shared<ClientSession>(context, peer, std::move(on_response))
+                     std::function<void(Result<HttpResponse>)> on_response,
+                     std::function<bool()> may_send) {
+  std::make_shared<ClientSession>(context, peer, std::move(on_response),
+                                  std::move(may_send))
       ->Start(call, headers, deadline);
 }
 
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -125,6 +125,7 @@
     this->quorum_planner.RecordMessage(peer, Clock::now());
   };
   this->configuration_history.Record(this->state.version(), this->state.text());
+  this->CreateDuties();
   this->ServeStreams();
   this->driver->Start(this->listener);
   const Result<void> listening = this->listener.Start(this->settings.link());
@@ -272,6 +273,9 @@
     this->is_elected = false;
     this->has_taken_over = false;
     LogEvent(Level::kWarn, "", "leadership_lost");
+    if (this->duties != nullptr) {
+      this->duties->StopLeading();
+    }
   }
   this->StartLeadingIfReady();
   if (this->IsLeading()) {
@@ -290,6 +294,9 @@
     (void)this->UpdateSuspects(now);
     this->ProposeFleetDelta(now);
     this->ProposeSuspects(now);
+    if (this->duties != nullptr) {
+      this->duties->Tick(now);
+    }
   } else if (!is_leader) {
     this->RequestToJoin(now);
   }
--- a/src/direct/control_host_followers.cc
+++ b/src/direct/control_host_followers.cc
@@ -73,6 +73,9 @@
       now);
   this->has_traffic |= report.has_received_request;
   this->RecordContents(follower, report, now);
+  if (this->duties != nullptr) {
+    this->duties->RecordReport(follower.hello, report, now);
+  }
   for (const std::string& group : report.stalled_groups) {
     this->planner.HandleGroupStall(group, now);
     this->SchedulePlan();
@@ -138,6 +141,8 @@
   update.held = this->crash_tracker.Held();
   update.watched = this->crash_tracker.Watched();
   update.control_hosts = this->MemberLinks();
+  update.unix_ms =
+      this->duties == nullptr ? 0 : this->duties->UnixMs(Clock::now());
   update.entries = std::max<std::uint32_t>(
       1, static_cast<std::uint32_t>(this->FollowingEntries().size()));
   return update;
--- a/src/direct/control_host_leader.cc
+++ b/src/direct/control_host_leader.cc
@@ -74,6 +74,9 @@
   this->has_traffic |= !known_groups.empty();
   this->planner.StartLeading(node.term(), known_groups, now);
   this->quorum_planner.StartLeading(node.membership(), now);
+  if (this->duties != nullptr) {
+    this->duties->StartLeading(now);
+  }
   LogEvent(Level::kInfo, "", "leading",
            {{"term", std::to_string(node.term())},
             {"config_version", std::to_string(this->state.version())},
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -58,7 +58,14 @@
       random(RandomId()) {}
 
 Result<void> EntryHost::Start() {
+  if (this->settings.platform.has_value() &&
+      this->settings.platform->reports_usage) {
+    this->usage_meter.emplace(this->settings.platform->usage_window);
+  }
   this->follow_client.make_hello = [this] {
+    if (this->usage_meter.has_value()) {
+      this->usage_meter->ReportAgain();
+    }
     FollowerHello hello;
     hello.host = this->settings.host;
     hello.data_centre = this->settings.data_centre;
@@ -308,6 +315,9 @@
       caller->SetLimits(this->LimitsInForce());
     }
   }
+  if (this->usage_meter.has_value()) {
+    this->usage_meter->SetTime(update.unix_ms, duty::OwnUnixMs(), Clock::now());
+  }
   if (!update.in_flight_work.empty()) {
     this->target_tracker.SetTotals(update.in_flight_work);
     this->BeginRound(Clock::now());
@@ -373,6 +383,10 @@
                               this->held_contents.end());
   report.refused_contents.assign(this->refused_contents.begin(),
                                  this->refused_contents.end());
+  if (this->usage_meter.has_value()) {
+    report.unix_ms = duty::OwnUnixMs();
+    report.usage = this->usage_meter->TakeReport(now);
+  }
   if (this->follow_client.Send(report)) {
     this->cut_reports.RecordSent(now);
     this->held_contents.clear();
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -427,6 +427,7 @@
       static_cast<std::uint32_t>(std::max(0.0, this->prompt_tokens));
   this->entry.target_tracker.BeginRequest(target_id,
                                           this->pending_prefill_tokens, now);
+  this->MeterBegin(now);
   this->connection = this->entry.target_pool.Acquire(target_id, view->address);
   ExchangeHooks hooks;
   const std::shared_ptr<RequestFlow> self = this->shared_from_this();
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -163,6 +163,7 @@
   if (!this->is_head_sent) {
     this->is_head_sent = true;
     this->first_event_at = now;
+    this->MeterFirstEvent(now);
     if (this->FindModel() != nullptr) {
       this->entry.chooser.RecordFirstEvent(
           this->service, this->model, this->expected_first_event_ms,
@@ -189,6 +190,7 @@
   const std::shared_ptr<TargetConnection> used =
       std::exchange(this->connection, nullptr);
   this->LeaveQueue();
+  this->MeterEnd(end, used.get());
   const TimePoint now = Clock::now();
   const bool is_rejected =
       end == ExchangeEnd::kComplete &&
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -112,6 +112,7 @@
   const std::shared_ptr<TargetConnection> used =
       std::exchange(this->connection, nullptr);
   if (used != nullptr) {
+    this->MeterEnd(ExchangeEnd::kCancelled, used.get());
     this->attempt_number += 1;
     this->EndPrefill();
     this->SetPaused(false);
@@ -132,6 +133,9 @@
   const std::shared_ptr<RequestFlow> self = this->shared_from_this();
   this->is_done = true;
   this->CancelPendingWork();
+  if (this->entry.usage_meter.has_value()) {
+    this->entry.usage_meter->EndRequest(this->flow_id);
+  }
   this->caller->on_disconnected = nullptr;
   this->caller->on_input_end = nullptr;
   this->caller->on_writable = nullptr;
--- a/tests/duty_test.cc
+++ b/tests/duty_test.cc
@@ -637,10 +637,10 @@
   for (std::int64_t window = 1; window <= 40; ++window) {
     reports[window] = {{"a", 1}};
   }
-  constexpr int kDataCentres = 40;
+  const int data_centres = 40;
   std::vector<ScaleOrder> orders;
-  orders.reserve(kDataCentres);
-  for (int zone = 0; zone < kDataCentres; ++zone) {
+  orders.reserve(data_centres);
+  for (int zone = 0; zone < data_centres; ++zone) {
     orders.push_back({"s", std::to_string(zone), 5});
   }
   queue.SetScaleTargets(orders);
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -16,6 +16,7 @@
 #include <mutex>
 #include <string>
 #include <system_error>
+#include <utility>
 #include <vector>
 
 #include "gooseberryturn/core/endpoint.h"
@@ -40,7 +41,10 @@
 /// and the folder with the logs is kept.
 class PlatformFleet {
  public:
-  explicit PlatformFleet(int net, int entry_count = 1) : net(net) {
+  /// \param settings Further lines of the settings of all hosts.
+  explicit PlatformFleet(int net, int entry_count = 1,
+                         std::string settings = "")
+      : net(net), common_settings(std::move(settings)) {
     char name[] = "/tmp/gooseberryturn-XXXXXX";
     this->folder = mkdtemp(name);
     for (int number = 1; number <= 3; ++number) {
@@ -219,7 +223,7 @@
         << "\nport_range=7340,7355\nseeds=" << seeds
         << "\nbootstrap=true\nheartbeat_ms=300\nbounds.grace_s=6\n"
         << "bounds.retry_budget_ratio=0.2\nbounds.retry_budget_burst=160\n"
-        << lines;
+        << this->common_settings << lines;
   }
   void StartEntry(int entry) {
     const int number = kFirstEntryNumber + entry;
@@ -240,6 +244,7 @@
   static constexpr std::size_t kRecordedLines = 60;
 
   int net;
+  std::string common_settings;
   mutable std::mutex mutex;
   mutable std::deque<std::string> outcomes;
 };
