--- a/include/gooseberryturn/observe/metrics.h
+++ b/include/gooseberryturn/observe/metrics.h
@@ -61,9 +61,18 @@
   /// Refused as overloaded while half of the slots were free and none waited.
   kRefusalsWithRoom,
   kLengthHintsIgnored,  ///< Of callers; no whole number, or out of range.
+  kPlatformCalls,       ///< Calls to the platform that were made.
+  kPlatformCallsFailed,
+  kPlatformConflicts,     ///< Rejected for a higher fencing token.
+  kPlatformCallsLimited,  ///< Rejected by the platform's rate limit.
+  kUsageWindowsClosed,    ///< Content was written to the log.
+  kUsageWindowsDropped,   ///< The platform was down for too long.
+  kUsageWindowsWaiting,   ///< Closed and not acknowledged.
+  kUsageLateRequests,     ///< Reported after their window was closed.
+  kUsageCountsIgnored,    ///< Not valid.
 };
 
-inline constexpr std::size_t kMetricCount = 33;
+inline constexpr std::size_t kMetricCount = 42;
 
 /// \brief Exported names, without the prefix `gooseberryturn_`.
 inline constexpr NameTable<Metric, kMetricCount> kMetricNames = {
@@ -99,7 +108,16 @@
      "early_retries_total",
      "closed_out_total",
      "refusals_with_room_total",
-     "length_hints_ignored_total"}};
+     "length_hints_ignored_total",
+     "platform_calls_total",
+     "platform_calls_failed_total",
+     "platform_conflicts_total",
+     "platform_calls_limited_total",
+     "usage_windows_closed_total",
+     "usage_windows_dropped_total",
+     "usage_windows_waiting",
+     "usage_late_requests_total",
+     "usage_counts_ignored_total"}};
 
 /// \brief Durations that are exported as summaries with quantiles.
 enum class Timing : std::uint8_t {
--- a/src/direct/control_host_scaling.cc
+++ b/src/direct/control_host_scaling.cc
@@ -65,6 +65,9 @@
 
 void ControlHost::PublishScaleOrders(std::vector<duty::ScaleOrder> orders) {
   this->scale_orders = std::move(orders);
+  if (this->duties != nullptr) {
+    this->duties->SetScaleTargets(this->scale_orders);
+  }
 }
 
 }  // namespace gooseberryturn::direct
--- a/src/duty/scale_planner.cc
+++ b/src/duty/scale_planner.cc
@@ -68,11 +68,12 @@
     state = std::move(previous[load.service]);
     Context context = {load, state, decision, now, LeadTime(load)};
     DecideService(context);
-    for (const std::pair<const std::string, DataCentreState>& entry :
-         state.data_centres) {
-      if (entry.second.wanted.has_value()) {
-        decision.orders.push_back(
-            {load.service, entry.first, *entry.second.wanted});
+    for (const DataCentreTargets& targets : load.data_centres) {
+      const DataCentreState& centre = state.data_centres[targets.data_centre];
+      if (centre.wanted.has_value()) {
+        decision.orders.push_back({load.service, targets.data_centre,
+                                   *centre.wanted,
+                                   targets.Present() + targets.silent});
       }
     }
   }
@@ -207,7 +208,7 @@
                              std::size_t wanted, ScaleReason reason) {
   DataCentreState& state = context.state.data_centres[data_centre];
   context.decision.changes.push_back(
-      {{context.load.service, data_centre, wanted}, state.wanted, reason});
+      {{context.load.service, data_centre, wanted, 0}, state.wanted, reason});
   if (!state.wanted.has_value() || wanted > *state.wanted) {
     state.delivery_deadline = context.now + kDeliveryFactor * context.lead_time;
   }
