--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "gooseberryturn/core/time.h"
@@ -135,6 +136,10 @@
   static constexpr Duration kFormingTimeout = std::chrono::seconds(8);
   /// Time for the running requests of a closing group to finish.
   static constexpr Duration kCloseTimeout = std::chrono::seconds(6);
+  /// Loads of copies are chosen among all targets; the interval between two
+  /// choices grows with their number. Up to 150 targets each plan has one.
+  static constexpr Duration kStagingIntervalPerTarget =
+      std::chrono::microseconds(100);
   /// Covers an order to leave that a member executes late.
   static constexpr Duration kOrphanMargin = std::chrono::seconds(3);
   /// Shortest time for which a fabric domain stays reserved after a
@@ -204,6 +209,10 @@
     bool is_waiting = false;  ///< A member is not free yet.
   };
 
+  /// The groups that the hosts of each fabric domain can form, one for each
+  /// model.
+  using CandidatesByDomain = std::map<std::string, std::vector<Candidate>>;
+
   /// Reserves the free hosts of a fabric domain for one model.
   struct Reservation {
     std::string model;
@@ -290,8 +299,13 @@
                   TimePoint now);
   /// The group that adds most to the work served, if any can be formed.
   [[nodiscard]] std::optional<Candidate> BestCandidate(
-      const Service& service, const AvailableHosts& available,
-      const std::map<std::string, double>& coverage, const PlanInput& input,
+      const Service& service, const CandidatesByDomain& candidates,
+      const std::map<std::string, double>& coverage,
+      const PlanInput& input) const;
+  /// What `hosts` of `domain` can form.
+  [[nodiscard]] std::vector<Candidate> MakeCandidates(
+      const Service& service, const std::string& domain,
+      const std::vector<AvailableHost>& hosts, const PlanInput& input,
       TimePoint now) const;
   /// The group of `model` that `hosts` can form soonest, if any.
   [[nodiscard]] std::optional<Candidate> MakeCandidate(
@@ -440,15 +454,18 @@
   TimePoint forming_starts_at;
   TimePoint first_forming_deadline;
   std::size_t known_target_count = 0;
-  std::map<std::string, std::size_t> host_counts;      ///< By service.
-  std::map<std::string, Group> groups;                 ///< By name.
-  std::map<std::string, std::string> group_by_target;  ///< By target id.
-  std::map<std::string, ProbeState> probe_states;      ///< By target id.
-  std::map<std::string, StagingInProgress> stagings;   ///< By target id.
-  std::map<std::string, Reservation> reservations;     ///< By fabric domain.
-  std::set<std::uint64_t> closed_epochs;               ///< Of dissolved groups.
+  std::map<std::string, std::size_t> host_counts;  ///< By service.
+  std::map<std::string, Group> groups;             ///< By name.
+  std::unordered_map<std::string, std::string>
+      group_by_target;                                       ///< By target id.
+  std::unordered_map<std::string, ProbeState> probe_states;  ///< By target id.
+  std::unordered_map<std::string, StagingInProgress>
+      stagings;               ///< By target id.
+  TimePoint next_staging_at;  ///< See kStagingIntervalPerTarget.
+  std::map<std::string, Reservation> reservations;  ///< By fabric domain.
+  std::set<std::uint64_t> closed_epochs;            ///< Of dissolved groups.
   /// Members of unknown groups, with the time at which they were found.
-  std::map<std::string, TimePoint> orphans;
+  std::unordered_map<std::string, TimePoint> orphans;
   ModelLoadLimiter load_limiter;
 };
 
--- a/src/direct/group_planner_forming.cc
+++ b/src/direct/group_planner_forming.cc
@@ -153,33 +153,44 @@
   return candidate;
 }
 
-std::optional<GroupPlanner::Candidate> GroupPlanner::BestCandidate(
-    const Service& service, const AvailableHosts& available,
-    const std::map<std::string, double>& coverage, const PlanInput& input,
+std::vector<GroupPlanner::Candidate> GroupPlanner::MakeCandidates(
+    const Service& service, const std::string& domain,
+    const std::vector<AvailableHost>& hosts, const PlanInput& input,
     TimePoint now) const {
+  std::vector<Candidate> candidates;
+  for (const ModelProfile& model : service.engine->models) {
+    std::optional<Candidate> candidate =
+        this->MakeCandidate(model, domain, hosts, input, now);
+    if (candidate.has_value()) {
+      candidates.push_back(std::move(*candidate));
+    }
+  }
+  return candidates;
+}
+
+std::optional<GroupPlanner::Candidate> GroupPlanner::BestCandidate(
+    const Service& service, const CandidatesByDomain& candidates,
+    const std::map<std::string, double>& coverage,
+    const PlanInput& input) const {
   const double load_factor = input.has_traffic ? 1 : kPreTrafficLoadFactor;
-  std::optional<Candidate> best;
+  const Candidate* best = nullptr;
   double best_score = 0;
-  for (const AvailableHosts::value_type& domain : available) {
-    for (const ModelProfile& model : service.engine->models) {
-      std::optional<Candidate> candidate =
-          this->MakeCandidate(model, domain.first, domain.second, input, now);
-      if (!candidate.has_value()) {
-        continue;
-      }
+  for (const CandidatesByDomain::value_type& domain : candidates) {
+    for (const Candidate& candidate : domain.second) {
+      const ModelProfile& model = *candidate.model;
       const double gain =
           model.share *
           MarginalServedShare(coverage.at(model.name),
                               this->BusyHosts(service, model, input));
-      const double forming_s = load_factor * candidate->forming_s;
+      const double forming_s = load_factor * candidate.forming_s;
       const double score = gain / (1.0 + forming_s / kFormingTimeScaleSeconds);
       if (score > best_score) {
         best_score = score;
-        best = std::move(candidate);
+        best = &candidate;
       }
     }
   }
-  return best;
+  return best == nullptr ? std::nullopt : std::optional<Candidate>(*best);
 }
 
 GroupPlanner::AvailableHosts GroupPlanner::AvailableHostsByDomain(
@@ -220,9 +231,14 @@
       this->AvailableHostsByDomain(service, free_hosts, input, now);
   std::map<std::string, double> coverage =
       this->PlannedCoverage(service, input, now);
+  CandidatesByDomain candidates;
+  for (const AvailableHosts::value_type& domain : available) {
+    candidates[domain.first] =
+        this->MakeCandidates(service, domain.first, domain.second, input, now);
+  }
   for (;;) {
     const std::optional<Candidate> best =
-        this->BestCandidate(service, available, coverage, input, now);
+        this->BestCandidate(service, candidates, coverage, input);
     if (!best.has_value()) {
       return;
     }
@@ -242,6 +258,9 @@
     if (!best->is_waiting) {
       this->StartGroup(service, *best, input, actions, now);
     }
+    // Only the hosts and the reservation of this domain have changed.
+    candidates[best->domain] =
+        this->MakeCandidates(service, best->domain, remaining, input, now);
   }
 }
 
--- a/src/direct/group_planner_staging.cc
+++ b/src/direct/group_planner_staging.cc
@@ -212,8 +212,16 @@
 
 void GroupPlanner::StageModels(const PlanInput& input, PlannedActions& actions,
                                TimePoint now) {
+  if (now < this->next_staging_at) {
+    return;
+  }
+  this->next_staging_at =
+      now + kStagingIntervalPerTarget * input.registry.targets().size();
   for (const Service& service : input.configuration.services) {
-    if (!service.engine.has_value()) {
+    const bool may_load = service.engine.has_value() &&
+                          (!input.has_traffic || this->load_limiter.MayStart(
+                                                     *service.engine, 1, now));
+    if (!may_load) {
       continue;
     }
     for (const Staging& staging : this->StagingsInOrder(service, input, now)) {
