Elections and leases with a hundred voters

With 100 voters that start together, candidates with timeouts of 400 to 800 ms run into each other's votes when messages are slow. Beyond 25 voters the range of the timeouts grows with their number.

HasLease sorted the acknowledgements of all voters and is asked several times for each message. The computed end of the lease is kept for the term and the membership, within which acknowledgements only extend it.

--- a/include/gooseberryturn/consensus/node.h
+++ b/include/gooseberryturn/consensus/node.h
@@ -160,6 +160,11 @@
     bool has_acked_round = false;
   };
 
+  /// Up to this many voters, timeouts end at Options::election_timeout_max.
+  static constexpr std::size_t kVotersWithBaseTimeout = 25;
+  /// Beyond, their range is wider by one for each so many voters.
+  static constexpr std::size_t kVotersPerSpread = 5;
+
   /// A heartbeat round and its send time.
   struct HeartbeatRound {
     std::uint64_t number = 0;
@@ -171,6 +176,10 @@
   void StartElection(TimePoint now);
   void BecomeLeader(TimePoint now);
   void ResetElectionTimer(TimePoint now);
+  /// Upper bound of the random timeouts. It grows with the number of voters, so
+  /// that the first two of many don't become candidates at about the same time
+  /// and split the votes; the first one is hardly later for that.
+  [[nodiscard]] Duration ElectionTimeoutMax() const;
   void RequestVotes(MessageType type, Term term);
   [[nodiscard]] bool IsCandidateUpToDate(const Message& message) const;
   /// False when the membership has no voters, or when it holds another disk
@@ -236,6 +245,10 @@
   std::vector<HeartbeatRound> heartbeat_rounds;
   std::uint64_t round_number = 0;
   Index term_start_index = 0;  ///< First entry of this leader.
+  /// The lease holds at least until then in this term and with the present
+  /// membership: acknowledgements only extend it. See HasLease.
+  mutable TimePoint lease_until;
+  mutable Term lease_term = 0;  ///< 0 if `lease_until` is not known.
   std::set<NodeId> replaced_disk_peers;
   std::vector<Message> outbox;
   std::mt19937_64 random_engine;
--- a/src/consensus/node.cc
+++ b/src/consensus/node.cc
@@ -208,6 +208,9 @@
       this->commit < this->term_start_index) {
     return false;
   }
+  if (this->lease_term == this->hard_state.term && now < this->lease_until) {
+    return true;
+  }
   std::vector<TimePoint> ack_times;
   for (const Peer& peer : this->members.peers) {
     if (!peer.is_voter) {
@@ -227,8 +230,10 @@
   }
   std::sort(ack_times.begin(), ack_times.end(), std::greater<>());
   const TimePoint quorum_ack_time = ack_times[this->members.Quorum() - 1];
-  return now < quorum_ack_time + this->settings.election_timeout_min -
-                   this->settings.max_clock_drift;
+  this->lease_term = this->hard_state.term;
+  this->lease_until = quorum_ack_time + this->settings.election_timeout_min -
+                      this->settings.max_clock_drift;
+  return now < this->lease_until;
 }
 
 Index Node::MatchIndex(NodeId peer) const {
--- a/src/consensus/node_election.cc
+++ b/src/consensus/node_election.cc
@@ -4,10 +4,21 @@
 
 namespace gooseberryturn::consensus {
 
+Duration Node::ElectionTimeoutMax() const {
+  const std::size_t voters = this->members.VoterCount();
+  if (voters <= kVotersWithBaseTimeout) {
+    return this->settings.election_timeout_max;
+  }
+  const Duration spread =
+      this->settings.election_timeout_max - this->settings.election_timeout_min;
+  return this->settings.election_timeout_min +
+         spread * static_cast<Duration::rep>(voters / kVotersPerSpread);
+}
+
 void Node::ResetElectionTimer(TimePoint now) {
   std::uniform_int_distribution<Duration::rep> timeout_distribution(
       this->settings.election_timeout_min.count(),
-      this->settings.election_timeout_max.count());
+      this->ElectionTimeoutMax().count());
   this->election_deadline =
       now + Duration(timeout_distribution(this->random_engine));
 }
--- a/src/consensus/node_membership.cc
+++ b/src/consensus/node_membership.cc
@@ -24,6 +24,7 @@
 
 void Node::RefreshMembership() {
   this->members = this->raft_log.CurrentMembership();
+  this->lease_term = 0;
   if (this->current_role != NodeRole::kLeader) {
     return;
   }
