The leader keeps up with 300 followers and 3,000 targets

At that size the leader spent more time on a round of updates than lies between two rounds: requests in flight were summed up over followers times targets every 20 ms, and each update was encoded and compressed for each follower. Configurations, leaving targets and elections waited behind it.

Updates are encoded once for followers with the same needs, reports replace their part of the sums, and plans and updates are paced when one takes 2 ms or more. With more than 1,200 targets, control hosts that do not lead answer announcements without news and summarise them for the leader; a leader refreshes only runs that it has heard itself, with the same content. At most 500 probes are in flight. Entries report less often when there are more than 100. A follower that cannot take an update is told of the new version. Smaller fleets are served as before.

Not measured: a fleet of that size with sockets.

control_load_test, direct_decision_test, direct_group_planner_test, direct_placement_test, consensus_test, platform_path_test, platform_control_test and odd_entries_test pass.

--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -19,10 +19,14 @@
 #include "gooseberryturn/direct/dialect.h"
 #include "gooseberryturn/direct/fleet_state.h"
 #include "gooseberryturn/direct/group_planner.h"
+#include "gooseberryturn/direct/heartbeat_relay.h"
+#include "gooseberryturn/direct/in_flight_totals.h"
 #include "gooseberryturn/direct/pending_calls.h"
 #include "gooseberryturn/direct/quorum_planner.h"
 #include "gooseberryturn/direct/registry.h"
+#include "gooseberryturn/direct/update_encoder.h"
 #include "gooseberryturn/direct/view.h"
+#include "gooseberryturn/direct/work_pacer.h"
 #include "gooseberryturn/link/listener.h"
 #include "gooseberryturn/observe/metrics.h"
 
@@ -66,6 +70,21 @@
       std::chrono::milliseconds(100);
   static constexpr Duration kInFlightSendInterval =
       std::chrono::milliseconds(100);
+  /// Bytes per second, before compression, that the requests in flight may take
+  /// in the updates to all followers; they are sent less often then.
+  static constexpr double kMaxInFlightBytesPerS = 40e6;
+  static constexpr double kInFlightWorkBytes = 24;  ///< Of one target.
+  /// Largest parts of the time spent on plans and on updates, and the longest
+  /// pause between two of them. A third of what a host with 0.3 of a core has.
+  static constexpr double kMaxPlanShare = 0.1;
+  static constexpr double kMaxUpdateShare = 0.1;
+  static constexpr Duration kMaxPacedPause = std::chrono::milliseconds(200);
+  /// Targets that announce themselves to the leader directly. With more, its
+  /// answers name the other control hosts; see HeartbeatRelay.
+  static constexpr std::size_t kMaxDirectTargets = 1200;
+  /// A control host that is silent for longer is named to no target.
+  static constexpr Duration kNamedHostSilence = std::chrono::milliseconds(700);
+  static constexpr Duration kSummaryTimeout = std::chrono::milliseconds(400);
   static constexpr Duration kCapacityLogInterval = std::chrono::seconds(1);
   /// Followers get an update at least this often, even without changes.
   static constexpr Duration kMaxUpdateInterval = std::chrono::milliseconds(250);
@@ -78,6 +97,10 @@
   static constexpr Duration kLeaveTimeout = std::chrono::milliseconds(2000);
   static constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(220);
+  /// Each takes a connection. Further ones are left to a later plan, so that a
+  /// busy leader, to which many targets seem silent, doesn't probe them all at
+  /// once.
+  static constexpr std::size_t kMaxProbesInFlight = 500;
   static_assert(GroupPlanner::kOrderResendInterval < kOrderTimeout,
                 "an order may be repeated while an earlier one is unanswered");
   static_assert(GroupPlanner::kProbeInterval < kProbeTimeout,
@@ -86,23 +109,25 @@
                 "an answer must reach a host that forwarded the call");
   static constexpr Duration kJoinRequestInterval =
       std::chrono::milliseconds(400);
-  /// The reported work of a follower that is silent for longer is ignored.
-  static constexpr Duration kFollowerTimeout = std::chrono::milliseconds(1500);
   /// Time that targets have to announce themselves to a new leader. Until then
   /// its updates don't replace what followers know from earlier leaders.
   static constexpr Duration kSettleTime = GroupPlanner::kSettleTime;
   /// A follower with more unsent bytes gets no update until some are sent.
   static constexpr std::size_t kMaxUnsentBytes = 256U * 1024U;
+  /// With more unsent bytes its updates leave out the requests in flight, which
+  /// the next ones replace.
+  static constexpr std::size_t kMaxUnsentInFlightBytes = 32U * 1024U;
 
  private:
   /// An entry or control host that follows this leader.
   struct Follower {
     std::shared_ptr<link::Stream> stream;
+    std::uint64_t number = 0;  ///< Unique among all streams of followers.
     FollowerHello hello;
     std::uint64_t sent_revision = 0;  ///< Of the last update.
     std::uint64_t sent_config_version = 0;
-    std::vector<InFlightWork> in_flight_work;
-    TimePoint last_heard_at;
+    /// Version that the follower was told of without its text.
+    std::uint64_t notified_config_version = 0;
     TimePoint last_sent_at;
     TimePoint in_flight_sent_at;
     bool is_new = true;           ///< No update was sent yet.
@@ -121,6 +146,29 @@
 
   // Calls of operators and targets.
   void OnCall(HttpRequest call, AsyncHttpServer::Reply reply);
+  /// Answers a call of a target if it brings no news, else forwards it.
+  void HandleAsRelay(const HttpRequest& call, const Endpoint& leader,
+                     const AsyncHttpServer::Reply& reply);
+  /// Forwards an announcement and learns from the answer whether the leader
+  /// lets this host summarise the next ones.
+  void ForwardAnnouncement(const Announcement& announcement,
+                           const HttpRequest& call, const Endpoint& leader,
+                           const AsyncHttpServer::Reply& reply);
+  /// Sends the leader the summary of the targets heard here, if it is due.
+  void SendSummary(TimePoint now);
+  /// Forwards the announcements that the leader asks for in its answer.
+  void HandleSummaryAnswer(const HeartbeatSummary& summary,
+                           const std::optional<HeartbeatAnswer>& answer,
+                           TimePoint sent_at);
+  [[nodiscard]] HeartbeatAnswer HandleSummary(const HeartbeatSummary& summary);
+  /// Value of ForwardedAnswer::summary_term in the answer to `call`.
+  [[nodiscard]] std::uint64_t SummaryTerm(const ForwardedCall& call) const;
+  /// True when other control hosts are to answer announcements without news.
+  [[nodiscard]] bool IsSharingAnnouncements() const {
+    return this->registry.targets().size() > kMaxDirectTargets;
+  }
+  /// The control host that `target` is to call next.
+  [[nodiscard]] Endpoint NextHostFor(const std::string& target) const;
   void HandleAsLeader(const ForwardedCall& call, AsyncHttpServer::Reply reply);
   /// What an order names that must change nothing that a later one has changed;
   /// 0 for other calls.
@@ -202,11 +250,23 @@
   /// followers are then left waiting: sent away, all would come back at once
   /// and ask for everything.
   [[nodiscard]] bool IsAwaitingLease() const;
+  /// Sends the updates that are due, unless the last ones took so long that
+  /// they have to wait; see WorkPacer.
   void SendUpdates(TimePoint now);
+  /// The same without a wait, for changes by operators.
+  void SendUpdatesNow(TimePoint now);
   /// The fields of an update that are the same for all followers.
   [[nodiscard]] FleetUpdate MakeCommonUpdate();
+  /// Encodes updates of this moment.
+  [[nodiscard]] UpdateEncoder MakeUpdateEncoder(TimePoint now);
+  /// Adds to an update what followers with `needs` lack.
+  void FillUpdate(const UpdateNeeds& needs, FleetUpdate& update, TimePoint now);
   /// Sends an update if one is due for this follower.
-  void SendUpdate(Follower& follower, const FleetUpdate& common, TimePoint now);
+  void SendUpdate(Follower& follower, UpdateEncoder& encoder, TimePoint now);
+  /// Tells a follower that can take no update now of a new configuration.
+  static void NotifyVersion(Follower& follower, UpdateEncoder& encoder);
+  /// Interval between two updates with the requests in flight.
+  [[nodiscard]] Duration InFlightSendInterval() const;
   /// Link of the leader if it is another host, else an empty endpoint.
   [[nodiscard]] Endpoint RemoteLeader() const;
   /// Links of all members of the quorum.
@@ -225,8 +285,8 @@
   void OnApplied();
   /// Parses the replicated configuration if its version changed.
   void ParseConfiguration();
-  /// Adds the configuration to an update if the follower lacks it.
-  void AddConfiguration(Follower& follower, FleetUpdate& update);
+  /// Adds the configuration to an update for followers that lack it.
+  void AddConfiguration(const UpdateNeeds& needs, FleetUpdate& update);
 
   // Not leading.
   /// Asks the other control hosts to be added to the quorum.
@@ -258,6 +318,12 @@
   TimePoint next_suspects_at;
   DemandAggregator demand;
   std::list<std::shared_ptr<Follower>> followers;
+  std::uint64_t last_follower = 0;  ///< Number of the latest stream.
+  InFlightTotals in_flight_totals;
+  WorkPacer plan_pacer{kMaxPlanShare, kMaxPacedPause};
+  WorkPacer update_pacer{kMaxUpdateShare, kMaxPacedPause};
+  HeartbeatRelay heartbeats;  ///< Used while another host leads.
+  std::size_t probes_in_flight = 0;
   control::VersionedMap<TargetView> targets;
   control::VersionedMap<GroupView> groups;
   std::uint64_t revision = 1;                 ///< Of `targets` and `groups`.
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -55,6 +55,10 @@
 
   static constexpr Duration kTickInterval = std::chrono::milliseconds(50);
   static constexpr Duration kReportInterval = std::chrono::milliseconds(100);
+  /// Reports are less frequent with more entries, so that the leader gets no
+  /// more than 1,000 a second.
+  static constexpr Duration kReportIntervalPerEntry =
+      std::chrono::milliseconds(1);
   /// The load balancer sends no new connections after two failed readiness
   /// checks, unless too few other entries are ready.
   static constexpr Duration kAcceptTimeAfterLeave =
--- a/include/gooseberryturn/direct/quorum_planner.h
+++ b/include/gooseberryturn/direct/quorum_planner.h
@@ -43,6 +43,9 @@
   void HandleJoinRequest(const JoinRequest& request, TimePoint now);
   /// \brief Records that a message from `peer` arrived.
   void RecordMessage(consensus::NodeId peer, TimePoint now);
+  /// \brief True if a message from `peer` arrived at `since` or later.
+  [[nodiscard]] bool WasHeardSince(consensus::NodeId peer,
+                                   TimePoint since) const;
   /// \brief The membership to change to, or nothing if it should stay.
   [[nodiscard]] std::optional<consensus::Membership> NextMembership(
       const QuorumInput& input, TimePoint now) const;
--- a/include/gooseberryturn/direct/registry.h
+++ b/include/gooseberryturn/direct/registry.h
@@ -11,6 +11,7 @@
 
 #include "gooseberryturn/core/time.h"
 #include "gooseberryturn/direct/announcement.h"
+#include "gooseberryturn/direct/heartbeat_relay.h"
 #include "gooseberryturn/direct/view.h"
 
 namespace gooseberryturn::direct {
@@ -19,6 +20,7 @@
 struct TargetRecord {
   TargetView view;
   std::uint64_t sequence = 0;  ///< Of the last announcement.
+  std::string content;         ///< See ContentDigest; empty if unconfirmed.
   TimePoint last_heard_at;
   TimePoint cold_until;
   TimePoint in_group_since;  ///< It first announced its present group.
@@ -70,6 +72,10 @@
   AnnouncementResult HandleAnnouncement(
       const Announcement& announcement, TimePoint now,
       std::int64_t unix_ms = std::numeric_limits<std::int64_t>::max());
+  /// \brief Refreshes a target that another control host has heard.
+  /// \returns False if this registry knows of no such run with just that
+  /// content, so that it must be announced in full.
+  [[nodiscard]] bool Refresh(const HeardTarget& heard, TimePoint now);
   /// \brief Runs of members of groups that the announcement would replace:
   /// others at its address, and an earlier one under its id.
   [[nodiscard]] std::vector<TargetIncarnation> ContestedRuns(
@@ -101,6 +107,10 @@
   /// \returns Ids of the targets that got some.
   [[nodiscard]] std::vector<std::string> AssignColdEntries(
       const std::vector<std::string>& entries);
+  /// \brief The same for one target.
+  /// \returns Whether it got some.
+  bool AssignColdEntries(const std::string& id,
+                         const std::vector<std::string>& entries);
 
   /// \brief The record of a target, or null if it is not registered.
   [[nodiscard]] const TargetRecord* Find(const std::string& id) const;
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -196,8 +196,11 @@
   Endpoint leader;                      ///< Leader known to a host that is not.
   std::vector<Endpoint> control_hosts;  ///< Links; set by such hosts only.
   std::uint64_t revision = 0;           ///< Answer to kReadRevision.
+  /// Term of a leader that has taken an announcement and lets this host
+  /// summarise the next ones; else 0. See HeartbeatRelay.
+  std::uint64_t summary_term = 0;
 
-  MSGPACK_DEFINE(status, body, leader, control_hosts, revision)
+  MSGPACK_DEFINE(status, body, leader, control_hosts, revision, summary_term)
 };
 
 /// \brief Request of a control host with an empty disk to join the quorum.
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -200,12 +200,22 @@
           link::Reply(*stream, answer);
           return;
         }
-        this->HandleAsLeader(*call, [stream](const HttpResponse& response) {
-          ForwardedAnswer answer;
-          answer.status = response.status;
-          answer.body = response.body;
-          link::Reply(*stream, answer);
-        });
+        this->HandleAsLeader(
+            *call, [this, stream, call = *call](const HttpResponse& response) {
+              ForwardedAnswer answer;
+              answer.status = response.status;
+              answer.body = response.body;
+              answer.summary_term = this->SummaryTerm(call);
+              link::Reply(*stream, answer);
+            });
+      });
+  this->listener.ServeMessage(
+      kHeartbeatsPath, [this](const std::shared_ptr<link::Stream>& stream,
+                              std::string_view payload) {
+        const std::optional<HeartbeatSummary> summary =
+            protocol::Decode<HeartbeatSummary>(payload);
+        link::Reply(*stream, summary.has_value() ? this->HandleSummary(*summary)
+                                                 : HeartbeatAnswer());
       });
   this->listener.ServeMessage(
       kJoinPath, [this](const std::shared_ptr<link::Stream>& stream,
@@ -286,12 +296,15 @@
       this->AssignColdEntries();
     }
     this->UpdateQuorum(now);
-    this->PlanGroups(now);
+    if (this->plan_pacer.IsDue(now)) {
+      this->PlanGroups(Clock::now());
+    }
     (void)this->UpdateSuspects(now);
     this->ProposeFleetDelta(now);
     this->ProposeSuspects(now);
   } else if (!is_leader) {
     this->RequestToJoin(now);
+    this->SendSummary(now);
   }
   this->SendUpdates(now);
   this->timer.expires_after(kTickInterval);
--- a/src/direct/control_host_calls.cc
+++ b/src/direct/control_host_calls.cc
@@ -88,6 +88,11 @@
     reply(this->ErrorResponse(kUnavailable, "the leader is unknown"));
     return;
   }
+  if (this->dialect.read_control_call(call).kind ==
+      ControlCallKind::kAnnounce) {
+    this->HandleAsRelay(call, leader, reply);
+    return;
+  }
   const TimePoint deadline = Clock::now() + kCallTimeout;
   const ForwardHook forward = [this, leader, deadline](
                                   const ForwardedCall& forwarded,
@@ -223,7 +228,7 @@
     }
   }
   const std::string body =
-      this->dialect.write_announcement_reply(*this->settings.control_endpoint);
+      this->dialect.write_announcement_reply(this->NextHostFor(target));
   // A repeated call is stale, but the first one may still wait for its commit.
   const TargetRecord* record = this->registry.Find(target);
   const bool is_of_known_run =
@@ -251,7 +256,10 @@
       this->registry.HandleAnnouncement(announcement, Clock::now(), UnixMs());
   if (result == AnnouncementResult::kNew ||
       result == AnnouncementResult::kChanged) {
-    this->AssignColdEntries();
+    if (announcement.cold_left_ms > 0) {
+      (void)this->registry.AssignColdEntries(announcement.id,
+                                             this->FollowingEntries());
+    }
     this->PublishTarget(announcement.id);
     this->SchedulePlan();
     LogEvent(Level::kInfo, "", "target_heard",
@@ -380,7 +388,7 @@
                   {"outcome",
                    applied.has_value() ? "applied" : applied.error().message}});
         if (applied.has_value()) {
-          this->SendUpdates(Clock::now());
+          this->SendUpdatesNow(Clock::now());
           reply({kOk, "application/json", "{}"});
         } else {
           reply(this->ErrorResponse(kUnavailable, applied.error().message));
--- a/src/direct/control_host_followers.cc
+++ b/src/direct/control_host_followers.cc
@@ -1,8 +1,5 @@
 #include <algorithm>
-#include <map>
-#include <utility>
 
-#include "gooseberryturn/core/compression.h"
 #include "gooseberryturn/direct/control_host.h"
 #include "gooseberryturn/observe/log.h"
 #include "gooseberryturn/protocol/codec.h"
@@ -12,18 +9,12 @@
 using observe::Level;
 using observe::LogEvent;
 
-namespace {
-
-/// Shorter updates are sent as they are.
-constexpr std::size_t kMinCompressedBytes = 4096;
-
-}  // namespace
-
 // ---------------------------------------------------------------- followers
 
 void ControlHost::OnFollower(const std::shared_ptr<link::Stream>& stream) {
   const std::shared_ptr<Follower> follower = std::make_shared<Follower>();
   follower->stream = stream;
+  follower->number = ++this->last_follower;
   const std::weak_ptr<Follower> weak = follower;
   stream->on_frame = [this, weak](protocol::FrameType /*type*/,
                                   std::string_view payload) {
@@ -41,10 +32,13 @@
       }
       locked->hello = *hello;
       locked->sent_config_version = hello->config_version;
-      locked->last_heard_at = Clock::now();
-      if (!this->IsAwaitingLease()) {
-        this->SendUpdate(*locked, this->MakeCommonUpdate(),
-                         locked->last_heard_at);
+      // Many followers come at once after a change of the leader. Those that
+      // have to wait then share the encoding of their first update.
+      const TimePoint now = Clock::now();
+      if (!this->IsAwaitingLease() && this->update_pacer.IsDue(now)) {
+        UpdateEncoder encoder = this->MakeUpdateEncoder(now);
+        this->SendUpdate(*locked, encoder, now);
+        this->update_pacer.RecordRun(now, Clock::now());
       }
       return;
     }
@@ -59,15 +53,17 @@
   };
   stream->on_close = [this, weak](link::CloseReason /*reason*/) {
     const std::shared_ptr<Follower> locked = weak.lock();
-    this->followers.remove(locked);
+    if (locked != nullptr) {
+      this->in_flight_totals.Remove(locked->number);
+      this->followers.remove(locked);
+    }
   };
   this->followers.push_back(follower);
 }
 
 void ControlHost::OnReport(Follower& follower, const EntryReport& report) {
   const TimePoint now = Clock::now();
-  follower.last_heard_at = now;
-  follower.in_flight_work = report.in_flight_work;
+  this->in_flight_totals.SetReport(follower.number, report.in_flight_work, now);
   this->demand.AddReport(
       {follower.hello.host, follower.hello.incarnation, report.model_work},
       now);
@@ -87,22 +83,8 @@
     return this->in_flight_work;
   }
   this->in_flight_summed_at = now;
-  std::map<std::string, InFlightWork> sums;
-  for (const std::shared_ptr<Follower>& follower : this->followers) {
-    if (now >= follower->last_heard_at + kFollowerTimeout) {
-      continue;
-    }
-    for (const InFlightWork& work : follower->in_flight_work) {
-      InFlightWork& sum = sums[work.target];
-      sum.target = work.target;
-      sum.requests += work.requests;
-      sum.pending_prefill_tokens += work.pending_prefill_tokens;
-    }
-  }
-  this->in_flight_work.clear();
-  for (const std::pair<const std::string, InFlightWork>& entry : sums) {
-    this->in_flight_work.push_back(entry.second);
-  }
+  this->in_flight_totals.Expire(now);
+  this->in_flight_work = this->in_flight_totals.Sums();
   return this->in_flight_work;
 }
 
@@ -111,16 +93,44 @@
 }
 
 void ControlHost::SendUpdates(TimePoint now) {
+  if (!this->IsLeading() || this->update_pacer.IsDue(now)) {
+    this->SendUpdatesNow(now);
+  }
+}
+
+void ControlHost::SendUpdatesNow(TimePoint now) {
   if (this->IsAwaitingLease()) {
     return;
   }
-  const FleetUpdate common = this->MakeCommonUpdate();
+  const TimePoint started_at = Clock::now();
+  UpdateEncoder encoder = this->MakeUpdateEncoder(now);
   const std::list<std::shared_ptr<Follower>> all = this->followers;
   for (const std::shared_ptr<Follower>& follower : all) {
     if (!follower->hello.host.empty()) {
-      this->SendUpdate(*follower, common, now);
+      this->SendUpdate(*follower, encoder, now);
     }
   }
+  this->update_pacer.RecordRun(started_at, Clock::now());
+}
+
+UpdateEncoder ControlHost::MakeUpdateEncoder(TimePoint now) {
+  return UpdateEncoder(
+      this->MakeCommonUpdate(),
+      [this, now](const UpdateNeeds& needs, FleetUpdate& update) {
+        this->FillUpdate(needs, update, now);
+      });
+}
+
+void ControlHost::FillUpdate(const UpdateNeeds& needs, FleetUpdate& update,
+                             TimePoint now) {
+  this->AddConfiguration(needs, update);
+  this->targets.CollectChanges(needs.from_revision, update.targets,
+                               update.removed_targets);
+  this->groups.CollectChanges(needs.from_revision, update.groups,
+                              update.removed_groups);
+  if (needs.has_in_flight_work) {
+    update.in_flight_work = this->SumInFlightWork(now);
+  }
 }
 
 FleetUpdate ControlHost::MakeCommonUpdate() {
@@ -138,8 +148,13 @@
   update.held = this->crash_tracker.Held();
   update.watched = this->crash_tracker.Watched();
   update.control_hosts = this->MemberLinks();
-  update.entries = std::max<std::uint32_t>(
-      1, static_cast<std::uint32_t>(this->FollowingEntries().size()));
+  const auto entries =
+      std::count_if(this->followers.begin(), this->followers.end(),
+                    [](const std::shared_ptr<Follower>& follower) {
+                      return !follower->hello.host.empty();
+                    });
+  update.entries =
+      static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(1, entries));
   return update;
 }
 
@@ -160,66 +175,83 @@
   }
 }
 
-void ControlHost::SendUpdate(Follower& follower, const FleetUpdate& common,
+Duration ControlHost::InFlightSendInterval() const {
+  const double bytes = kInFlightWorkBytes *
+                       static_cast<double>(this->in_flight_work.size()) *
+                       static_cast<double>(this->followers.size());
+  return std::max(kInFlightSendInterval,
+                  FromSeconds(bytes / kMaxInFlightBytesPerS));
+}
+
+void ControlHost::NotifyVersion(Follower& follower, UpdateEncoder& encoder) {
+  const std::uint64_t version = encoder.common().config_version;
+  const bool is_known = follower.is_new ||
+                        follower.sent_config_version >= version ||
+                        follower.notified_config_version >= version;
+  if (!is_known) {
+    follower.notified_config_version = version;
+    follower.stream->Send(encoder.CommonFrame());
+  }
+}
+
+void ControlHost::SendUpdate(Follower& follower, UpdateEncoder& encoder,
                              TimePoint now) {
-  if (!common.is_leader) {
-    follower.stream->Send(protocol::EncodeFrame(protocol::FrameType::kMessage,
-                                                protocol::Encode(common)));
+  if (!encoder.common().is_leader) {
+    follower.stream->Send(encoder.CommonFrame());
     follower.stream->Finish();
     return;
   }
+  const std::uint64_t config_version = encoder.common().config_version;
   const bool is_settled = now >= this->settled_at;
   const bool is_full_state_due = is_settled && !follower.has_full_state;
+  const bool is_configuration_due =
+      follower.sent_config_version < config_version;
   const bool has_changes = follower.is_new || is_full_state_due ||
                            follower.sent_revision < this->revision ||
-                           follower.sent_config_version < common.config_version;
+                           is_configuration_due;
   const bool is_in_flight_due =
-      now >= follower.in_flight_sent_at + kInFlightSendInterval;
+      now >= follower.in_flight_sent_at + this->InFlightSendInterval() &&
+      follower.stream->unsent_bytes() <= kMaxUnsentInFlightBytes;
   if (!has_changes && !is_in_flight_due &&
       now < follower.last_sent_at + kMaxUpdateInterval) {
     return;
   }
   if (follower.stream->unsent_bytes() > kMaxUnsentBytes) {
+    NotifyVersion(follower, encoder);
     return;
   }
-  FleetUpdate update = common;
-  update.is_full = is_full_state_due;
-  this->AddConfiguration(follower, update);
-  const std::uint64_t from =
+  UpdateNeeds needs;
+  needs.is_full = is_full_state_due;
+  needs.from_revision =
       follower.is_new || is_full_state_due ? 0 : follower.sent_revision;
-  this->targets.CollectChanges(from, update.targets, update.removed_targets);
-  this->groups.CollectChanges(from, update.groups, update.removed_groups);
+  needs.from_config_version = follower.sent_config_version;
+  needs.has_in_flight_work = is_in_flight_due;
+  needs.takes_compressed = follower.hello.takes_compressed;
   if (is_in_flight_due) {
-    update.in_flight_work = this->SumInFlightWork(now);
     follower.in_flight_sent_at = now;
   }
   follower.is_new = false;
   follower.has_full_state |= is_full_state_due;
   follower.sent_revision = this->revision;
+  follower.sent_config_version =
+      std::max(follower.sent_config_version, config_version);
   follower.last_sent_at = now;
-  std::string payload = protocol::Encode(update);
-  if (follower.hello.takes_compressed &&
-      payload.size() >= kMinCompressedBytes) {
-    payload = Compress(payload);
-  }
-  follower.stream->Send(
-      protocol::EncodeFrame(protocol::FrameType::kMessage, payload));
+  follower.stream->Send(encoder.Frame(needs));
 }
 
-void ControlHost::AddConfiguration(Follower& follower, FleetUpdate& update) {
-  if (follower.sent_config_version >= update.config_version) {
+void ControlHost::AddConfiguration(const UpdateNeeds& needs,
+                                   FleetUpdate& update) {
+  if (needs.from_config_version >= update.config_version) {
     return;
   }
-  if (follower.hello.takes_compressed) {
-    // A change is sent as soon as it is applied, before OnApplied runs.
-    this->configuration_history.Record(this->state.version(),
-                                       this->state.text());
-    update.config_patch =
-        this->configuration_history.PatchFrom(follower.sent_config_version);
-  } else {
+  if (!needs.takes_compressed) {
     update.config_text = this->state.text();
+    return;
   }
-  follower.sent_config_version = update.config_version;
+  // A change is sent as soon as it is applied, before OnApplied runs.
+  this->configuration_history.Record(this->state.version(), this->state.text());
+  update.config_patch =
+      this->configuration_history.PatchFrom(needs.from_config_version);
 }
 
 }  // namespace gooseberryturn::direct
--- a/src/direct/control_host_leader.cc
+++ b/src/direct/control_host_leader.cc
@@ -56,6 +56,7 @@
   this->crash_tracker.Restore(this->state.suspects(), node.term(), now);
   this->proposed_suspects = protocol::Encode(this->state.suspects());
   this->demand = DemandAggregator();
+  this->in_flight_totals = InFlightTotals();
   this->targets = {};
   this->groups = {};
   this->revision += 1;
@@ -112,19 +113,20 @@
 }
 
 void ControlHost::SchedulePlan() {
-  if (this->is_plan_scheduled ||
-      Clock::now() < this->last_plan_at + kMinPlanInterval) {
+  const TimePoint now = Clock::now();
+  if (this->is_plan_scheduled || !this->plan_pacer.IsDue(now) ||
+      now < this->last_plan_at + kMinPlanInterval) {
     return;
   }
   this->is_plan_scheduled = true;
   boost::asio::post(this->context, [this] {
     this->is_plan_scheduled = false;
     if (this->IsLeading()) {
-      const TimePoint now = Clock::now();
+      const TimePoint plan_at = Clock::now();
       const std::uint64_t before = this->revision;
-      this->PlanGroups(now);
+      this->PlanGroups(plan_at);
       if (this->revision != before) {
-        this->SendUpdates(now);
+        this->SendUpdates(plan_at);
       }
     }
   });
@@ -223,6 +225,7 @@
   }
   this->PublishGroups();
   this->LogCapacities(input, now);
+  this->plan_pacer.RecordRun(now, Clock::now());
 }
 
 }  // namespace gooseberryturn::direct
--- a/src/direct/control_host_orders.cc
+++ b/src/direct/control_host_orders.cc
@@ -125,14 +125,16 @@
 
 void ControlHost::Probe(const std::string& target) {
   const TargetRecord* record = this->registry.Find(target);
-  if (record == nullptr) {
+  if (record == nullptr || this->probes_in_flight >= kMaxProbesInFlight) {
     return;
   }
+  this->probes_in_flight += 1;
   SendHttpRequest(
       this->context, record->view.address, this->dialect.write_report_call(),
       {{this->dialect.headers.target, target}}, Clock::now() + kProbeTimeout,
       [this, target, incarnation = record->view.Incarnation()](
           const Result<HttpResponse>& response) {
+        this->probes_in_flight -= 1;
         this->RecordNotices(incarnation, response);
         const std::optional<EngineReport> report = this->ReadReport(response);
         LogEvent(Level::kInfo, "", "target_probed",
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -27,6 +27,8 @@
 /// Fraction of a retry burst that the entries divide among them.
 constexpr double kBurstFraction = 0.9;
 constexpr char kMetricsPath[] = "/metrics";
+/// Well below the time after which the leader forgets a report.
+constexpr Duration kMaxReportInterval = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -355,7 +357,9 @@
       !this->cut_reports.IsUrgent()) {
     return;
   }
-  this->next_report_at = now + kReportInterval;
+  this->next_report_at =
+      now + std::clamp<Duration>(this->view.entries() * kReportIntervalPerEntry,
+                                 kReportInterval, kMaxReportInterval);
   this->reported_stall_count = report.stalled_groups.size();
   report.in_flight_work = this->target_tracker.ReportInFlightWork();
   report.cut_requests = this->cut_reports.Waiting(now);
--- a/src/direct/quorum_planner.cc
+++ b/src/direct/quorum_planner.cc
@@ -37,6 +37,12 @@
   this->last_heard_at[peer] = now;
 }
 
+bool QuorumPlanner::WasHeardSince(consensus::NodeId peer,
+                                  TimePoint since) const {
+  const auto last_heard = this->last_heard_at.find(peer);
+  return last_heard != this->last_heard_at.end() && last_heard->second >= since;
+}
+
 bool QuorumPlanner::IsAlive(const QuorumInput& input, consensus::NodeId peer,
                             TimePoint now) const {
   const auto last_heard = this->last_heard_at.find(peer);
--- a/src/direct/registry.cc
+++ b/src/direct/registry.cc
@@ -268,6 +268,7 @@
     record.in_group_since = now;
   }
   record.sequence = announcement.sequence;
+  record.content = ContentDigest(announcement);
   record.last_heard_at = now;
   record.is_unconfirmed = false;
   record.cold_until = now + Milliseconds(announcement.cold_left_ms);
@@ -278,6 +279,22 @@
                                          : AnnouncementResult::kChanged;
 }
 
+bool Registry::Refresh(const HeardTarget& heard, TimePoint now) {
+  const auto known = this->records.find(heard.id);
+  if (known == this->records.end()) {
+    return false;
+  }
+  TargetRecord& record = known->second;
+  const bool is_known = !record.is_unconfirmed && !heard.content.empty() &&
+                        record.view.start_time_ms == heard.start_time_ms &&
+                        record.content == heard.content;
+  if (is_known && heard.sequence > record.sequence) {
+    record.sequence = heard.sequence;
+    record.last_heard_at = now;
+  }
+  return is_known;
+}
+
 RunState Registry::StateOf(const TargetIncarnation& run, bool is_other_target,
                            const std::optional<EngineReport>& report,
                            TimePoint now) const {
@@ -363,6 +380,14 @@
   return changed;
 }
 
+bool Registry::AssignColdEntries(const std::string& id,
+                                 const std::vector<std::string>& entries) {
+  const auto known = this->records.find(id);
+  return known != this->records.end() && known->second.view.is_cold &&
+         direct::AssignColdEntries(id, entries,
+                                   known->second.view.cold_entries);
+}
+
 std::vector<std::string> Registry::AssignColdEntries(
     const std::vector<std::string>& entries) {
   std::vector<std::string> changed;
