--- a/src/direct/control_host_leader.cc
+++ b/src/direct/control_host_leader.cc
@@ -58,6 +58,7 @@
   this->demand = DemandAggregator();
   this->scale_planner = duty::ScalePlanner();
   this->scale_orders.clear();
+  this->in_flight_totals = InFlightTotals();
   this->targets = {};
   this->groups = {};
   this->revision += 1;
@@ -117,19 +118,20 @@
 }
 
 void ControlHost::SchedulePlan() {
-  if (this->is_plan_scheduled ||
-      Clock::now() < this->last_plan_at + kMinPlanInterval) {
+  const TimePoint now = Clock::now();
+  if (this->is_plan_scheduled || !this->plan_pacer.IsDue(now) ||
+      now < this->last_plan_at + kMinPlanInterval) {
     return;
   }
   this->is_plan_scheduled = true;
   boost::asio::post(this->context, [this] {
     this->is_plan_scheduled = false;
     if (this->IsLeading()) {
-      const TimePoint now = Clock::now();
+      const TimePoint plan_at = Clock::now();
       const std::uint64_t before = this->revision;
-      this->PlanGroups(now);
+      this->PlanGroups(plan_at);
       if (this->revision != before) {
-        this->SendUpdates(now);
+        this->SendUpdates(plan_at);
       }
     }
   });
@@ -229,6 +231,7 @@
   this->PublishGroups();
   this->LogCapacities(input, now);
   this->PlanScaling(input, now);
+  this->plan_pacer.RecordRun(now, Clock::now());
 }
 
 }  // namespace gooseberryturn::direct
