Entries learn from answers how much each target takes well

Servers of one service differ in speed and some slow down long before they are full, while fixed weights and health answers say nothing of it. Entries now measure time factors of heads (event gaps against the published figures) and of plain targets (answer times against the service), and a request limit of each plain target; the leader merges the reports and sends them with the in-flight figures; TargetChooser multiplies expected times by the factor and prefers targets within their limit. Only with HostSettings::learns_capacity.

The dispatch simulation can record events as progress of their head (records_progress), off for the existing tests.

--- a/bench/decision_bench.cc
+++ b/bench/decision_bench.cc
@@ -1,17 +1,22 @@
 // Measures control decisions at the design size, in simulated time and without
 // sockets: group availability under host failures for the best-fit policy and
-// its first-fit baseline, planning times, and the sizes of views and deltas.
+// its first-fit baseline, planning times, the sizes of views and deltas, and
+// the cost of learnt capacities.
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <map>
+#include <memory>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "gooseberryturn/control/state.h"
+#include "gooseberryturn/direct/capacity_learner.h"
+#include "gooseberryturn/direct/capacity_merger.h"
+#include "gooseberryturn/direct/target_chooser.h"
 #include "gooseberryturn/placement/planner.h"
 #include "gooseberryturn/protocol/codec.h"
 #include "gooseberryturn/routing/group_chooser.h"
@@ -364,6 +369,96 @@
               1e6 * SecondsSince(choose_start) / kChoices);
 }
 
+/// A view of `count` targets of one plain service.
+direct::FleetView MakePlainView(int count) {
+  direct::Configuration configuration;
+  configuration.version = 1;
+  direct::Service service;
+  service.name = "orders";
+  configuration.services = {service};
+  direct::FleetUpdate update;
+  update.config_version = 1;
+  update.entries = 21;
+  for (int number = 0; number < count; ++number) {
+    direct::TargetView target;
+    target.name = "i-" + std::to_string(1'000'000'000 + number);
+    target.service = service.name;
+    target.data_centre = "dc-0";
+    target.start_time_ms = 1;
+    update.targets.push_back(target);
+  }
+  direct::FleetView view;
+  view.Apply(update, std::make_shared<const direct::RouteTable>(configuration));
+  return view;
+}
+
+/// Measures a choice among plain targets with and without learnt capacities,
+/// the learning from one answer and the leader's work for one report. Every
+/// tenth target is slow, half of them have a limit.
+void MeasureLearntCapacity(int target_count) {
+  const direct::FleetView view = MakePlainView(target_count);
+  const TimePoint now(std::chrono::hours(1));
+  std::vector<direct::LearntCapacity> learnt;
+  for (const direct::TargetView* target : view.PlainTargets("orders")) {
+    const std::size_t number = learnt.size();
+    learnt.push_back({target->name, 1, number % 10 == 0 ? 4.0F : 1.0F,
+                      number % 2 == 0 ? 12.0F : 0.0F, 20});
+  }
+  direct::CapacityLearner learner(1);
+  (void)learner.ApplyMerged(learnt, 21, now);
+  direct::TargetTracker tracker;
+  const auto choose_us = [&](bool is_learning) {
+    direct::TargetChooser chooser("dc-0", "entry", 1);
+    if (is_learning) {
+      chooser.UseLearntCapacity(learner);
+    }
+    direct::ChoiceRequest request;
+    request.service = "orders";
+    constexpr int kChoices = 2000;
+    const std::chrono::steady_clock::time_point start =
+        std::chrono::steady_clock::now();
+    for (int number = 0; number < kChoices; ++number) {
+      (void)chooser.Choose(request, view, tracker, 1, now);
+    }
+    return 1e6 * SecondsSince(start) / kChoices;
+  };
+  const double without_us = choose_us(false);
+  const double with_us = choose_us(true);
+  constexpr int kRounds = 200;
+  double estimates = 0;
+  const std::chrono::steady_clock::time_point estimate_start =
+      std::chrono::steady_clock::now();
+  for (int round = 0; round < kRounds; ++round) {
+    for (const direct::LearntCapacity& target : learnt) {
+      estimates += learner.Estimate(target.target, 1, now).time_factor;
+    }
+  }
+  const double estimate_us = 1e6 * SecondsSince(estimate_start) / kRounds;
+  const std::chrono::steady_clock::time_point answer_start =
+      std::chrono::steady_clock::now();
+  for (int round = 0; round < kRounds; ++round) {
+    for (const direct::LearntCapacity& target : learnt) {
+      learner.ObserveAnswer({target.target, 1}, {"orders", 45, 3}, now);
+    }
+  }
+  const double answer_us = 1e6 * SecondsSince(answer_start) /
+                           (kRounds * static_cast<double>(target_count));
+  direct::CapacityMerger merger(
+      [](const std::string&, std::int64_t) { return true; });
+  const std::chrono::steady_clock::time_point report_start =
+      std::chrono::steady_clock::now();
+  for (int round = 0; round < kRounds; ++round) {
+    (void)merger.AddReport(learnt, now);
+  }
+  const double report_us = 1e6 * SecondsSince(report_start) / kRounds;
+  std::printf(
+      "{\"bench\":\"learnt_capacity\",\"targets\":%d,\"choose_us\":%.2f,"
+      "\"choose_learning_us\":%.2f,\"estimates_us\":%.2f,"
+      "\"answer_us\":%.3f,\"report_us\":%.1f,\"mean_factor\":%.2f}\n",
+      target_count, without_us, with_us, estimate_us, answer_us, report_us,
+      estimates / (kRounds * static_cast<double>(target_count)));
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -378,5 +473,8 @@
     SimulateDay(fleet_size, Policy::kBestFit, seed);
   }
   MeasureViews();
+  for (const int targets : {40, 400, 4000}) {
+    MeasureLearntCapacity(targets);
+  }
   return 0;
 }
--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -14,6 +14,7 @@
 #include "gooseberryturn/consensus/driver.h"
 #include "gooseberryturn/control/versioned_map.h"
 #include "gooseberryturn/direct/async_http.h"
+#include "gooseberryturn/direct/capacity_merger.h"
 #include "gooseberryturn/direct/configuration_text.h"
 #include "gooseberryturn/direct/crash_tracker.h"
 #include "gooseberryturn/direct/dialect.h"
@@ -184,6 +185,11 @@
   void Probe(const std::string& target);
   void OnFollower(const std::shared_ptr<link::Stream>& stream);
   void OnReport(Follower& follower, const EntryReport& report);
+  /// Merges what an entry learnt of the targets, and logs those that became
+  /// slow or recovered.
+  void RecordCapacities(const EntryReport& report, TimePoint now);
+  /// Name of the group that `target` heads, or an empty string.
+  [[nodiscard]] std::string GroupNameOfHead(const std::string& target) const;
   /// Records what a report says of content that may crash targets.
   void RecordContents(const Follower& follower, const EntryReport& report,
                       TimePoint now);
@@ -252,6 +258,8 @@
   std::set<std::string> contested_targets;  ///< See ProbeContested.
   QuorumPlanner quorum_planner;
   CrashTracker crash_tracker;
+  /// Used only with HostSettings::learns_capacity.
+  CapacityMerger capacity_merger;
   std::uint64_t sent_suspects_revision = 0;      ///< Of the crash tracker.
   std::uint64_t proposed_suspects_revision = 0;  ///< Of the crash tracker.
   std::string proposed_suspects;                 ///< Encoded.
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -15,6 +15,7 @@
 #include "gooseberryturn/direct/answered_contents.h"
 #include "gooseberryturn/direct/async_http.h"
 #include "gooseberryturn/direct/caller_connection.h"
+#include "gooseberryturn/direct/capacity_learner.h"
 #include "gooseberryturn/direct/cut_reports.h"
 #include "gooseberryturn/direct/dialect.h"
 #include "gooseberryturn/direct/fleet_view.h"
@@ -86,6 +87,8 @@
   /// Text of the update's configuration, `held` if it brings none.
   [[nodiscard]] Result<ConfigurationText> ReadText(
       const FleetUpdate& update) const;
+  /// Takes over what all entries learnt of the targets.
+  void ApplyLearntCapacities(const FleetUpdate& update);
   /// Lets the chooser divide the room that new figures show.
   void BeginRound(TimePoint now);
   /// Sends a report if one is due or further groups are stalled.
@@ -142,6 +145,8 @@
   /// Base of the next patch. Held also when the configuration is not valid.
   ConfigurationText held_text;
   TargetTracker target_tracker;
+  /// Used only with HostSettings::learns_capacity.
+  CapacityLearner capacity_learner;
   TargetChooser chooser;
   /// Held for callers and targets: bodies of requests, answers and events.
   std::shared_ptr<ByteBudget> held_bytes;
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -146,6 +146,12 @@
   void OnHead(const ResponseHead& head);
   void OnBody(std::string_view bytes);
   void OnEvent(const StreamEvent& event);
+  /// Lets the entry learn from the time of an event how fast its target is.
+  void ObserveEvent(TimePoint now);
+  /// The same from the end of an answer; `is_whole` unless it was broken off.
+  void ObserveAnswerEnd(ExchangeEnd end, bool is_whole, TimePoint now);
+  /// The same from the time that the target has had without ending its answer.
+  void ObserveAbandoned(TimePoint now);
   /// Holds `bytes` of the answer, or gives the attempt up if the entry holds
   /// too much already.
   /// \returns Whether they are held.
@@ -241,12 +247,16 @@
   std::shared_ptr<TargetConnection> connection;
   std::uint32_t load_at_choice = 0;  ///< In flight at the chosen target.
   double expected_first_event_ms = 0;
+  double published_first_event_ms = 0;  ///< By the published figures alone.
   /// The expected time, corrected by the delays that were learnt.
   double predicted_first_event_ms = 0;
   TimePoint attempt_started_at;
   TimePoint first_attempt_at;
   TimePoint first_event_at;
   TimePoint last_event_at;
+  TimePoint attempt_event_at;  ///< Last event of the current attempt.
+  /// The target was not read from since the last event.
+  bool is_gap_paused = false;
   Duration longest_event_gap = Duration(0);
   TimePoint last_progress_at;  ///< Last bytes from the target.
   /// First bytes of the body in the current attempt; TimePoint() before.
--- a/include/gooseberryturn/direct/target_chooser.h
+++ b/include/gooseberryturn/direct/target_chooser.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "gooseberryturn/core/name_table.h"
+#include "gooseberryturn/direct/capacity_learner.h"
 #include "gooseberryturn/direct/delay_model.h"
 #include "gooseberryturn/direct/fleet_view.h"
 #include "gooseberryturn/direct/room_share.h"
@@ -79,9 +80,11 @@
   const TargetView* target = nullptr;  ///< Null if none was chosen.
   ChoiceFailure reason = ChoiceFailure::kNone;
   std::uint32_t load = 0;  ///< Its requests in flight before this one.
-  /// Milliseconds until the first event according to the published figures.
+  /// Milliseconds until the first event according to the published figures and
+  /// to what was learnt of the target.
   double expected_ms = 0;
-  TimePoint resumes_at;  ///< With kPaused: when the first pause ends.
+  double published_ms = 0;  ///< The same by the published figures alone.
+  TimePoint resumes_at;     ///< With kPaused: when the first pause ends.
 };
 
 /// \brief Time from dispatch to the first event at a group whose slots are all
@@ -91,6 +94,13 @@
                                   const ModelProfile& model,
                                   double prompt_tokens);
 
+/// \brief Time between two events of a stream at a group with `load` requests,
+/// of which prompts of `pending_prefill_tokens` wait for their prefill.
+/// \returns Milliseconds.
+[[nodiscard]] double EventGapMs(const EngineProfile& engine,
+                                const ModelProfile& model, double load,
+                                double pending_prefill_tokens);
+
 /// \brief Chooses a target by the expected time to the first event.
 ///
 /// \details Limits the load per target so that the work of a lost group does
@@ -115,6 +125,11 @@
                               const FleetView& view, TargetTracker& tracker,
                               double cold_factor, TimePoint now);
 
+  /// \brief Takes what was learnt of the targets into account from now on. A
+  /// target beyond what it takes well is chosen only when no other has room.
+  void UseLearntCapacity(CapacityLearner& capacity_learner) {
+    this->learner = &capacity_learner;
+  }
   /// \brief Begins a round of RoomShare, when new figures of the load at the
   /// heads have arrived that `entries` entries see.
   void BeginRound(std::size_t entries, const RoomShare::WaitingByPool& waiting,
@@ -140,7 +155,8 @@
   /// that became free since the other entries last reported their load.
   static constexpr std::uint32_t kMaxBeyondSlots = 2;
   /// \brief Most requests in flight at a plain target.
-  static constexpr std::uint32_t kMaxPlainRequests = 16;
+  static constexpr std::uint32_t kMaxPlainRequests =
+      static_cast<std::uint32_t>(TargetEstimate::kUnknownRequestLimit);
 
   /// Weight of the newest prompt in the moving average of its model.
   static constexpr double kPromptWeight = 0.02;
@@ -151,6 +167,7 @@
     const TargetView* target = nullptr;
     std::uint32_t load = 0;
     double expected_ms = 0;
+    double published_ms = 0;  ///< `expected_ms` without a learnt factor.
     double typical_ms = 0;  ///< Prefill of the model's usual prompt, at a head.
     double room = 0;        ///< Requests that a head can take.
     double score = 0;       ///< The lowest wins.
@@ -176,11 +193,24 @@
       const std::vector<const TargetView*>& heads, const ChoiceRequest& request,
       const EngineProfile& engine, const ModelProfile& model,
       const TargetTracker& tracker, TimePoint now);
+  /// The heads that have room for the request.
+  [[nodiscard]] std::vector<Candidate> HeadsWithRoom(
+      const std::vector<const TargetView*>& heads, const ChoiceRequest& request,
+      const EngineProfile& engine, const ModelProfile& model,
+      const TargetTracker& tracker, TimePoint now) const;
   /// The head with its room, if it has any for the request.
+  /// \param estimate What was learnt of it.
   [[nodiscard]] std::optional<Candidate> MeasureHead(
       const TargetView& head, const ChoiceRequest& request,
       const EngineProfile& engine, const ModelProfile& model,
-      const TargetTracker& tracker) const;
+      const TargetTracker& tracker, const TargetEstimate& estimate) const;
+  /// What was learnt of a target, nothing if this isn't in use.
+  [[nodiscard]] TargetEstimate EstimateOf(const TargetView& target,
+                                          TimePoint now) const;
+  /// Expected delay at a plain target by what was learnt of it, in
+  /// milliseconds.
+  [[nodiscard]] static double LearntDelayMs(const Candidate& candidate,
+                                            const TargetEstimate& estimate);
   /// Requests of the same pool that all entries want to send now.
   [[nodiscard]] double Contenders(const ChoiceRequest& request) const;
   /// Puts the heads into a random order by SpreadWeights.
@@ -195,6 +225,7 @@
   std::string entry;
   std::mt19937_64 random;
   RoomShare room_share;
+  CapacityLearner* learner = nullptr;  ///< Null if nothing is learnt.
   /// By service and model.
   std::map<std::pair<std::string, std::string>, ModelHistory> models;
 };
--- a/include/gooseberryturn/observe/metrics.h
+++ b/include/gooseberryturn/observe/metrics.h
@@ -53,10 +53,15 @@
   kQuarantinesEnded,
   kMemoryFull,  ///< Requests and answers given up for want of memory.
   kLateOrders,  ///< Orders of operators and targets that were not carried out.
-  kClosesNotReported,  ///< To the flow of the request in progress.
+  kClosesNotReported,        ///< To the flow of the request in progress.
+  kTargetsSlow,              ///< Targets found to be slow by their answers.
+  kTargetsRecovered,         ///< Slow targets that are fast again.
+  kLearntCapacitiesIgnored,  ///< Invalid, or of an unknown incarnation.
+  kCapacityProbes,           ///< Requests sent to see if a target recovered.
+  kRequestLimitDecreases,    ///< Of learnt request limits.
 };
 
-inline constexpr std::size_t kMetricCount = 27;
+inline constexpr std::size_t kMetricCount = 32;
 
 /// \brief Exported names, without the prefix `gooseberryturn_`.
 inline constexpr NameTable<Metric, kMetricCount> kMetricNames = {
@@ -86,7 +91,12 @@
      "quarantines_ended_total",
      "memory_full_total",
      "late_orders_total",
-     "closes_not_reported_total"}};
+     "closes_not_reported_total",
+     "targets_slow_total",
+     "targets_recovered_total",
+     "learnt_capacities_ignored_total",
+     "capacity_probes_total",
+     "request_limit_decreases_total"}};
 
 /// \brief Durations that are exported as summaries with quantiles.
 enum class Timing : std::uint8_t {
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -38,8 +38,13 @@
       metrics(metrics),
       channels(context),
       listener(context),
-      server(context, [this](HttpRequest call, AsyncHttpServer::Reply reply) {
-        this->OnCall(std::move(call), std::move(reply));
+      server(context,
+             [this](HttpRequest call, AsyncHttpServer::Reply reply) {
+               this->OnCall(std::move(call), std::move(reply));
+             }),
+      capacity_merger([this](const std::string& target, std::int64_t start_ms) {
+        const TargetRecord* record = this->registry.Find(target);
+        return record != nullptr && record->view.start_time_ms == start_ms;
       }) {}
 
 // -------------------------------------------------------------------- start
--- a/src/direct/control_host_followers.cc
+++ b/src/direct/control_host_followers.cc
@@ -73,6 +73,7 @@
       now);
   this->has_traffic |= report.has_received_request;
   this->RecordContents(follower, report, now);
+  this->RecordCapacities(report, now);
   for (const std::string& group : report.stalled_groups) {
     this->planner.HandleGroupStall(group, now);
     this->SchedulePlan();
@@ -82,6 +83,35 @@
   }
 }
 
+void ControlHost::RecordCapacities(const EntryReport& report, TimePoint now) {
+  if (!this->settings.learns_capacity) {
+    return;
+  }
+  const std::size_t ignored =
+      this->capacity_merger.AddReport(report.learnt_capacities, now);
+  this->metrics.Add(observe::Metric::kLearntCapacitiesIgnored,
+                    static_cast<std::int64_t>(ignored));
+  for (const PaceChange& change : this->capacity_merger.TakeChanges()) {
+    this->metrics.Add(change.is_slow ? observe::Metric::kTargetsSlow
+                                     : observe::Metric::kTargetsRecovered);
+    LogEvent(change.is_slow ? Level::kWarn : Level::kInfo, "",
+             change.is_slow ? "target_slow" : "target_recovered",
+             {{"target", change.target},
+              {"group", this->GroupNameOfHead(change.target)},
+              {"time_factor", std::to_string(change.time_factor)}});
+  }
+}
+
+std::string ControlHost::GroupNameOfHead(const std::string& target) const {
+  for (const auto& slot : this->groups.slots) {
+    const GroupView& group = slot.second.item;
+    if (!group.members.empty() && group.members.front() == target) {
+      return group.name;
+    }
+  }
+  return "";
+}
+
 const std::vector<InFlightWork>& ControlHost::SumInFlightWork(TimePoint now) {
   if (now < this->in_flight_summed_at + kInFlightSumInterval) {
     return this->in_flight_work;
@@ -191,6 +221,9 @@
   this->groups.CollectChanges(from, update.groups, update.removed_groups);
   if (is_in_flight_due) {
     update.in_flight_work = this->SumInFlightWork(now);
+    if (this->settings.learns_capacity) {
+      update.learnt_capacities = this->capacity_merger.Notable(now);
+    }
     follower.in_flight_sent_at = now;
   }
   follower.is_new = false;
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -51,11 +51,16 @@
               reply({kNotFound, "text/plain", ""});
             }
           }),
+      capacity_learner(RandomId()),
       chooser(this->settings.data_centre, this->settings.host, RandomId()),
       held_bytes(std::make_shared<ByteBudget>(kMaxHeldBytes)),
       target_pool(context),
       incarnation(RandomId()),
-      random(RandomId()) {}
+      random(RandomId()) {
+  if (this->settings.learns_capacity) {
+    this->chooser.UseLearntCapacity(this->capacity_learner);
+  }
+}
 
 Result<void> EntryHost::Start() {
   this->follow_client.make_hello = [this] {
@@ -312,6 +317,7 @@
     this->target_tracker.SetTotals(update.in_flight_work);
     this->BeginRound(Clock::now());
   }
+  this->ApplyLearntCapacities(update);
   for (const std::string& removed : update.removed_targets) {
     this->target_pool.CloseIdle(removed);
   }
@@ -326,6 +332,16 @@
   return true;
 }
 
+void EntryHost::ApplyLearntCapacities(const FleetUpdate& update) {
+  if (!this->settings.learns_capacity) {
+    return;
+  }
+  const std::size_t ignored = this->capacity_learner.ApplyMerged(
+      update.learnt_capacities, this->view.entries(), Clock::now());
+  this->metrics.Add(observe::Metric::kLearntCapacitiesIgnored,
+                    static_cast<std::int64_t>(ignored));
+}
+
 void EntryHost::BeginRound(TimePoint now) {
   RoomShare::WaitingByPool waiting;
   for (const std::string& key : this->wait_queue.QueueKeys()) {
@@ -373,6 +389,15 @@
                               this->held_contents.end());
   report.refused_contents.assign(this->refused_contents.begin(),
                                  this->refused_contents.end());
+  if (this->settings.learns_capacity) {
+    report.learnt_capacities = this->capacity_learner.TakeReport(now);
+    this->metrics.Set(
+        observe::Metric::kCapacityProbes,
+        static_cast<std::int64_t>(this->capacity_learner.probes()));
+    this->metrics.Set(
+        observe::Metric::kRequestLimitDecreases,
+        static_cast<std::int64_t>(this->capacity_learner.decreases()));
+  }
   if (this->follow_client.Send(report)) {
     this->cut_reports.RecordSent(now);
     this->held_contents.clear();
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -354,6 +354,7 @@
   }
   this->load_at_choice = choice.load;
   this->expected_first_event_ms = choice.expected_ms;
+  this->published_first_event_ms = choice.published_ms;
   this->predicted_first_event_ms = this->entry.chooser.PredictFirstEventMs(
       this->service, this->model, choice.expected_ms);
   this->StartAttempt(choice.target->name);
@@ -417,6 +418,8 @@
   }
   this->last_progress_at = now;
   this->attempt_began_at = TimePoint();
+  this->attempt_event_at = TimePoint();
+  this->is_gap_paused = false;
   this->is_cut_reported = false;
   this->is_observed_cut_reported = false;
   this->is_streaming = false;
--- a/src/direct/request_flow_answer.cc
+++ b/src/direct/request_flow_answer.cc
@@ -131,6 +131,7 @@
   }
   const TimePoint now = Clock::now();
   this->is_paused = paused;
+  this->is_gap_paused = true;
   this->entry.target_tracker.SetPaused(this->target, paused, now);
   if (!paused) {
     this->last_progress_at = now;
@@ -160,6 +161,7 @@
     return;
   }
   const TimePoint now = Clock::now();
+  this->ObserveEvent(now);
   if (!this->is_head_sent) {
     this->is_head_sent = true;
     this->first_event_at = now;
@@ -212,6 +214,8 @@
   if (this->is_done) {
     return;
   }
+  this->ObserveAnswerEnd(end, end == ExchangeEnd::kComplete && !is_broken_off,
+                         now);
   if (end == ExchangeEnd::kCut || is_broken_off) {
     this->ReportCut(true);
   } else if (end == ExchangeEnd::kComplete && !is_rejected &&
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -112,6 +112,7 @@
   const std::shared_ptr<TargetConnection> used =
       std::exchange(this->connection, nullptr);
   if (used != nullptr) {
+    this->ObserveAbandoned(Clock::now());
     this->attempt_number += 1;
     this->EndPrefill();
     this->SetPaused(false);
--- a/src/direct/target_chooser.cc
+++ b/src/direct/target_chooser.cc
@@ -20,6 +20,12 @@
 constexpr double kAvoidedPenaltyMs = 100'000.0;
 /// Expected delay for each request in flight at a plain target.
 constexpr double kPlainRequestMs = 10.0;
+/// A plain target that is slower than its service by this factor takes no
+/// request well.
+constexpr double kSlowPlainFactor = 2.5;
+/// Makes a plain target that has as many requests as it takes well the choice
+/// after all others that are not avoided.
+constexpr double kBeyondLimitPenaltyMs = 50'000.0;
 /// Share of a group head's slots that late requests may fill; the rest is kept
 /// for requests that can still be on time.
 constexpr double kLateSlotShare = 0.85;
@@ -80,6 +86,32 @@
   return model.time_factor * (prefill_ms + decode_ms);
 }
 
+double EventGapMs(const EngineProfile& engine, const ModelProfile& model,
+                  double load, double pending_prefill_tokens) {
+  const double chunk_tokens =
+      std::min(engine.prefill_chunk_tokens, pending_prefill_tokens);
+  const double prefill_ms =
+      kMsPerSecond * chunk_tokens / std::max(1.0, engine.prefill_tokens_per_s);
+  return model.time_factor *
+         (static_cast<double>(engine.stride) * DecodeStepMs(engine, load) +
+          prefill_ms);
+}
+
+TargetEstimate TargetChooser::EstimateOf(const TargetView& target,
+                                         TimePoint now) const {
+  return this->learner == nullptr
+             ? TargetEstimate()
+             : this->learner->Estimate(target.name, target.start_time_ms, now);
+}
+
+double TargetChooser::LearntDelayMs(const Candidate& candidate,
+                                    const TargetEstimate& estimate) {
+  const double load = static_cast<double>(candidate.load);
+  const bool is_probe = estimate.is_probe_due && candidate.load == 0;
+  const double time_factor = is_probe ? 1 : estimate.time_factor;
+  return time_factor * kPlainRequestMs * (load + 1);
+}
+
 bool TargetChooser::TakeColdRequest(const TargetView& target,
                                     TargetTracker& tracker, double per_s,
                                     TimePoint now) const {
@@ -117,14 +149,25 @@
     Candidate candidate;
     candidate.target = target;
     candidate.load = tracker.Load(target->name);
-    if (candidate.load >= kMaxPlainRequests) {
+    const TargetEstimate estimate = this->EstimateOf(*target, now);
+    const double load = static_cast<double>(candidate.load);
+    if (candidate.load >= kMaxPlainRequests &&
+        load + 1 > estimate.request_limit) {
       continue;
     }
-    candidate.expected_ms =
-        kPlainRequestMs * static_cast<double>(candidate.load);
+    candidate.published_ms = kPlainRequestMs * load;
+    candidate.expected_ms = this->learner == nullptr
+                                ? candidate.published_ms
+                                : LearntDelayMs(candidate, estimate);
     candidate.score = candidate.expected_ms + noise(this->random);
     candidate.score +=
         target->data_centre == this->data_centre ? 0 : kRemotePenaltyMs;
+    const double own = tracker.OwnRequests(target->name);
+    const bool is_probe = estimate.is_probe_due && candidate.load == 0;
+    const bool is_slow = estimate.time_factor >= kSlowPlainFactor && !is_probe;
+    const bool is_beyond_limit = load + 1 > estimate.request_limit ||
+                                 own + 1 > estimate.own_limit || is_slow;
+    candidate.score += is_beyond_limit ? kBeyondLimitPenaltyMs : 0;
     candidate.score +=
         tracker.IsAvoided(target->name, now) ? kAvoidedPenaltyMs : 0;
     candidates.push_back(candidate);
@@ -138,19 +181,23 @@
 std::optional<TargetChooser::Candidate> TargetChooser::MeasureHead(
     const TargetView& head, const ChoiceRequest& request,
     const EngineProfile& engine, const ModelProfile& model,
-    const TargetTracker& tracker) const {
+    const TargetTracker& tracker, const TargetEstimate& estimate) const {
   Candidate candidate;
   candidate.target = &head;
   candidate.load = tracker.Load(head.name);
   const double load = static_cast<double>(candidate.load);
-  const double prefill_wait_ms =
+  const bool is_probe = estimate.is_probe_due && candidate.load == 0;
+  const double learnt_factor = is_probe ? 1 : estimate.time_factor;
+  const double published_wait_ms =
       model.time_factor *
       PrefillMs(engine, load, tracker.PendingPrefillTokens(head.name));
-  candidate.expected_ms =
-      prefill_wait_ms + SlotWaitMs(engine, model, candidate.load) +
+  candidate.published_ms =
+      published_wait_ms + SlotWaitMs(engine, model, candidate.load) +
       model.time_factor *
           (PrefillMs(engine, load, request.prompt_tokens) +
            static_cast<double>(engine.stride) * DecodeStepMs(engine, load));
+  const double prefill_wait_ms = learnt_factor * published_wait_ms;
+  candidate.expected_ms = learnt_factor * candidate.published_ms;
   const bool is_late = !request.time_to_objective_ms.has_value();
   const double slots = static_cast<double>(engine.slots);
   const double slot_room = is_late && !request.is_resumed
@@ -170,7 +217,7 @@
   const double typical_tokens = history == this->models.end()
                                     ? request.prompt_tokens
                                     : history->second.mean_prompt_tokens;
-  candidate.typical_ms = model.time_factor *
+  candidate.typical_ms = learnt_factor * model.time_factor *
                          PrefillMs(engine, load, std::max(1.0, typical_tokens));
   const double prefill_room =
       (prefill_room_ms + kPrefillPerRoundMs) / candidate.typical_ms;
@@ -209,22 +256,54 @@
       [](const Candidate& a, const Candidate& b) { return a.score < b.score; });
 }
 
-std::vector<TargetChooser::Candidate> TargetChooser::HeadCandidates(
+std::vector<TargetChooser::Candidate> TargetChooser::HeadsWithRoom(
     const std::vector<const TargetView*>& heads, const ChoiceRequest& request,
     const EngineProfile& engine, const ModelProfile& model,
-    const TargetTracker& tracker, TimePoint now) {
+    const TargetTracker& tracker, TimePoint now) const {
   std::vector<Candidate> candidates;
-  double room = 0;
+  std::vector<const TargetView*> slow;
+  std::size_t usable = 0;
   for (const TargetView* head : heads) {
+    if (tracker.IsAvoided(head->name, now)) {
+      continue;
+    }
+    usable += 1;
+    const TargetEstimate estimate = this->EstimateOf(*head, now);
     const std::optional<Candidate> candidate =
-        tracker.IsAvoided(head->name, now)
-            ? std::nullopt
-            : this->MeasureHead(*head, request, engine, model, tracker);
+        this->MeasureHead(*head, request, engine, model, tracker, estimate);
+    if (candidate.has_value()) {
+      candidates.push_back(*candidate);
+    } else if (estimate.time_factor > 1) {
+      slow.push_back(head);
+    }
+  }
+  // A request that can still be on time waits for a head that is not slow, if
+  // there is one. All others are better served slowly than refused.
+  const bool is_on_time = request.time_to_objective_ms.has_value();
+  if (is_on_time && slow.size() < usable) {
+    return candidates;
+  }
+  for (const TargetView* head : slow) {
+    std::optional<Candidate> candidate = this->MeasureHead(
+        *head, request, engine, model, tracker, TargetEstimate());
     if (candidate.has_value()) {
+      candidate->expected_ms *= this->EstimateOf(*head, now).time_factor;
       candidates.push_back(*candidate);
-      room += candidate->room;
     }
   }
+  return candidates;
+}
+
+std::vector<TargetChooser::Candidate> TargetChooser::HeadCandidates(
+    const std::vector<const TargetView*>& heads, const ChoiceRequest& request,
+    const EngineProfile& engine, const ModelProfile& model,
+    const TargetTracker& tracker, TimePoint now) {
+  std::vector<Candidate> candidates =
+      this->HeadsWithRoom(heads, request, engine, model, tracker, now);
+  double room = 0;
+  for (const Candidate& candidate : candidates) {
+    room += candidate.room;
+  }
   const double contenders = this->Contenders(request);
   if (!this->room_share.MaySend(request.Pool(), room, request.waiting,
                                 contenders, now)) {
@@ -318,6 +397,10 @@
     choice.reason = ChoiceFailure::kNone;
     choice.load = candidate.load;
     choice.expected_ms = candidate.expected_ms;
+    choice.published_ms = candidate.published_ms;
+    if (this->learner != nullptr) {
+      this->learner->RecordSent(candidate.target->Incarnation(), now);
+    }
     return choice;
   }
   return choice;
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -13,6 +13,8 @@
 #include <vector>
 
 #include "direct_fixtures.h"
+#include "gooseberryturn/direct/capacity_learner.h"
+#include "gooseberryturn/direct/capacity_merger.h"
 #include "gooseberryturn/direct/fleet_view.h"
 #include "gooseberryturn/direct/target_chooser.h"
 #include "gooseberryturn/direct/target_tracker.h"
@@ -37,6 +39,14 @@
   /// Time until the first event that the published figures leave out.
   double unpublished_ms = 110;
   std::int64_t duration_ms = 20'000;
+  bool learns = false;  ///< Entries learn how fast the heads are.
+  /// Events count as progress of their head, so that none seems stalled between
+  /// two ends.
+  bool records_progress = false;
+  /// Factor on all times of the first head between two times.
+  double slow_factor = 1;
+  std::int64_t slow_from_ms = 0;
+  std::int64_t slow_until_ms = 0;
   std::uint64_t seed = 1;
 };
 
@@ -70,29 +80,33 @@
 
   void Add(const Request& request) { this->waiting.push_back(request); }
 
-  /// \brief Ends the pass in progress if it is over, and begins the next one.
-  /// Appends the requests whose first or last event it made.
-  void Advance(double now_ms, std::vector<std::uint64_t>& first_events,
-               std::vector<std::uint64_t>& ended) {
-    if (now_ms < this->pass_ends_ms) {
-      return;
+  /// \brief Requests with an event at the end of a pass.
+  struct Events {
+    std::vector<std::uint64_t> first;
+    std::vector<std::uint64_t> later;
+    std::vector<std::uint64_t> last;  ///< Also in one of the others.
+  };
+
+  /// \brief Ends the pass in progress if it is over, and begins the next one,
+  /// which takes `slow_factor` times as long as published.
+  [[nodiscard]] Events Advance(double now_ms, double slow_factor) {
+    Events events;
+    if (now_ms >= this->pass_ends_ms) {
+      this->EndPass(events);
+      this->BeginPass(now_ms, slow_factor);
     }
-    this->EndPass(first_events, ended);
-    this->BeginPass(now_ms);
+    return events;
   }
 
  private:
-  void EndPass(std::vector<std::uint64_t>& first_events,
-               std::vector<std::uint64_t>& ended) {
+  void EndPass(Events& events) {
     std::vector<Request> remaining;
     for (Request& writer : this->writers) {
       const bool is_first = this->unstarted.erase(writer.id) > 0;
-      if (is_first) {
-        first_events.push_back(writer.id);
-      }
+      (is_first ? events.first : events.later).push_back(writer.id);
       writer.events -= 1;
       if (writer.events <= 0) {
-        ended.push_back(writer.id);
+        events.last.push_back(writer.id);
       } else {
         remaining.push_back(writer);
       }
@@ -105,7 +119,7 @@
     this->read_in_pass.clear();
   }
 
-  void BeginPass(double now_ms) {
+  void BeginPass(double now_ms, double slow_factor) {
     while (!this->waiting.empty() &&
            this->reading.size() + this->writers.size() < this->profile.slots) {
       this->reading.push_back(this->waiting.front());
@@ -132,7 +146,8 @@
                                  : 0;
     const double prefill_ms =
         1000.0 * tokens / this->profile.prefill_tokens_per_s;
-    const double pass_ms = this->model.time_factor * (decode_ms + prefill_ms);
+    const double pass_ms =
+        slow_factor * this->model.time_factor * (decode_ms + prefill_ms);
     this->pass_ends_ms = std::max(now_ms, this->pass_ends_ms) + pass_ms;
     if (pass_ms <= 0) {
       this->pass_ends_ms = now_ms;
@@ -173,6 +188,9 @@
     }
     for (std::size_t number = 0; number < load.entries; ++number) {
       this->entries.push_back(std::make_unique<Entry>(load.seed, number));
+      if (load.learns) {
+        this->entries.back()->UseLearntCapacity();
+      }
     }
   }
 
@@ -207,14 +225,20 @@
     double prompt_tokens = 0;
     std::int64_t events = 1;
     double expected_ms = 0;
+    double published_ms = 0;
+    std::int64_t last_event_ms = 0;
     std::string target;
   };
 
   struct Entry {
     Entry(std::uint64_t seed, std::size_t number)
-        : chooser("a", "entry-" + std::to_string(number), seed * 977 + number) {
+        : learner(seed * 31 + number),
+          chooser("a", "entry-" + std::to_string(number), seed * 977 + number) {
     }
+    void UseLearntCapacity() { this->chooser.UseLearntCapacity(this->learner); }
+
     TargetTracker tracker;
+    CapacityLearner learner;
     TargetChooser chooser;
     WaitQueue queue;
     std::vector<InFlightWork> reported;
@@ -290,6 +314,7 @@
     request.target = choice.target->name;
     request.sent_ms = this->now_ms;
     request.expected_ms = choice.expected_ms;
+    request.published_ms = choice.published_ms;
     entry.tracker.BeginRequest(
         request.target, static_cast<std::uint32_t>(request.prompt_tokens), now);
     this->engines.at(request.target)
@@ -314,14 +339,19 @@
 
   void AdvanceEngines() {
     for (std::pair<const std::string, SimulatedEngine>& item : this->engines) {
-      std::vector<std::uint64_t> first_events;
-      std::vector<std::uint64_t> ended;
-      item.second.Advance(static_cast<double>(this->now_ms), first_events,
-                          ended);
-      for (const std::uint64_t id : first_events) {
+      const bool is_slow = item.first == "h0" &&
+                           this->now_ms >= this->load.slow_from_ms &&
+                           this->now_ms < this->load.slow_until_ms;
+      const SimulatedEngine::Events events =
+          item.second.Advance(static_cast<double>(this->now_ms),
+                              is_slow ? this->load.slow_factor : 1);
+      for (const std::uint64_t id : events.first) {
         this->OnFirstEvent(this->requests.at(id));
       }
-      for (const std::uint64_t id : ended) {
+      for (const std::uint64_t id : events.later) {
+        this->OnLaterEvent(this->requests.at(id));
+      }
+      for (const std::uint64_t id : events.last) {
         const Request& request = this->requests.at(id);
         const std::size_t entry = request.entry;
         this->entries[entry]->tracker.EndRequest(
@@ -332,7 +362,27 @@
     }
   }
 
-  void OnFirstEvent(const Request& request) {
+  void RecordProgress(const Request& request) {
+    if (this->load.records_progress) {
+      this->entries[request.entry]->tracker.RecordProgress(request.target,
+                                                           At(this->now_ms));
+    }
+  }
+
+  void OnLaterEvent(Request& request) {
+    Entry& entry = *this->entries[request.entry];
+    this->RecordProgress(request);
+    EventGap gap;
+    gap.began_at = At(request.last_event_ms);
+    gap.expected_ms =
+        EventGapMs(*this->service->engine, *this->model,
+                   entry.tracker.Load(request.target),
+                   entry.tracker.PendingPrefillTokens(request.target));
+    entry.learner.ObserveEventGap({request.target, 0}, gap, At(this->now_ms));
+    request.last_event_ms = this->now_ms;
+  }
+
+  void OnFirstEvent(Request& request) {
     Entry& entry = *this->entries[request.entry];
     const double engine_ms =
         static_cast<double>(this->now_ms - request.sent_ms) +
@@ -341,6 +391,13 @@
         engine_ms + static_cast<double>(request.sent_ms - request.arrived_ms);
     entry.tracker.EndPrefill(request.target,
                              static_cast<std::uint32_t>(request.prompt_tokens));
+    this->RecordProgress(request);
+    entry.learner.ObserveFirstEvent(
+        {request.target, 0},
+        entry.chooser.PredictFirstEventMs("engines", "small",
+                                          request.published_ms),
+        engine_ms, At(this->now_ms));
+    request.last_event_ms = this->now_ms;
     entry.chooser.RecordFirstEvent("engines", "small", request.expected_ms,
                                    engine_ms);
     if (total_ms <= this->load.objective_ms) {
@@ -358,9 +415,13 @@
       const std::int64_t phase = static_cast<std::int64_t>(number * 7 % 100);
       if (this->now_ms % kReportMs == phase) {
         entry.reported = entry.tracker.ReportInFlightWork();
+        (void)this->merger.AddReport(entry.learner.TakeReport(At(this->now_ms)),
+                                     At(this->now_ms));
       }
       if ((this->now_ms + 53) % kReportMs == phase) {
         entry.tracker.SetTotals(this->Totals());
+        (void)entry.learner.ApplyMerged(this->merger.Notable(At(this->now_ms)),
+                                        this->entries.size(), At(this->now_ms));
         this->StartRound(entry);
         this->DispatchQueued(number);
       }
@@ -412,6 +473,8 @@
   SimulatedLoad load;
   std::mt19937_64 random;
   FleetView view;
+  CapacityMerger merger =
+      CapacityMerger([](const std::string&, std::int64_t) { return true; });
   const Service* service = nullptr;
   const ModelProfile* model = nullptr;
   std::map<std::string, SimulatedEngine> engines;
