Merge learnt capacities of targets

Where health answers may be false, entries learn from answers how fast each target is and how many requests it takes well, and share it through the leader.

--- a/include/gooseberryturn/observe/metrics.h
+++ b/include/gooseberryturn/observe/metrics.h
@@ -63,16 +63,21 @@
   kLengthHintsIgnored,  ///< Of callers; no whole number, or out of range.
   kPlatformCalls,       ///< Calls to the platform that were made.
   kPlatformCallsFailed,
-  kPlatformConflicts,     ///< Rejected for a higher fencing token.
-  kPlatformCallsLimited,  ///< Rejected by the platform's rate limit.
-  kUsageWindowsClosed,    ///< Content was written to the log.
-  kUsageWindowsDropped,   ///< The platform was down for too long.
-  kUsageWindowsWaiting,   ///< Closed and not acknowledged.
-  kUsageLateRequests,     ///< Reported after their window was closed.
-  kUsageCountsIgnored,    ///< Not valid.
+  kPlatformConflicts,        ///< Rejected for a higher fencing token.
+  kPlatformCallsLimited,     ///< Rejected by the platform's rate limit.
+  kUsageWindowsClosed,       ///< Content was written to the log.
+  kUsageWindowsDropped,      ///< The platform was down for too long.
+  kUsageWindowsWaiting,      ///< Closed and not acknowledged.
+  kUsageLateRequests,        ///< Reported after their window was closed.
+  kUsageCountsIgnored,       ///< Not valid.
+  kTargetsSlow,              ///< Targets found to be slow by their answers.
+  kTargetsRecovered,         ///< Slow targets that are fast again.
+  kLearntCapacitiesIgnored,  ///< Invalid, or of an unknown incarnation.
+  kCapacityProbes,           ///< Requests sent to see if a target recovered.
+  kRequestLimitDecreases,    ///< Of learnt request limits.
 };
 
-inline constexpr std::size_t kMetricCount = 42;
+inline constexpr std::size_t kMetricCount = 47;
 
 /// \brief Exported names, without the prefix `gooseberryturn_`.
 inline constexpr NameTable<Metric, kMetricCount> kMetricNames = {
@@ -117,7 +122,12 @@
      "usage_windows_dropped_total",
      "usage_windows_waiting",
      "usage_late_requests_total",
-     "usage_counts_ignored_total"}};
+     "usage_counts_ignored_total",
+     "targets_slow_total",
+     "targets_recovered_total",
+     "learnt_capacities_ignored_total",
+     "capacity_probes_total",
+     "request_limit_decreases_total"}};
 
 /// \brief Durations that are exported as summaries with quantiles.
 enum class Timing : std::uint8_t {
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -160,6 +160,7 @@
       std::exchange(this->connection, nullptr);
   if (used != nullptr) {
     this->MeterEnd(ExchangeEnd::kCancelled, used.get());
+    this->ObserveAbandoned(Clock::now());
     this->attempt_number += 1;
     this->EndPrefill();
     this->SetPaused(false);
