--- a/bench/leader_bench.cc
+++ b/bench/leader_bench.cc
@@ -28,6 +28,8 @@
 constexpr char kLargeModel[] = "large";
 constexpr char kSmallModel[] = "small";
 constexpr std::size_t kTargetsPerDomain = 96;
+/// An entry has requests at every fourth target.
+constexpr std::size_t kWorkStride = 4;
 /// Every third target is a plain one.
 constexpr std::size_t kPlainStride = 3;
 
@@ -164,10 +166,9 @@
 
 /// Work of one entry at every fourth target.
 std::vector<InFlightWork> WorkOfEntry(std::size_t entry, std::size_t targets) {
-  constexpr std::size_t kStride = 4;
   std::vector<InFlightWork> work;
-  for (std::size_t number = entry % kStride; number < targets;
-       number += kStride) {
+  for (std::size_t number = entry % kWorkStride; number < targets;
+       number += kWorkStride) {
     work.push_back({"target-" + std::to_string(number), 2, 100});
   }
   return work;
--- a/tests/control_load_test.cc
+++ b/tests/control_load_test.cc
@@ -10,7 +10,6 @@
 
 #include "direct_fixtures.h"
 #include "gooseberryturn/consensus/node.h"
-#include "gooseberryturn/core/compression.h"
 #include "gooseberryturn/direct/heartbeat_relay.h"
 #include "gooseberryturn/direct/in_flight_totals.h"
 #include "gooseberryturn/direct/registry.h"
