Hosts of closed groups wait for the last one to drain

What callers saw: on a deployment with groups of 16 and 4 the larger model had too few groups for tens of seconds. A reassignment closed four smaller groups; three were free within 2 s and the last one after 6.9 s, when its requests had ended.

Cause: the domain was reserved for the larger model for 2.5 s, shorter than a closing group may take to drain (6 s). The free hosts went back to the smaller model: they had served nothing, and had lost their copies of the larger one.

Change: while requests are in flight at a group to be closed, the reservation lasts until it is closed anyway.

hosts_of_closed_groups_wait_for_the_last_one_to_drain fails on the code before ("g1048581 was formed of reserved hosts") and holds now.

--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -138,9 +138,12 @@
   /// Covers an order to leave that a member executes late.
   static constexpr Duration kOrphanMargin = std::chrono::seconds(3);
   /// Shortest time for which a fabric domain stays reserved after a
-  /// reassignment, unless the group that it is for starts sooner. A reserved
-  /// domain is not reassigned.
+  /// reassignment, unless the group that it is for starts sooner: longer where
+  /// requests of closing groups have to end first. A reserved domain is not
+  /// reassigned.
   static constexpr Duration kReservationTime = std::chrono::milliseconds(2500);
+  /// Time allowed from the release of a member until it is ordered to join.
+  static constexpr Duration kRejoinMargin = std::chrono::milliseconds(500);
   /// Factor on the published load time while there is no traffic yet.
   static constexpr double kPreTrafficLoadFactor = 0.1;
 
@@ -357,6 +360,9 @@
       const std::vector<std::string>& closed_groups,
       const std::map<std::string, double>& coverage,
       const PlanInput& input) const;
+  /// True if requests are in flight at any of the groups.
+  [[nodiscard]] bool HasWork(const std::vector<std::string>& names,
+                             const PlanInput& input) const;
   /// The reassignment within one domain that gains most; it closes no groups
   /// if none gains enough.
   [[nodiscard]] Reassignment BestReassignment(
--- a/src/direct/group_planner.cc
+++ b/src/direct/group_planner.cc
@@ -45,7 +45,7 @@
     group.close_deadline = now + kCloseTimeout;
     if (!view.closing_for.empty()) {
       this->reservations[view.domain] = {view.closing_for,
-                                         now + kReservationTime};
+                                         now + kCloseTimeout + kRejoinMargin};
     }
     for (const std::string& member : view.members) {
       group.resend_at[member] = now + kOrderResendInterval;
--- a/src/direct/group_planner_balance.cc
+++ b/src/direct/group_planner_balance.cc
@@ -21,9 +21,6 @@
 /// Minimum gain of a reassignment; see GainFromClosing.
 constexpr double kMinGainSeconds = 0.4;
 
-/// Time allowed from the release of a member until it is ordered to join.
-constexpr Duration kRejoinMargin = std::chrono::milliseconds(500);
-
 /// Fraction of all hosts assumed to be busy until entries have measured it.
 constexpr double kDefaultUtilization = 0.6;
 
@@ -254,6 +251,16 @@
          (during - before) * kReassignmentSeconds;
 }
 
+bool GroupPlanner::HasWork(const std::vector<std::string>& names,
+                           const PlanInput& input) const {
+  return std::any_of(
+      names.begin(), names.end(), [this, &input](const std::string& name) {
+        const auto in_flight = input.in_flight_work.find(
+            this->groups.at(name).view.members.front());
+        return in_flight != input.in_flight_work.end() && in_flight->second > 0;
+      });
+}
+
 GroupPlanner::Reassignment GroupPlanner::BestReassignment(
     const Service& service, const ModelProfile& underserved,
     const std::map<std::string, double>& coverage, const FreeHosts& free_hosts,
@@ -287,6 +294,10 @@
     if (closed_groups.empty()) {
       continue;
     }
+    if (this->HasWork(closed_groups, input)) {
+      // Hosts that are free sooner wait for those of the last group to close.
+      until = std::max(until, now + kCloseTimeout + kRejoinMargin);
+    }
     const double gain_s = this->GainFromClosing(service, underserved,
                                                 closed_groups, coverage, input);
     if (gain_s > best.gain_s) {
--- a/tests/direct_group_planner_test.cc
+++ b/tests/direct_group_planner_test.cc
@@ -232,6 +232,46 @@
   BOOST_TEST(fleet.CountOpen(kLarge) == 4U);
 }
 
+// On a deployment with groups of 16 and 4, three of four closed groups were
+// free at once and the last one only after its requests had ended. The
+// reservation ended before, and the free hosts went back to the model that they
+// came from: they had served nothing, and had lost their copies of the larger
+// one.
+BOOST_AUTO_TEST_CASE(hosts_of_closed_groups_wait_for_the_last_one_to_drain) {
+  PlannedFleet fleet(12);
+  fleet.AddDomain("a", 10);
+  fleet.Run(8000);
+  fleet.has_traffic = true;
+  fleet.Run(40'000);  // Members get copies of the other model.
+  BOOST_REQUIRE(fleet.CountOpen(kLarge) == 1U);
+  BOOST_REQUIRE(fleet.CountOpen(kSmall) == 3U);
+  for (const GroupView& view : fleet.planner.Groups()) {
+    fleet.in_flight_work[view.members.front()] = 1;
+  }
+  fleet.demand = {{kService, kLarge, 2.2}, {kService, kSmall, 0.5}};
+  fleet.Run(fleet.now + 200);
+  BOOST_REQUIRE(fleet.CountOpen(kSmall) == 1U);
+  bool is_first = true;
+  for (const GroupView& view : fleet.planner.Groups()) {
+    if (view.phase == GroupPhase::kClosing && is_first) {
+      fleet.in_flight_work[view.members.front()] = 0;
+      is_first = false;
+    }
+  }
+  while (fleet.now < 40'000 + 9000) {
+    fleet.Run(fleet.now + 50);
+    for (const GroupView& view : fleet.planner.Groups()) {
+      BOOST_TEST((view.model != kSmall || view.phase != GroupPhase::kForming),
+                 view.name << " was formed of reserved hosts at " << fleet.now);
+    }
+    // The last requests end just before the group would be closed anyway.
+    if (fleet.now > 40'000 + 5500) {
+      fleet.in_flight_work.clear();
+    }
+  }
+  BOOST_TEST(fleet.CountOpen(kLarge) == 2U);
+}
+
 namespace {
 
 /// Every group that serves has a model of the configuration, in its size.
