An entry knows how old the leader's last word is

Cause: an update that waits at a busy leader or on the way looks new when it arrives. The entry had no sign that a newer configuration was in force.

Change: entries number their reports, updates name the last one that the leader had handled. An entry that has no such word about the last 1.5 s answers 503 where it would say 404 or 401. Fields are appended; with a leader that does not send them, everything is as before.

an_update_that_waited_does_not_count_as_current is a unit test of the decision; no test with real programs delays updates.

--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -128,7 +128,8 @@
     std::shared_ptr<link::Stream> stream;
     std::uint64_t number = 0;  ///< Unique among all streams of followers.
     FollowerHello hello;
-    std::uint64_t sent_revision = 0;  ///< Of the last update.
+    std::uint64_t handled_report = 0;  ///< Number of its last report.
+    std::uint64_t sent_revision = 0;   ///< Of the last update.
     std::uint64_t sent_config_version = 0;
     /// Version that the follower was told of without its text.
     std::uint64_t notified_config_version = 0;
--- a/include/gooseberryturn/direct/entry_host.h
+++ b/include/gooseberryturn/direct/entry_host.h
@@ -28,6 +28,7 @@
 #include "gooseberryturn/direct/target_chooser.h"
 #include "gooseberryturn/direct/target_connection.h"
 #include "gooseberryturn/direct/target_tracker.h"
+#include "gooseberryturn/direct/view_freshness.h"
 #include "gooseberryturn/direct/wait_queue.h"
 #include "gooseberryturn/duty/usage_meter.h"
 #include "gooseberryturn/observe/metrics.h"
@@ -99,6 +100,10 @@
       const FleetUpdate& update) const;
   /// Takes over what all entries learnt of the targets.
   void ApplyLearntCapacities(const FleetUpdate& update);
+  /// True when a newer configuration than this entry's is or may be in force.
+  [[nodiscard]] bool MayBeBehind(TimePoint now) const {
+    return this->view.IsBehind() || this->freshness.IsStale(now);
+  }
   /// Lets the chooser divide the room that new figures show.
   void BeginRound(TimePoint now);
   /// Brings the reserves up to date with the configuration and open groups.
@@ -163,6 +168,7 @@
   AsyncHttpServer ready_server;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
   FleetView view;
+  ViewFreshness freshness;
   PriorityMap priorities;  ///< Of the configuration in force.
   /// Base of the next patch. Held also when the configuration is not valid.
   ConfigurationText held_text;
--- a/include/gooseberryturn/direct/view.h
+++ b/include/gooseberryturn/direct/view.h
@@ -106,6 +106,14 @@
                  takes_compressed)
 };
 
+/// \brief The last report of an entry that the leader has handled.
+struct HandledReport {
+  std::uint64_t incarnation = 0;  ///< Of the entry; see FollowerHello.
+  std::uint64_t number = 0;
+
+  MSGPACK_DEFINE(incarnation, number)
+};
+
 /// \brief Report of an entry to the leader, sent several times a second.
 struct EntryReport {
   std::vector<InFlightWork> in_flight_work;
@@ -124,11 +132,12 @@
   /// last windows in its first one; see duty::UsageMeter.
   std::vector<duty::UsageCount> usage;
   std::vector<LearntCapacity> learnt_capacities;
+  std::uint64_t number = 0;  ///< Counts the reports of this entry's process.
 
   MSGPACK_DEFINE(in_flight_work, stalled_groups, cut_requests,
                  has_received_request, config_version, model_work,
                  answered_contents, held_contents, refused_contents, unix_ms,
-                 usage, learnt_capacities)
+                 usage, learnt_capacities, number)
 };
 
 /// \brief Changes since the previous update, sent by the leader to followers.
@@ -156,11 +165,13 @@
   std::vector<std::string> watched;
   std::int64_t unix_ms = 0;  ///< Time of day that the fleet goes by.
   std::vector<LearntCapacity> learnt_capacities;  ///< Of all entries.
+  std::vector<HandledReport> handled_reports;     ///< See ViewFreshness.
 
   MSGPACK_DEFINE(is_leader, leader, term, is_full, config_version, config_text,
                  targets, removed_targets, groups, removed_groups, evacuated,
                  in_flight_work, quarantined, control_hosts, entries,
-                 config_patch, held, watched, unix_ms, learnt_capacities)
+                 config_patch, held, watched, unix_ms, learnt_capacities,
+                 handled_reports)
 };
 
 /// \brief What the leader is to do with a forwarded call.
--- a/src/direct/control_host_followers.cc
+++ b/src/direct/control_host_followers.cc
@@ -63,6 +63,7 @@
 
 void ControlHost::OnReport(Follower& follower, const EntryReport& report) {
   const TimePoint now = Clock::now();
+  follower.handled_report = report.number;
   this->in_flight_totals.SetReport(follower.number, report.in_flight_work, now);
   this->demand.AddReport(
       {follower.hello.host, follower.hello.incarnation, report.model_work},
@@ -163,6 +164,10 @@
                               update.removed_groups);
   if (needs.has_in_flight_work) {
     update.in_flight_work = this->SumInFlightWork(now);
+    for (const std::shared_ptr<Follower>& follower : this->followers) {
+      update.handled_reports.push_back(
+          {follower->hello.incarnation, follower->handled_report});
+    }
     if (this->settings.learns_capacity) {
       update.learnt_capacities = this->capacity_merger.Notable(now);
     }
--- a/src/direct/entry_host.cc
+++ b/src/direct/entry_host.cc
@@ -317,6 +317,11 @@
   }
   const bool has_new_configuration = table != nullptr;
   this->view.Apply(update, std::move(table));
+  for (const HandledReport& handled : update.handled_reports) {
+    if (handled.incarnation == this->incarnation) {
+      this->freshness.RecordHandled(handled.number);
+    }
+  }
   if (has_new_configuration) {
     this->priorities = PriorityMap(this->view.routes()->configuration());
     for (const std::shared_ptr<CallerConnection>& caller : this->callers) {
@@ -479,6 +484,7 @@
         observe::Metric::kRequestLimitDecreases,
         static_cast<std::int64_t>(this->capacity_learner.decreases()));
   }
+  report.number = this->freshness.RecordSent(now);
   if (this->follow_client.Send(report)) {
     this->cut_reports.RecordSent(now);
     this->held_contents.clear();
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -128,7 +128,7 @@
 }
 
 void RequestFlow::RefuseByConfiguration(int status, Reason reason) {
-  if (this->entry.view.IsBehind()) {
+  if (this->entry.MayBeBehind(Clock::now())) {
     this->Refuse(kUnavailable, Reason::kNoView);
   } else {
     this->Refuse(status, reason);
@@ -326,7 +326,7 @@
     return false;
   }
   if (reason == ChoiceFailure::kNotConfigured) {
-    return !this->entry.view.IsBehind();
+    return !this->entry.MayBeBehind(Clock::now());
   }
   if (this->model.empty()) {
     return reason == ChoiceFailure::kNoTarget ||
--- a/tests/control_load_test.cc
+++ b/tests/control_load_test.cc
@@ -14,6 +14,7 @@
 #include "gooseberryturn/direct/in_flight_totals.h"
 #include "gooseberryturn/direct/registry.h"
 #include "gooseberryturn/direct/update_encoder.h"
+#include "gooseberryturn/direct/view_freshness.h"
 #include "gooseberryturn/direct/work_pacer.h"
 #include "gooseberryturn/protocol/codec.h"
 
@@ -338,3 +339,28 @@
     BOOST_TEST(elected_ms < 4000);
   }
 }
+
+// With 300 entries, updates waited for seconds at the leader, and an entry that
+// had not heard of an acknowledged configuration answered 404 for its routes.
+BOOST_AUTO_TEST_CASE(an_update_that_waited_does_not_count_as_current) {
+  ViewFreshness freshness;
+  BOOST_TEST(!freshness.IsStale(At(100'000)));
+  std::uint64_t first = 0;
+  for (std::int64_t now = 0; now <= 3000; now += 100) {
+    const std::uint64_t number = freshness.RecordSent(At(now));
+    first = first == 0 ? number : first;
+  }
+  // Updates go on to arrive, but the leader has handled none but the first.
+  freshness.RecordHandled(first);
+  BOOST_TEST(!freshness.IsStale(At(1500)));
+  BOOST_TEST(freshness.IsStale(At(1501)));
+  freshness.RecordHandled(first);
+  BOOST_TEST(freshness.IsStale(At(3000)));
+  freshness.RecordHandled(first + 20);  // Sent at 2,000 ms.
+  BOOST_TEST(!freshness.IsStale(At(3500)));
+  BOOST_TEST(freshness.IsStale(At(3501)));
+  // Numbers that were never sent, and an older update, change nothing.
+  freshness.RecordHandled(first + 1000);
+  freshness.RecordHandled(first + 2);
+  BOOST_TEST(freshness.IsStale(At(3501)));
+}
