After a reading of the whole diff: bounds, names and notes

- The model that a caller names for a plain service is not kept: each name left a queue with its fair order behind, so that a caller could fill the memory of an entry.
No test shows this one.
- A team without a name is not counted: in reports of usage the empty name is the mark of the first open window (requests_of_a_team_without_a_name_are_not_counted).
- The forecast of a model whose demand is no longer measured is dropped; its last level was used for ever.
- Comments and names that stopped a reader; a function that nothing called; notes that said other than the code.

--- a/include/gooseberryturn/consensus/node.h
+++ b/include/gooseberryturn/consensus/node.h
@@ -162,7 +162,8 @@
 
   /// Up to this many voters, timeouts end at Options::election_timeout_max.
   static constexpr std::size_t kVotersWithBaseTimeout = 25;
-  /// Beyond, their range is wider by one for each so many voters.
+  /// Beyond, the range is that of the settings times
+  /// (voters / kVotersPerSpread).
   static constexpr std::size_t kVotersPerSpread = 5;
 
   /// A heartbeat round and its send time.
--- a/include/gooseberryturn/direct/capacity_learner.h
+++ b/include/gooseberryturn/direct/capacity_learner.h
@@ -66,7 +66,7 @@
 ///   learner.ObserveEventGap(head, {50, began_at}, now);
 ///   expected_ms *= learner.Estimate(head, start_ms, now).time_factor;
 ///   report.learnt_capacities = learner.TakeReport(now);
-///   learner.ApplyMerged(update.learnt_capacities, now);
+///   learner.ApplyMerged(update.learnt_capacities, view.entries(), now);
 /// \endcode
 class CapacityLearner {
  public:
--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -78,7 +78,7 @@
   static constexpr double kMaxInFlightBytesPerS = 40e6;
   static constexpr double kInFlightWorkBytes = 24;  ///< Of one target.
   /// Largest parts of the time spent on plans and on updates, and the longest
-  /// pause between two of them. A third of what a host with 0.3 of a core has.
+  /// pause between two of them. Most of the time is left to messages.
   static constexpr double kMaxPlanShare = 0.1;
   static constexpr double kMaxUpdateShare = 0.1;
   static constexpr Duration kMaxPacedPause = std::chrono::milliseconds(200);
--- a/include/gooseberryturn/direct/duty_runner.h
+++ b/include/gooseberryturn/direct/duty_runner.h
@@ -97,7 +97,8 @@
   duty::FleetClock clock;
   duty::UsageLedger ledger;
   duty::CallQueue queue;
-  std::uint64_t reign = 0;  ///< Tells callbacks of earlier reigns apart.
+  /// Counts the calls of StartLeading: callbacks of earlier ones are ignored.
+  std::uint64_t leadership = 0;
   TimePoint last_tick_at;
   TimePoint next_totals_at;
   bool is_proposing_totals = false;
--- a/include/gooseberryturn/direct/heartbeat_relay.h
+++ b/include/gooseberryturn/direct/heartbeat_relay.h
@@ -55,9 +55,9 @@
 /// announcement is without news if the leader of the present term has taken one
 /// with the same content from this host. The leader refreshes only the run with
 /// just that content: what else it knows by now is announced again in full.
-/// Nothing is answered here unless the leader has confirmed a summary within
-/// kConfirmationLifetime, and a new term starts without any knowledge, so that
-/// a new leader hears each target itself.
+/// Nothing is answered here unless the leader has confirmed a summary or an
+/// announcement within kConfirmationLifetime, and a new term starts without any
+/// knowledge, so that a new leader hears each target itself.
 class HeartbeatRelay {
  public:
   /// \brief True if the call may be answered; it is then part of the next
--- a/include/gooseberryturn/duty/call_queue.h
+++ b/include/gooseberryturn/duty/call_queue.h
@@ -80,7 +80,6 @@
   [[nodiscard]] std::int64_t acknowledged_window() const noexcept {
     return this->last_acknowledged;
   }
-  [[nodiscard]] std::size_t calls_in_progress() const noexcept;
 
   static constexpr Duration kMinBackoff = std::chrono::milliseconds(250);
   static constexpr Duration kMaxBackoff = std::chrono::seconds(5);
--- a/include/gooseberryturn/duty/calls.h
+++ b/include/gooseberryturn/duty/calls.h
@@ -27,8 +27,8 @@
   bool reports_usage = false;
   bool scales = false;
   double calls_per_s = 1;  ///< Of all hosts together.
-  /// Time in which no two hosts may hold a duty in turn and then the first one
-  /// again.
+  /// Time that a new holder waits before its first call, so that the duty does
+  /// not go from A to B and back to A within it; see DutyLease.
   Duration lease_time = std::chrono::seconds(3);
   /// Usage is reported for windows of this length, numbered from Unix time 0.
   Duration usage_window = std::chrono::seconds(5);
--- a/include/gooseberryturn/duty/duty_lease.h
+++ b/include/gooseberryturn/duty/duty_lease.h
@@ -52,6 +52,7 @@
   std::uint64_t last_acquired = 0;  ///< The latest token of this run.
   std::uint64_t previous_fence = 0;  ///< In the log when last proposed.
   TimePoint wait_until;              ///< No calls before.
+  TimePoint acquired_at;             ///< Of the latest token.
   TimePoint next_proposal_at;
   bool is_due = false;
   bool is_proposing = false;
--- a/include/gooseberryturn/duty/fleet_clock.h
+++ b/include/gooseberryturn/duty/fleet_clock.h
@@ -20,7 +20,7 @@
 /// to the leader's Clock, so that a wrong or jumping time of day on fewer than
 /// half of the hosts has no effect. With an even number of hosts the middle
 /// offset that is nearer to the last result is used. Made for 300 entries that
-/// report ten times a second.
+/// report about three times a second.
 class FleetClock {
  public:
   /// \brief Forgets all hosts. No time is known for kCollectTime.
--- a/include/gooseberryturn/duty/usage_ledger.h
+++ b/include/gooseberryturn/duty/usage_ledger.h
@@ -22,7 +22,7 @@
 /// time allowed for its report is over. A new leader does not know which
 /// entries there are, and uses the whole of that time for the windows that
 /// ended before its first kCollectTime was over. Made for 300 entries that
-/// report ten times a second, and 10 teams.
+/// report about three times a second, and 10 teams.
 class UsageLedger {
  public:
   explicit UsageLedger(const PlatformSettings& settings)
--- a/src/direct/duty_runner.cc
+++ b/src/direct/duty_runner.cc
@@ -45,7 +45,7 @@
       queue(settings.calls_per_s, seed) {}
 
 void DutyRunner::StartLeading(TimePoint now) {
-  this->reign += 1;
+  this->leadership += 1;
   this->lease.StartLeading();
   this->clock.StartLeading(now);
   this->ledger.StartLeading(now);
@@ -107,9 +107,9 @@
   FleetCommand command;
   command.kind = FleetCommandKind::kTakeDuties;
   command.duty_host = this->host;
-  this->hooks.propose(command, [this, last, proposed_in = this->reign](
+  this->hooks.propose(command, [this, last, proposed_in = this->leadership](
                                    std::optional<consensus::Index> index) {
-    if (proposed_in != this->reign) {
+    if (proposed_in != this->leadership) {
       return;
     }
     if (!index.has_value()) {
@@ -126,9 +126,9 @@
 
 void DutyRunner::ProposeUsage(const FleetCommand& command, bool& is_open) {
   is_open = true;
-  this->hooks.propose(command, [this, &is_open, proposed_in = this->reign](
+  this->hooks.propose(command, [this, &is_open, proposed_in = this->leadership](
                                    std::optional<consensus::Index> /*index*/) {
-    if (proposed_in == this->reign) {
+    if (proposed_in == this->leadership) {
       is_open = false;
     }
   });
@@ -228,7 +228,7 @@
         const TimePoint at = this->hooks.now();
         return at < deadline && this->Fence(at) == fence;
       },
-      [this, call, sent_in = this->reign](CallOutcome outcome) {
+      [this, call, sent_in = this->leadership](CallOutcome outcome) {
         LogEvent(
             outcome == CallOutcome::kAcknowledged ? Level::kInfo : Level::kWarn,
             "", "platform_call",
@@ -236,7 +236,7 @@
              {"subject", SubjectOf(call)},
              {"fence", std::to_string(call.fence)},
              {"outcome", std::string(duty::kCallOutcomeNames.Name(outcome))}});
-        if (sent_in == this->reign) {
+        if (sent_in == this->leadership) {
           this->OnOutcome(call, outcome);
         }
       });
--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -168,7 +168,10 @@
   }
   std::uniform_real_distribution<double> draw(0, 1);
   this->service = PickService(*this->route, draw(this->entry.random));
-  this->model = std::string(this->message[names.model]);
+  if (this->FindEngine() != nullptr) {
+    // Plain services have no models: a caller could name any number of them.
+    this->model = std::string(this->message[names.model]);
+  }
   this->prompt_tokens = static_cast<double>(std::clamp<std::int64_t>(
       ReadNumber(ToView(this->message[names.tokens]), 0), 0, kMaxPromptTokens));
   this->ReadHint();
--- a/src/duty/call_queue.cc
+++ b/src/duty/call_queue.cc
@@ -208,12 +208,4 @@
                                  jitter(this->random) * longest);
 }
 
-std::size_t CallQueue::calls_in_progress() const noexcept {
-  std::size_t count = 0;
-  for (const std::pair<const SubjectKey, Subject>& entry : this->subjects) {
-    count += entry.second.call_in_progress != 0 ? 1 : 0;
-  }
-  return count;
-}
-
 }  // namespace gooseberryturn::duty
--- a/src/duty/duty_lease.cc
+++ b/src/duty/duty_lease.cc
@@ -29,7 +29,7 @@
   this->last_acquired = acquired;
   this->is_due = false;
   this->is_proposing = false;
-  this->next_proposal_at = now;
+  this->acquired_at = now;
 }
 
 void DutyLease::RecordConflict(std::uint64_t rejected, TimePoint now) {
@@ -38,8 +38,7 @@
   }
   this->fence = 0;
   this->is_due = true;
-  this->next_proposal_at =
-      std::max(now, this->next_proposal_at + this->lease_time);
+  this->next_proposal_at = std::max(now, this->acquired_at + this->lease_time);
 }
 
 void DutyLease::Renew(std::uint64_t above) {
--- a/src/duty/scale_planner.cc
+++ b/src/duty/scale_planner.cc
@@ -242,12 +242,14 @@
   }
   bool is_measured = false;
   for (const ModelLoad& model : context.load.models) {
-    if (model.busy_hosts.has_value()) {
-      const bool is_valid =
-          state.forecasts[model.model].Add(*model.busy_hosts, context.now);
-      is_measured |= is_valid;
-      context.decision.ignored_inputs += is_valid ? 0 : 1;
+    if (!model.busy_hosts.has_value()) {
+      state.forecasts.erase(model.model);
+      continue;
     }
+    const bool is_valid =
+        state.forecasts[model.model].Add(*model.busy_hosts, context.now);
+    is_measured |= is_valid;
+    context.decision.ignored_inputs += is_valid ? 0 : 1;
   }
   if (!is_measured) {
     state.forecasts.clear();
--- a/src/duty/usage_meter.cc
+++ b/src/duty/usage_meter.cc
@@ -41,7 +41,7 @@
                               TimePoint now) {
   const std::optional<std::int64_t> current = this->CurrentWindow(now);
   Request& request = this->requests[id];
-  if (request.is_counted || !current.has_value()) {
+  if (request.is_counted || !current.has_value() || team.empty()) {
     return;
   }
   request.team = team;
@@ -66,7 +66,7 @@
                                   TimePoint now) {
   const std::optional<std::int64_t> current = this->CurrentWindow(now);
   Request& request = this->requests[id];
-  if (request.is_counted || !current.has_value()) {
+  if (request.is_counted || !current.has_value() || team.empty()) {
     return;
   }
   request.team = team;
--- a/tests/duty_test.cc
+++ b/tests/duty_test.cc
@@ -317,6 +317,20 @@
 }  // namespace
 
 // Guards against counting refused requests, and one request twice.
+// In a report, an empty team marks the first window that may still change. A
+// configuration may have a team without a name, whose requests would move it.
+BOOST_AUTO_TEST_CASE(requests_of_a_team_without_a_name_are_not_counted) {
+  UsageMeter meter{seconds(5)};
+  const std::int64_t window = 340'000'000;
+  meter.SetTime(window * 5000, 0, At(Duration(0)));
+  meter.BeginAttempt(1, "", At(seconds(1)));
+  meter.EndAttempt(1, true);
+  meter.RecordFirstEvent(2, "", At(seconds(1)));
+  for (const UsageCount& count : meter.TakeReport(At(seconds(2)))) {
+    BOOST_TEST(count.requests == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_request_counts_once_when_a_target_began_to_run_it) {
   UsageMeter meter{seconds(5)};
   meter.BeginAttempt(99, "early", At(Duration(0)));  // The time is not known.
