Teams, early retries and length hints count only beside priorities

Cause: the order of teams, early retries and the cost by hints were on wherever requests wait, also where nothing in the configuration asks for them.

Change: they take effect for services whose requests differ in priority.

--- a/src/direct/request_flow.cc
+++ b/src/direct/request_flow.cc
@@ -187,7 +187,7 @@
   this->queue_deadline =
       std::min(this->deadline, this->received_at + kMaxQueueTime);
   this->RecordDemand();
-  this->is_early_retry = this->IsEarlyRetry();
+  this->is_early_retry = this->IsOrderedByPriority() && this->IsEarlyRetry();
   if (this->is_early_retry) {
     this->entry.metrics.Add(observe::Metric::kEarlyRetries);
   }
@@ -231,6 +231,10 @@
   return engine == nullptr ? nullptr : engine->FindModel(this->model);
 }
 
+bool RequestFlow::IsOrderedByPriority() const {
+  return this->entry.priorities.HasSeveral(this->service);
+}
+
 bool RequestFlow::IsEarlyRetry() const {
   return !this->entry.early_retries.empty() &&
          this->entry.early_retries.IsEarly(this->Fingerprint(),
@@ -246,9 +250,11 @@
     const double mean_tokens = this->entry.demand.MeanAnswerTokens(
         this->route->name, engine.mean_output_tokens);
     const double output_tokens =
-        this->entry.lengths
-            .Expect(this->route->name, this->length_hint, mean_tokens)
-            .tokens;
+        this->IsOrderedByPriority()
+            ? this->entry.lengths
+                  .Expect(this->route->name, this->length_hint, mean_tokens)
+                  .tokens
+            : mean_tokens;
     this->engine_ms = EngineTimeMs(engine, *model_profile, this->prompt_tokens,
                                    output_tokens);
     this->entry.demand.RecordRequest(this->service, this->model,
@@ -421,7 +427,9 @@
   queued.priority = this->Priority();
   queued.dispatch_by = this->dispatch_by;
   queued.queue_deadline = this->queue_deadline;
-  queued.team = this->team == nullptr ? "" : this->team->name;
+  if (this->team != nullptr && this->IsOrderedByPriority()) {
+    queued.team = this->team->name;
+  }
   queued.engine_ms = this->engine_ms;
   queued.is_early_retry = this->is_early_retry;
   return queued;
--- a/src/direct/request_flow_end.cc
+++ b/src/direct/request_flow_end.cc
@@ -141,6 +141,8 @@
     lines += std::string("Retry-After: ") + text.data() + "\r\n";
     if (reason == Reason::kOverloaded) {
       this->RecordOverload(Clock::now());
+    }
+    if (reason == Reason::kOverloaded && this->IsOrderedByPriority()) {
       this->entry.early_retries.Record(
           this->Fingerprint(),
           Clock::now() + FromSeconds(retry_after_s - kRetryAfterStepS));
