Room is kept for urgent requests only where routes differ in priority

Cause: a team may have a priority of its own, and nearly every configuration has such teams. That switched on the engine's priority header and the reserve, whose square-root margin is large beside the few requests of one urgent team.

Change: both follow from the routes of a service. Priorities of teams order what waits at an entry, as before, and count beside those of routes where these differ.

--- a/include/gooseberryturn/direct/priority_map.h
+++ b/include/gooseberryturn/direct/priority_map.h
@@ -13,10 +13,11 @@
 /// \brief Engine priorities of the requests of one configuration.
 ///
 /// \details A group head admits the request with the lowest engine priority
-/// first; one without the header counts as 5. Where the requests of an engine
-/// service can differ in priority, their engine priorities are the ranks of
-/// their priorities, spread between kMostUrgent and kLeastUrgent. Other
-/// services have none, and their requests are sent without the header.
+/// first; one without the header counts as 5. Where the routes of an engine
+/// service differ in priority, the engine priorities of its requests are the
+/// ranks of their priorities, spread between kMostUrgent and kLeastUrgent.
+/// Other services have none, and their requests are sent without the header:
+/// priorities of teams alone only order what waits at an entry.
 ///
 /// Designed for a handful of distinct priorities in each service. With more
 /// ranks than engine priorities, neighbouring ranks share one.
@@ -32,12 +33,12 @@
   explicit PriorityMap(const Configuration& configuration);
 
   /// \brief Priority at the engine for a request with `priority`; empty if the
-  /// requests of `service` all have the same one. A priority that the
+  /// routes of `service` all have the same one. A priority that the
   /// configuration doesn't contain counts as the next less urgent one, or as
   /// the least urgent.
   [[nodiscard]] std::optional<int> EnginePriority(const std::string& service,
                                                   int priority) const;
-  /// \brief True if the requests of `service` can differ in priority.
+  /// \brief True if the routes of `service` differ in priority.
   [[nodiscard]] bool HasSeveral(const std::string& service) const {
     return this->priorities_by_service.count(service) > 0;
   }
@@ -51,7 +52,8 @@
   static constexpr int kLate = 7;
 
  private:
-  /// Distinct priorities in ascending order, of engine services with several.
+  /// Distinct priorities of the requests, in ascending order, of engine
+  /// services whose routes have several.
   std::map<std::string, std::vector<int>> priorities_by_service;
 };
 
--- a/include/gooseberryturn/direct/request_flow.h
+++ b/include/gooseberryturn/direct/request_flow.h
@@ -131,7 +131,7 @@
       const std::string& target_id) const;
   /// The request as the wait queue orders it.
   [[nodiscard]] QueuedRequest DescribeQueued() const;
-  /// True where requests of the service differ in priority: waiting requests
+  /// True where routes of the service differ in priority: waiting requests
   /// are then ordered by team too, and their costs by the callers' length
   /// hints.
   [[nodiscard]] bool IsOrderedByPriority() const;
--- a/src/direct/priority_map.cc
+++ b/src/direct/priority_map.cc
@@ -31,18 +31,21 @@
 }  // namespace
 
 PriorityMap::PriorityMap(const Configuration& configuration) {
-  std::map<std::string, std::set<int>> found;
+  std::map<std::string, std::set<int>> of_routes;
+  std::map<std::string, std::set<int>> of_requests;
   for (const Route& route : configuration.routes) {
     const std::set<int> priorities = PrioritiesOf(route, configuration);
     for (const WeightedService& used : route.services) {
       const Service* service = configuration.FindService(used.service);
       if (service != nullptr && service->engine.has_value()) {
-        found[used.service].insert(priorities.begin(), priorities.end());
+        of_routes[used.service].insert(route.priority);
+        of_requests[used.service].insert(priorities.begin(), priorities.end());
       }
     }
   }
-  for (const std::pair<const std::string, std::set<int>>& service : found) {
-    if (service.second.size() > 1) {
+  for (const std::pair<const std::string, std::set<int>>& service :
+       of_requests) {
+    if (of_routes[service.first].size() > 1) {
       this->priorities_by_service[service.first] = {service.second.begin(),
                                                     service.second.end()};
     }
