A leader that is stopped, or whose disk is full, hands over at once

Operators wait as long for every change when the disk of a leader is full, and for an election timeout at every planned stop of a leader.

Change: leadership transfer (Raft thesis, 3.10). Node::Resign names the voter in contact with the newest log; that one runs at once, and voters grant it their vote although they have just heard from the leader. That is safe because the resigning node gives up its lease before the message exists and can't lead in that term again; a late message meets a higher term and is dropped. The driver resigns at the first failed write, the control host of the fleet without agents at the end of a planned stop, when no call waits for a result any more.

The stop of a control host with agents doesn't resign yet.

--- a/include/gooseberryturn/consensus/driver.h
+++ b/include/gooseberryturn/consensus/driver.h
@@ -82,6 +82,10 @@
   /// \brief Proposes a membership change; see Node::ChangeMembership.
   [[nodiscard]] Result<void> ChangeMembership(const Membership& next);
 
+  /// \brief Hands leadership to another host if this one leads; see
+  /// Node::Resign. Pending proposals fail with Outcome::kUnknown.
+  void Resign();
+
   [[nodiscard]] const Node& node() const noexcept { return this->raft; }
   /// \brief True while this host may serve reads alone; see Node::HasLease.
   [[nodiscard]] bool HasLease(TimePoint now) const {
--- a/include/gooseberryturn/consensus/node.h
+++ b/include/gooseberryturn/consensus/node.h
@@ -111,6 +111,16 @@
   /// left, or while the previous change or the first entry of this term is not
   /// committed yet.
   [[nodiscard]] Result<Index> ChangeMembership(const Membership& next);
+  /// \brief Gives up leadership in favour of the voter with the newest log
+  /// among those in contact (leadership transfer, Raft thesis, 3.10).
+  ///
+  /// \details This node holds no lease and does not lead in this term any more.
+  /// Whether the voter wins is not certain: without it the usual election
+  /// follows.
+  /// \returns The message to send to the voter, before or after any write; no
+  /// message, and no change, if this node does not lead or no voter is in
+  /// contact.
+  [[nodiscard]] std::optional<Message> Resign(TimePoint now);
   /// \brief Returns the pending work and clears it.
   [[nodiscard]] Ready TakeReady();
   /// \brief Reports that `ready` was persisted.
@@ -174,14 +184,15 @@
 
   void BecomeFollower(Term term, NodeId leader);
   void StartPreVote(TimePoint now);
-  void StartElection(TimePoint now);
+  /// \param is_transfer The leader of the present term has resigned.
+  void StartElection(TimePoint now, bool is_transfer = false);
   void BecomeLeader(TimePoint now);
   void ResetElectionTimer(TimePoint now);
   /// Upper bound of the random timeouts. It grows with the number of voters, so
   /// that the first two of many don't become candidates at about the same time
   /// and split the votes; the first one is hardly later for that.
   [[nodiscard]] Duration ElectionTimeoutMax() const;
-  void RequestVotes(MessageType type, Term term);
+  void RequestVotes(MessageType type, Term term, bool is_transfer = false);
   [[nodiscard]] bool IsCandidateUpToDate(const Message& message) const;
   /// False when the membership has no voters, or when it holds another disk
   /// id for this node: its earlier votes and entries may be lost.
@@ -195,6 +206,11 @@
   /// started less than election_timeout_min ago.
   [[nodiscard]] bool HasRecentLeaderContact(TimePoint now) const;
 
+  /// True when this node may vote for the sender of a vote request now, as far
+  /// as the leader that it knows is concerned.
+  [[nodiscard]] bool MayReplaceLeader(const Message& message,
+                                      TimePoint now) const;
+  void OnTransfer(TimePoint now);
   void OnVoteRequest(const Message& message, TimePoint now);
   void OnVoteReply(const Message& message, TimePoint now);
   void OnAppend(const Message& message, TimePoint now);
--- a/include/gooseberryturn/consensus/types.h
+++ b/include/gooseberryturn/consensus/types.h
@@ -89,11 +89,12 @@
   kAppend,
   kAppendReply,
   kSnapshot,
+  kTransfer,  ///< The leader has resigned; the receiver runs for its place.
 };
 
-inline constexpr NameTable<MessageType, 7> kMessageTypeNames = {
+inline constexpr NameTable<MessageType, 8> kMessageTypeNames = {
     {"pre_vote", "pre_vote_reply", "vote", "vote_reply", "append",
-     "append_reply", "snapshot"}};
+     "append_reply", "snapshot", "transfer"}};
 
 }  // namespace gooseberryturn::consensus
 
@@ -137,9 +138,12 @@
   bool reject = false;  ///< Vote not granted or append not accepted.
   std::vector<Entry> entries;
   Snapshot snapshot;
+  /// In a vote request: the leader of the term before has resigned, so the
+  /// receiver grants its vote although it has heard from that leader.
+  bool is_transfer = false;
 
   MSGPACK_DEFINE(type, from, to, disk_id, term, index, log_term, commit, round,
-                 reject, entries, snapshot)
+                 reject, entries, snapshot, is_transfer)
 };
 
 }  // namespace gooseberryturn::consensus
--- a/src/consensus/driver.cc
+++ b/src/consensus/driver.cc
@@ -94,9 +94,11 @@
     Result<void> written = this->Write(*job);
     while (!written.has_value()) {
       // None of the job counts as stored. The host sends no messages until the
-      // write succeeds.
+      // write succeeds, but that it has resigned: it can't lead without
+      // storage.
       LogEvent(Level::kError, "", "storage_failed",
                observe::FieldsOf(written.error()));
+      boost::asio::post(this->context, [this] { this->Resign(); });
       if (this->write_jobs.WaitUntilClosed(kStorageRetryInterval)) {
         return;
       }
@@ -316,6 +318,18 @@
   return {};
 }
 
+void Driver::Resign() {
+  const std::optional<Message> transfer = this->raft.Resign(Clock::now());
+  if (!transfer.has_value()) {
+    return;
+  }
+  LogEvent(Level::kInfo, "", "leadership_resigned",
+           {{"term", std::to_string(transfer->term)},
+            {"successor", std::to_string(transfer->to)}});
+  this->Send(*transfer);
+  this->HandleRoleChange();
+}
+
 void Driver::FailPendingProposals() {
   const std::map<Index, PendingProposal> failed =
       std::move(this->pending_proposals);
--- a/src/consensus/node.cc
+++ b/src/consensus/node.cc
@@ -58,7 +58,7 @@
     case MessageType::kPreVoteReply:
       return message.reject;
     case MessageType::kVote:
-      return !this->HasRecentLeaderContact(now) && this->CanVote();
+      return this->MayReplaceLeader(message, now) && this->CanVote();
     default:
       return true;
   }
@@ -119,6 +119,9 @@
     case MessageType::kSnapshot:
       this->OnSnapshot(message, now);
       break;
+    case MessageType::kTransfer:
+      this->OnTransfer(now);
+      break;
   }
 }
 
--- a/src/consensus/node_election.cc
+++ b/src/consensus/node_election.cc
@@ -1,3 +1,4 @@
+#include <optional>
 #include <utility>
 
 #include "gooseberryturn/consensus/node.h"
@@ -82,7 +83,7 @@
   this->RequestVotes(MessageType::kPreVote, this->hard_state.term + 1);
 }
 
-void Node::StartElection(TimePoint now) {
+void Node::StartElection(TimePoint now, bool is_transfer) {
   this->current_role = NodeRole::kCandidate;
   this->hard_state.term += 1;
   this->hard_state.vote = this->settings.id;
@@ -92,10 +93,47 @@
     this->BecomeLeader(now);
     return;
   }
-  this->RequestVotes(MessageType::kVote, this->hard_state.term);
+  this->RequestVotes(MessageType::kVote, this->hard_state.term, is_transfer);
 }
 
-void Node::RequestVotes(MessageType type, Term term) {
+std::optional<Message> Node::Resign(TimePoint now) {
+  if (this->current_role != NodeRole::kLeader) {
+    return std::nullopt;
+  }
+  const Peer* successor = nullptr;
+  Index newest = 0;
+  for (const Peer& peer : this->members.peers) {
+    const auto known = this->progress.find(peer.id);
+    const bool is_candidate = peer.is_voter && peer.id != this->settings.id &&
+                              known != this->progress.end() &&
+                              known->second.has_acked_round &&
+                              now < known->second.acked_round_sent_at +
+                                        this->settings.election_timeout_min;
+    if (is_candidate &&
+        (successor == nullptr || known->second.match_index > newest)) {
+      successor = &peer;
+      newest = known->second.match_index;
+    }
+  }
+  if (successor == nullptr) {
+    return std::nullopt;
+  }
+  const Message transfer =
+      this->MakeMessage(MessageType::kTransfer, successor->id);
+  this->BecomeFollower(this->hard_state.term, 0);
+  this->ResetElectionTimer(now);
+  return transfer;
+}
+
+void Node::OnTransfer(TimePoint now) {
+  const bool is_eligible =
+      this->members.IsVoter(this->settings.id) && this->CanVote();
+  if (is_eligible && this->current_role != NodeRole::kLeader) {
+    this->StartElection(now, true);
+  }
+}
+
+void Node::RequestVotes(MessageType type, Term term, bool is_transfer) {
   for (const Peer& peer : this->members.peers) {
     if (!peer.is_voter || peer.id == this->settings.id) {
       continue;
@@ -104,6 +142,7 @@
     message.term = term;
     message.index = this->raft_log.LastIndex();
     message.log_term = this->raft_log.LastTerm();
+    message.is_transfer = is_transfer;
     this->outbox.push_back(std::move(message));
   }
 }
@@ -121,6 +160,10 @@
   this->BroadcastHeartbeat(now);
 }
 
+bool Node::MayReplaceLeader(const Message& message, TimePoint now) const {
+  return message.is_transfer || !this->HasRecentLeaderContact(now);
+}
+
 void Node::OnVoteRequest(const Message& message, TimePoint now) {
   const bool is_pre_vote = message.type == MessageType::kPreVote;
   const bool is_vote_available =
@@ -128,7 +171,7 @@
           ? message.term > this->hard_state.term
           : this->hard_state.vote == 0 || this->hard_state.vote == message.from;
   const bool is_granted = this->CanVote() && is_vote_available &&
-                          !this->HasRecentLeaderContact(now) &&
+                          this->MayReplaceLeader(message, now) &&
                           this->IsCandidateUpToDate(message);
   if (is_granted && !is_pre_vote) {
     this->hard_state.vote = message.from;
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -157,6 +157,8 @@
     return;
   }
   this->timer.cancel();
+  // No call waits for a result any more, so none is lost with the leadership.
+  this->driver->Resign();
   this->listener.GoAway();
   this->driver->Stop();
   std::exchange(this->on_left, nullptr)();
--- a/tests/consensus_test.cc
+++ b/tests/consensus_test.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -137,6 +138,13 @@
     return index.value_or(0);
   }
 
+  void Resign(NodeId id) {
+    const std::optional<Message> transfer = this->nodes[id]->Resign(this->now);
+    if (transfer.has_value()) {
+      this->in_transit.push_back(*transfer);
+    }
+  }
+
   /// Drops messages from `from` to `to`.
   void BlockLink(NodeId from, NodeId to) {
     this->blocked_links.insert({from, to});
@@ -283,6 +291,57 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(resigned_leader_is_replaced_at_once) {
+  // Without a transfer, hosts are without a leader for an election timeout
+  // whenever the leader is stopped.
+  for (const std::size_t count : {3, 5}) {
+    Cluster cluster(count, Seed());
+    const NodeId old_id = cluster.WaitForLeader()->options().id;
+    cluster.Propose("x");
+    cluster.Resign(old_id);
+    BOOST_TEST(!cluster.nodes[old_id]->HasLease(cluster.now));
+    cluster.Run(5 * kStep);
+    Node* next = cluster.Leader();
+    BOOST_REQUIRE(next != nullptr);
+    BOOST_TEST(next->options().id != old_id);
+    BOOST_TEST(next->HasLease(cluster.now));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(resigning_passes_over_a_follower_without_contact) {
+  Cluster cluster(3, Seed());
+  const NodeId old_id = cluster.WaitForLeader()->options().id;
+  const NodeId silent = old_id % 3 + 1;
+  cluster.Crash(silent);
+  cluster.Run(std::chrono::seconds(2));
+  cluster.Resign(old_id);
+  cluster.Run(5 * kStep);
+  BOOST_REQUIRE(cluster.Leader() != nullptr);
+  BOOST_TEST(cluster.Leader()->options().id == silent % 3 + 1);
+}
+
+BOOST_AUTO_TEST_CASE(leader_without_contact_does_not_resign) {
+  Cluster cluster(3, Seed());
+  const NodeId id = cluster.WaitForLeader()->options().id;
+  cluster.Isolate(id);
+  cluster.Run(std::chrono::seconds(2));
+  BOOST_TEST(!cluster.nodes[id]->Resign(cluster.now).has_value());
+  BOOST_TEST((cluster.nodes[id]->role() == NodeRole::kLeader));
+}
+
+BOOST_AUTO_TEST_CASE(late_transfer_does_not_depose_a_leader) {
+  Cluster cluster(3, Seed());
+  const NodeId old_id = cluster.WaitForLeader()->options().id;
+  const Message transfer = *cluster.nodes[old_id]->Resign(cluster.now);
+  // The message is late: another leader was elected by then.
+  const NodeId leader = cluster.WaitForLeader()->options().id;
+  const Term term = cluster.Leader()->term();
+  cluster.nodes[transfer.to]->Receive(transfer, cluster.now);
+  cluster.Run(std::chrono::seconds(2));
+  BOOST_TEST(cluster.Leader()->options().id == leader);
+  BOOST_TEST(cluster.Leader()->term() == term);
+}
+
 BOOST_AUTO_TEST_CASE(one_way_partition_does_not_block_commits) {
   Cluster cluster(3, Seed());
   Node* leader = cluster.WaitForLeader();
@@ -416,6 +475,8 @@
           cluster.BlockLink(id, cluster.random() % count + 1);
         } else if (action < 29) {
           cluster.UnblockLinks();
+        } else if (action == 30 && cluster.nodes.count(id) > 0) {
+          cluster.Resign(id);
         } else if (action == 29 && cluster.nodes.count(id) > 0) {
           Node& node = *cluster.nodes[id];
           const Index index = node.commit_index();
--- a/tests/driver_test.cc
+++ b/tests/driver_test.cc
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "gooseberryturn/protocol/codec.h"
@@ -145,6 +146,36 @@
     message.snapshot = {index, 1, TwoHosts(), std::to_string(index)};
     this->Send(std::move(message));
   }
+  /// Makes the driver lead: the leader of term 1 resigns in its favour.
+  void MakeLeader() {
+    Message transfer;
+    transfer.type = MessageType::kTransfer;
+    this->Send(transfer);
+    const auto is_vote_requested = [this] {
+      return !this->replies.empty() &&
+             this->replies.back().type == MessageType::kVote;
+    };
+    BOOST_REQUIRE(this->RunUntil(is_vote_requested));
+    BOOST_TEST(this->replies.back().is_transfer);
+    this->leader_term = this->replies.back().term;
+    Message vote;
+    vote.type = MessageType::kVoteReply;
+    this->Send(vote);
+    BOOST_REQUIRE(this->RunUntil([this] {
+      this->AcknowledgeAppends();
+      return this->driver->HasLease(Clock::now());
+    }));
+  }
+  /// Answers the appends received since the last call.
+  void AcknowledgeAppends() {
+    for (const Message& append : std::exchange(this->replies, {})) {
+      Message reply;
+      reply.type = MessageType::kAppendReply;
+      reply.index = append.index + append.entries.size();
+      reply.round = append.round;
+      this->Send(reply);
+    }
+  }
   /// True once the follower has acknowledged entry `index` as stored.
   bool IsAcknowledged(Index index) {
     return this->RunUntil([this, index] {
@@ -277,6 +308,23 @@
   BOOST_TEST(!std::filesystem::exists(this->PathOf("snapshot.new")));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_leader_whose_disk_is_full_resigns, DriverFixture) {
+  // It could not store a change, and the others would wait for an election
+  // timeout before one of them can.
+  this->MakeLeader();
+  const FullDisk full(0);
+  bool has_failed = false;
+  this->driver->Propose("change", [&has_failed](const Result<Index>& applied) {
+    has_failed = !applied.has_value();
+  });
+  BOOST_TEST(this->RunUntil([this] {
+    return !this->replies.empty() &&
+           this->replies.back().type == MessageType::kTransfer;
+  }));
+  BOOST_TEST(has_failed);
+  BOOST_TEST((this->driver->node().role() == NodeRole::kFollower));
+}
+
 BOOST_FIXTURE_TEST_CASE(
     a_deposed_leader_answers_its_calls_while_its_disk_is_full, LeaderFixture) {
   const FullDisk full(0);
--- a/tests/platform_control_test.cc
+++ b/tests/platform_control_test.cc
@@ -11,6 +11,7 @@
 #include <thread>
 #include <vector>
 
+#include "gooseberryturn/consensus/node.h"
 #include "http_call.h"
 #include "process.h"
 
@@ -340,6 +341,22 @@
   BOOST_TEST(status == 200);
 }
 
+BOOST_AUTO_TEST_CASE(a_leader_that_stops_leaves_another_one) {
+  // A planned stop cost an election timeout, in which no change was accepted.
+  const ControlHosts hosts(148);
+  const int leader = hosts.Leader();
+  const int other = leader % kHosts + 1;
+  hosts.Host(leader).Signal(SIGTERM);
+  BOOST_REQUIRE(hosts.Host(leader).WaitExit() == 0);
+  const std::chrono::steady_clock::time_point ended =
+      std::chrono::steady_clock::now();
+  BOOST_TEST(
+      ControlHosts::Put(hosts.EndpointOf(other), ConfigurationJson(2)).status ==
+      200);
+  BOOST_TEST((std::chrono::steady_clock::now() - ended <
+              consensus::Options().election_timeout_min / 2));
+}
+
 BOOST_AUTO_TEST_CASE(a_stop_without_majority_answers_and_ends_in_time) {
   const ControlHosts hosts(143);
   const int leader = hosts.Leader();
