The log goes on after its file could not be written for a while

Seen: a program with agents whose log was on a disk that was full wrote no line any more after the disk had room, until it was restarted: the log of each host of a fleet ended at the first failed write.

Cause: a line that can't be written leaves std::cerr in a failed state, in which it takes nothing more; nobody cleared it. JSON lines are written without a stream and aren't touched.

The appender clears the state before each line, under its own lock.

--- a/src/observe/log.cc
+++ b/src/observe/log.cc
@@ -6,6 +6,7 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <iostream>
 #include <memory>
 #include <optional>
 
@@ -47,6 +48,20 @@
   return quoted + "\"";
 }
 
+/// Writes to stderr. A stream that has failed once, as on a full disk, takes
+/// nothing more until its state is cleared.
+class StderrAppender : public log4cplus::ConsoleAppender {
+ public:
+  StderrAppender() : ConsoleAppender(true, true) {}
+  ~StderrAppender() override { this->destructorImpl(); }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    std::cerr.clear();
+    this->ConsoleAppender::append(event);
+  }
+};
+
 /// Writer of JSON lines; null until StartJsonLog is called.
 std::shared_ptr<JsonLines>& JsonOutput() {
   static std::shared_ptr<JsonLines> output;
@@ -72,8 +87,7 @@
     return false;
   }
   static const log4cplus::Initializer initializer;
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(true, true));
+  log4cplus::SharedAppenderPtr appender(new StderrAppender());
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p program=" + program + " host=" + host +
       " %m%n"));
--- a/tests/control_process_test.cc
+++ b/tests/control_process_test.cc
@@ -204,9 +204,13 @@
     }
   }
   change_for(kFullTime);
-  // A planned stop doesn't wait for room.
   Process& leader =
       fleet.GetProcess("control-" + std::to_string(fleet.WaitForLeader()));
+  // The log was on the full disk too, and goes on once there is room.
+  const std::size_t logged = leader.Log().size();
+  change_for(std::chrono::seconds(1));
+  BOOST_TEST(leader.Log().size() > logged);
+  // A planned stop doesn't wait for room.
   leader.SetDiskFull(true);
   change_for(std::chrono::seconds(1));
   leader.Signal(SIGTERM);
