An entry no longer divides by zero where all teams have one priority

Cause: keeps engine priorities only for services whose routes differ in priority, but ranks the priorities of the requests. Where every team has the same priority of its own, the routes differ and the requests don't: one rank, and a division by the number of ranks less one. arm64 gives 0 for it, so nothing was seen there; without teams that may use the routes the list was empty and the index wrong.

Engine priorities now need routes and requests that differ.

Tests: teams_with_one_priority_leave_none_to_the_routes and routes_that_no_team_may_use_have_no_priorities fail on the code before, the first with "integer divide by zero".

--- a/include/gooseberryturn/direct/priority_map.h
+++ b/include/gooseberryturn/direct/priority_map.h
@@ -14,8 +14,9 @@
 ///
 /// \details A group head admits the request with the lowest engine priority
 /// first; one without the header counts as 5. Where the routes of an engine
-/// service differ in priority, the engine priorities of its requests are the
-/// ranks of their priorities, spread between kMostUrgent and kLeastUrgent.
+/// service differ in priority and its requests do too, the engine priorities of
+/// the requests are the ranks of their priorities, spread between kMostUrgent
+/// and kLeastUrgent.
 /// Other services have none, and their requests are sent without the header:
 /// priorities of teams alone only order what waits at an entry.
 ///
@@ -33,12 +34,12 @@
   explicit PriorityMap(const Configuration& configuration);
 
   /// \brief Priority at the engine for a request with `priority`; empty if the
-  /// routes of `service` all have the same one. A priority that the
-  /// configuration doesn't contain counts as the next less urgent one, or as
-  /// the least urgent.
+  /// routes of `service` or its requests all have the same one. A priority that
+  /// the configuration doesn't contain counts as the next less urgent one, or
+  /// as the least urgent.
   [[nodiscard]] std::optional<int> EnginePriority(const std::string& service,
                                                   int priority) const;
-  /// \brief True if the routes of `service` differ in priority.
+  /// \brief True if the requests of `service` have engine priorities.
   [[nodiscard]] bool HasSeveral(const std::string& service) const {
     return this->priorities_by_service.count(service) > 0;
   }
@@ -53,7 +54,7 @@
 
  private:
   /// Distinct priorities of the requests, in ascending order, of engine
-  /// services whose routes have several.
+  /// services whose routes and requests have several.
   std::map<std::string, std::vector<int>> priorities_by_service;
 };
 
--- a/src/direct/priority_map.cc
+++ b/src/direct/priority_map.cc
@@ -45,7 +45,9 @@
   }
   for (const std::pair<const std::string, std::set<int>>& service :
        of_requests) {
-    if (of_routes[service.first].size() > 1) {
+    // Teams with one priority of their own can make those of the routes
+    // irrelevant.
+    if (of_routes[service.first].size() > 1 && service.second.size() > 1) {
       this->priorities_by_service[service.first] = {service.second.begin(),
                                                     service.second.end()};
     }
--- a/tests/priority_map_test.cc
+++ b/tests/priority_map_test.cc
@@ -103,6 +103,25 @@
   BOOST_TEST(Sent(priorities, 6) == PriorityMap::kLeastUrgent);
 }
 
+// A rank among one priority divided by zero, which ended entries with SIGFPE
+// at every request on x86-64.
+BOOST_AUTO_TEST_CASE(teams_with_one_priority_leave_none_to_the_routes) {
+  Configuration configuration = MakeRoutes({4, 6});
+  configuration.has_teams = true;
+  configuration.teams = {{"one", {"k1"}, 2}, {"two", {"k2"}, 2}};
+  const PriorityMap priorities(configuration);
+  BOOST_TEST(!priorities.HasSeveral("engines"));
+  BOOST_TEST(!priorities.EnginePriority("engines", 2).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(routes_that_no_team_may_use_have_no_priorities) {
+  Configuration configuration = MakeRoutes({4, 6});
+  configuration.has_teams = true;
+  configuration.teams.clear();
+  const PriorityMap priorities(configuration);
+  BOOST_TEST(!priorities.EnginePriority("engines", 4).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(teams_do_not_count_on_public_routes) {
   Configuration configuration = MakeRoutes({4, 6});
   configuration.has_teams = true;
