--- a/include/gooseberryturn/consensus/node.h
+++ b/include/gooseberryturn/consensus/node.h
@@ -206,8 +206,8 @@
   /// started less than election_timeout_min ago.
   [[nodiscard]] bool HasRecentLeaderContact(TimePoint now) const;
 
-  /// True when this node may vote for the sender of a vote request now, as far
-  /// as the leader that it knows is concerned.
+  /// False while this node is in contact with a leader that has not resigned in
+  /// favour of the sender of the vote request.
   [[nodiscard]] bool MayReplaceLeader(const Message& message,
                                       TimePoint now) const;
   void OnTransfer(TimePoint now);
--- a/src/consensus/driver.cc
+++ b/src/consensus/driver.cc
@@ -93,9 +93,8 @@
   while (std::optional<WriteJob> job = this->write_jobs.Pop()) {
     Result<void> written = this->Write(*job);
     while (!written.has_value()) {
-      // None of the job counts as stored. The host sends no messages until the
-      // write succeeds, but that it has resigned: it can't lead without
-      // storage.
+      // None of the job counts as stored. Until the write succeeds, the host
+      // sends nothing but its resignation: it can't lead without storage.
       LogEvent(Level::kError, "", "storage_failed",
                observe::FieldsOf(written.error()));
       boost::asio::post(this->context, [this] { this->Resign(); });
