A stopped control host acknowledges nothing that it has not stored

What could be seen: an acknowledged change is lost when a control host is stopped while its leader sends it an entry twice, another follower is cut off before it stores the entry, and the leader then loses its state.

Cause: after Driver::Stop the queue of writes is closed. A write that could not be queued was dropped and counted as done, so the host went on: the entry stood in its memory, a second copy of it needed no write, and was acknowledged.

A write that can't be queued now stays in progress for good: nothing that follows it is sent or applied.

--- a/include/gooseberryturn/consensus/driver.h
+++ b/include/gooseberryturn/consensus/driver.h
@@ -41,8 +41,8 @@
 /// syncs. Writes go to the storage thread through a bounded queue, one at a
 /// time.
 ///
-/// Once started, Propose, ChangeMembership, node, HasLease and Leader must be
-/// called on the link thread, and all callbacks run on it.
+/// Once started, Propose, ChangeMembership, Resign, node, HasLease and Leader
+/// must be called on the link thread, and all callbacks run on it.
 class Driver {
  public:
   /// \brief Receives the index of a proposal once it is applied, or an error.
@@ -71,7 +71,8 @@
   /// \brief Stops the storage thread and waits for it.
   ///
   /// \details A write that fails is not repeated any more; nothing that depends
-  /// on it has been sent.
+  /// on it has been sent. Work that needs storage is dropped from then on, and
+  /// nothing is sent after it.
   void Stop();
   /// \brief Proposes a command and calls `on_applied` once it is applied.
   ///
--- a/src/consensus/driver.cc
+++ b/src/consensus/driver.cc
@@ -93,8 +93,8 @@
   while (std::optional<WriteJob> job = this->write_jobs.Pop()) {
     Result<void> written = this->Write(*job);
     while (!written.has_value()) {
-      // None of the job counts as stored. Until the write succeeds, the host
-      // sends nothing but its resignation: it can't lead without storage.
+      // None of the job counts as stored. Until the write succeeds, nothing is
+      // sent but a transfer of leadership.
       LogEvent(Level::kError, "", "storage_failed",
                observe::FieldsOf(written.error()));
       boost::asio::post(this->context, [this] { this->Resign(); });
@@ -128,9 +128,9 @@
   this->is_write_in_progress = true;
   WriteJob job;
   job.ready = ready;
-  if (!this->write_jobs.TryPush(std::move(job))) {
-    this->is_write_in_progress = false;
-  }
+  // Fails only once the driver is stopped. The work is not stored then, so
+  // nothing that follows it may be sent or applied.
+  (void)this->write_jobs.TryPush(std::move(job));
 }
 
 void Driver::OnWritten(const WriteJob& job) {
@@ -179,7 +179,8 @@
       this->raft.Compact(applied, this->machine.save()));
   job.retained_entries = this->raft.log().EntriesBetween(
       applied + 1, this->raft.log().LastIndex());
-  this->is_write_in_progress = this->write_jobs.TryPush(std::move(job));
+  this->is_write_in_progress = true;
+  (void)this->write_jobs.TryPush(std::move(job));
 }
 
 // --------------------------------------------------------------------- node
--- a/tests/driver_test.cc
+++ b/tests/driver_test.cc
@@ -245,6 +245,20 @@
   BOOST_TEST(this->RunUntil([this] { return this->applied == 101; }));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_stopped_driver_acknowledges_nothing_unstored,
+                        DriverFixture) {
+  // An entry that came after the stop was kept in memory only, and
+  // acknowledged when it came again.
+  this->SendEntries(1, 1, 0);
+  BOOST_REQUIRE(this->IsAcknowledged(1));
+  this->driver->Stop();
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    this->SendEntries(2, 2, 0);
+    this->RunFor(std::chrono::milliseconds(100));
+  }
+  BOOST_TEST(this->replies.back().index == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_stop_does_not_wait_for_a_full_disk, DriverFixture) {
   this->SendEntries(1, 1, 0);
   BOOST_REQUIRE(this->IsAcknowledged(1));
