--- a/tests/transfer_coding_test.cc
+++ b/tests/transfer_coding_test.cc
@@ -13,12 +13,11 @@
 #include <string>
 #include <vector>
 
+#include "answer_readers.h"
 #include "gooseberryturn/direct/async_http.h"
 #include "gooseberryturn/direct/caller_connection.h"
 #include "gooseberryturn/direct/http_server_session.h"
-#include "gooseberryturn/direct/target_connection.h"
 #include "gooseberryturn/entry/caller_session.h"
-#include "gooseberryturn/target/exchange.h"
 
 /// Every reader of HTTP, with messages in transfer codings other than chunked.
 /// Guards against a failure that the review saw: such a request was taken to
@@ -30,7 +29,6 @@
 
 namespace {
 
-constexpr std::chrono::seconds kLimit(5);
 constexpr char kSmuggled[] = "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n";
 /// The same as one chunk.
 constexpr char kSmuggledChunk[] =
@@ -91,14 +89,6 @@
   return messages;
 }
 
-void RunUntil(asio::io_context& context, const std::function<bool()>& is_over) {
-  const TimePoint end = Clock::now() + kLimit;
-  while (!is_over() && Clock::now() < end) {
-    context.restart();
-    context.run_one_for(std::chrono::milliseconds(20));
-  }
-}
-
 /// A caller that sends a request, and then reads until the connection ends.
 class CodedCaller {
  public:
@@ -194,9 +184,9 @@
   entry::CallerLimits limits;
   limits.max_header_bytes = 16U * 1024U;
   limits.max_body_bytes = 1024U * 1024U;
-  limits.header_timeout = 2 * kLimit;
-  limits.idle_timeout = 2 * kLimit;
-  limits.write_timeout = kLimit;
+  limits.header_timeout = 2 * kReadLimit;
+  limits.idle_timeout = 2 * kReadLimit;
+  limits.write_timeout = kReadLimit;
   const std::shared_ptr<entry::CallerSession> session =
       std::make_shared<entry::CallerSession>(std::move(socket), limits,
                                              metrics);
@@ -228,96 +218,10 @@
   }
 }
 
-/// A target that answers its request with a message and leaves the connection
-/// open.
-class CodedTarget {
- public:
-  CodedTarget(asio::io_context& context, const CodedMessage& message)
-      : acceptor(context,
-                 tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
-        socket(context),
-        answer("HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n" + message.fields +
-               "\r\n" + message.body) {
-    this->acceptor.async_accept(this->socket, [this](const error_code& error) {
-      BOOST_REQUIRE(!error);
-      this->socket.async_read_some(
-          asio::buffer(this->request), [this](const error_code&, std::size_t) {
-            error_code ignored;
-            asio::write(this->socket, asio::buffer(this->answer), ignored);
-          });
-    });
-  }
-  [[nodiscard]] Endpoint endpoint() const {
-    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
-  }
-
- private:
-  tcp::acceptor acceptor;
-  tcp::socket socket;
-  std::string answer;
-  std::array<char, 4096> request = {};
-};
-
-struct TargetReading {
-  std::optional<direct::ExchangeEnd> end;
-  int heads = 0;
-  std::string body;
-  bool is_reusable = false;
-};
-
-TargetReading ReadAnswer(const CodedMessage& message) {
-  asio::io_context context;
-  CodedTarget target(context, message);
-  const std::shared_ptr<direct::TargetConnection> connection =
-      std::make_shared<direct::TargetConnection>(context, target.endpoint());
-  TargetReading reading;
-  direct::ExchangeHooks hooks;
-  hooks.on_head = [&reading](const direct::ResponseHead&) {
-    reading.heads += 1;
-  };
-  hooks.on_body = [&reading](std::string_view bytes) { reading.body += bytes; };
-  hooks.on_end = [&reading](direct::ExchangeEnd how, const std::string&) {
-    reading.end = how;
-  };
-  connection->Exchange("GET / HTTP/1.1\r\n\r\n", "Attempt-Id", "a1",
-                       std::move(hooks));
-  RunUntil(context, [&reading] { return reading.end.has_value(); });
-  reading.is_reusable = connection->is_reusable();
-  const TargetReading before_cancel = reading;
-  connection->Cancel();
-  return before_cancel;
-}
-
-std::optional<Result<direct::HttpResponse>> ReadOrderAnswer(
-    const CodedMessage& message) {
-  asio::io_context context;
-  CodedTarget target(context, message);
-  std::optional<Result<direct::HttpResponse>> response;
-  direct::SendHttpRequest(context, target.endpoint(), {"GET", "/report", ""},
-                          {}, Clock::now() + 2 * kLimit,
-                          [&response](Result<direct::HttpResponse> received) {
-                            response = std::move(received);
-                          });
-  RunUntil(context, [&response] { return response.has_value(); });
-  return response;
-}
-
-std::optional<Result<void>> ReadAgentAnswer(const CodedMessage& message) {
-  asio::io_context context;
-  CodedTarget target(context, message);
-  std::optional<Result<void>> result;
-  const std::shared_ptr<target::Exchange> exchange =
-      std::make_shared<target::Exchange>(context, target.endpoint(),
-                                         target::Request{},
-                                         Clock::now() + 2 * kLimit);
-  exchange->on_head = [](const target::ResponseHead&) {};
-  exchange->on_body = [](std::string_view) {};
-  exchange->on_done = [&result](Result<void> done) {
-    result = std::move(done);
-  };
-  exchange->Start();
-  RunUntil(context, [&result] { return result.has_value(); });
-  return result;
+/// The bytes of an answer that holds a message.
+std::string AnswerText(const CodedMessage& message) {
+  return "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n" + message.fields + "\r\n" +
+         message.body;
 }
 
 }  // namespace
@@ -361,7 +265,7 @@
 
 BOOST_AUTO_TEST_CASE(a_coded_answer_is_not_complete_by_its_length) {
   for (const CodedMessage& message : CodedMessages()) {
-    const TargetReading reading = ReadAnswer(message);
+    const TargetReading reading = ReadTargetAnswer(AnswerText(message));
     BOOST_TEST_CONTEXT(message.name) {
       BOOST_TEST((reading.end == direct::ExchangeEnd::kInvalid));
       BOOST_TEST(reading.heads == 0);
@@ -374,7 +278,7 @@
 BOOST_AUTO_TEST_CASE(a_coded_answer_to_an_order_is_an_error) {
   for (const CodedMessage& message : CodedMessages()) {
     const std::optional<Result<direct::HttpResponse>> response =
-        ReadOrderAnswer(message);
+        ReadOrderAnswer(AnswerText(message));
     BOOST_TEST_CONTEXT(message.name) {
       BOOST_REQUIRE(response.has_value());
       BOOST_TEST(!response->has_value());
@@ -384,7 +288,8 @@
 
 BOOST_AUTO_TEST_CASE(a_coded_answer_to_an_agent_is_an_error) {
   for (const CodedMessage& message : CodedMessages()) {
-    const std::optional<Result<void>> result = ReadAgentAnswer(message);
+    const std::optional<Result<void>> result =
+        ReadAgentAnswer(AnswerText(message)).result;
     BOOST_TEST_CONTEXT(message.name) {
       BOOST_REQUIRE(result.has_value());
       BOOST_TEST(!result->has_value());
@@ -394,10 +299,11 @@
 
 BOOST_AUTO_TEST_CASE(a_chunked_answer_is_taken) {
   for (const CodedMessage& message : ChunkedMessages()) {
-    const TargetReading reading = ReadAnswer(message);
+    const TargetReading reading = ReadTargetAnswer(AnswerText(message));
     const std::optional<Result<direct::HttpResponse>> response =
-        ReadOrderAnswer(message);
-    const std::optional<Result<void>> result = ReadAgentAnswer(message);
+        ReadOrderAnswer(AnswerText(message));
+    const std::optional<Result<void>> result =
+        ReadAgentAnswer(AnswerText(message)).result;
     BOOST_TEST_CONTEXT(message.name) {
       BOOST_TEST((reading.end == direct::ExchangeEnd::kComplete));
       BOOST_TEST(reading.body == "body");
