An answer whose status HTTP does not have is invalid to every reader

What callers saw: a target in trouble answered with status 000, and the caller got that as the answer, whole and with the target's mark; so too 007, 099 and 600 to 999. A request that may run only once was reported as answered.

Cause: Boost.Beast takes any three digits for a status, and no reader of answers looked at the number: TargetConnection sorts out 1xx only, target::Exchange hands every status to the entry, SendHttpRequest returns it as a response (an order answered with 000 counted as one that the target refuses).

Fix: what a valid status is stands in core/http_status.h (100 to 599, RFC 9110, section 15). link::CheckHead asks it beside the transfer coding, and every reader of answers calls CheckHead before it uses anything of the answer: TargetConnection, ReadMessage (orders to targets, calls between hosts), target::Exchange (agents, health checks) and the load generator. The error is bad_status of Beast, which the readers know as malformed, so the attempt counts as one that may have run: 502 for what may not be repeated, another try for the rest. HttpServerSession uses the same function instead of two constants.

Sound and unusual ones (299, 418, 599, an odd or empty reason, HTTP/1.0) are taken as before.

--- a/include/gooseberryturn/link/message_reader.h
+++ b/include/gooseberryturn/link/message_reader.h
@@ -12,8 +12,8 @@
 #include <utility>
 
 #include "gooseberryturn/core/byte_budget.h"
+#include "gooseberryturn/link/message_head.h"
 #include "gooseberryturn/link/read_buffer.h"
-#include "gooseberryturn/link/transfer_coding.h"
 
 namespace gooseberryturn::link {
 
@@ -36,8 +36,7 @@
         [read = std::move(*this)](const boost::system::error_code& error,
                                   std::size_t /*size*/) mutable {
           const boost::system::error_code failure =
-              error ? error
-                    : CheckTransferCoding<kIsRequest>(read.parser.get());
+              error ? error : CheckHead(read.parser.get());
           if (failure) {
             read.on_read(failure);
           } else {
@@ -80,8 +79,8 @@
 ///
 /// \details The head is read by itself: when the first bytes of the body of a
 /// response arrive with its head, Boost.Beast 1.74 drops the error for a body
-/// that is declared to be longer than the limit, and reads it whole. A message
-/// in a coding other than chunked ends the read, see CheckTransferCoding.
+/// that is declared to be longer than the limit, and reads it whole. A head
+/// that CheckHead finds wrong ends the read.
 /// \param share Holds the bytes of the body. Ends the read with
 /// `boost::asio::error::no_memory` when its budget is used up.
 /// \param on_read Called once. Keeps all the other arguments alive.
--- a/programs/load/main.cc
+++ b/programs/load/main.cc
@@ -24,6 +24,7 @@
 #include "gooseberryturn/app/program.h"
 #include "gooseberryturn/core/endpoint.h"
 #include "gooseberryturn/core/time.h"
+#include "gooseberryturn/link/message_head.h"
 #include "gooseberryturn/link/read_buffer.h"
 
 namespace {
@@ -326,11 +327,12 @@
 
 void Request::ReadHeader() {
   const std::shared_ptr<Request> self = this->shared_from_this();
-  http::async_read_header(this->connection->socket, this->connection->buffer,
-                          *this->parser,
-                          [self](const error_code& error, std::size_t) {
-                            error ? self->Finish(true) : self->ReadSome();
-                          });
+  http::async_read_header(
+      this->connection->socket, this->connection->buffer, *this->parser,
+      [self](const error_code& error, std::size_t) {
+        const bool is_broken = error || link::CheckHead(self->parser->get());
+        is_broken ? self->Finish(true) : self->ReadSome();
+      });
 }
 
 void Request::ReadSome() {
--- a/src/direct/http_server_session.cc
+++ b/src/direct/http_server_session.cc
@@ -9,6 +9,8 @@
 #include <string>
 #include <utility>
 
+#include "gooseberryturn/core/http_status.h"
+
 namespace gooseberryturn::direct {
 
 namespace http = boost::beast::http;
@@ -23,8 +25,6 @@
 constexpr int kServerError = 500;
 constexpr int kNotImplemented = 501;
 constexpr int kUnavailable = 503;
-constexpr int kMinStatus = 200;
-constexpr int kMaxStatus = 599;
 constexpr std::size_t kDropBytes = 16U * 1024U;
 constexpr std::size_t kReadBufferBytes = 16U * 1024U;
 
@@ -143,7 +143,7 @@
   this->state = State::kWriting;
   keep_alive = keep_alive && !this->is_leaving;
   // It may be another host's; the library throws for one that is no status.
-  if (reply.status < kMinStatus || reply.status > kMaxStatus) {
+  if (!IsFinalHttpStatus(reply.status)) {
     reply.status = kServerError;
   }
   this->response = {};
--- a/src/direct/target_connection.cc
+++ b/src/direct/target_connection.cc
@@ -10,6 +10,8 @@
 #include <charconv>
 #include <utility>
 
+#include "gooseberryturn/link/message_head.h"
+
 namespace gooseberryturn::direct {
 
 namespace asio = boost::asio;
@@ -160,7 +162,7 @@
           return;
         }
         if (!error) {
-          error = link::CheckTransferCoding<false>(self->parser->get());
+          error = link::CheckHead(self->parser->get());
         }
         if (!error) {
           self->OnHead();
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "gooseberryturn/core/id.h"
+#include "gooseberryturn/link/message_head.h"
 #include "gooseberryturn/observe/log.h"
 
 namespace gooseberryturn::entry {
@@ -100,18 +101,17 @@
   this->request_id = RandomHexId();
   this->StartReadTimer(this->limits.header_timeout);
   const std::shared_ptr<CallerSession> self = this->shared_from_this();
-  http::async_read_header(
-      this->stream, this->buffer, *this->parser,
-      [self](error_code error, std::size_t /*size*/) {
-        if (!error) {
-          error = link::CheckTransferCoding<true>(self->parser->get());
-        }
-        if (error) {
-          self->OnReadError(error);
-        } else {
-          self->ReadBody();
-        }
-      });
+  http::async_read_header(this->stream, this->buffer, *this->parser,
+                          [self](error_code error, std::size_t /*size*/) {
+                            if (!error) {
+                              error = link::CheckHead(self->parser->get());
+                            }
+                            if (error) {
+                              self->OnReadError(error);
+                            } else {
+                              self->ReadBody();
+                            }
+                          });
 }
 
 void CallerSession::WaitForNextRequest() {
--- a/src/target/exchange.cc
+++ b/src/target/exchange.cc
@@ -6,6 +6,8 @@
 #include <limits>
 #include <utility>
 
+#include "gooseberryturn/link/message_head.h"
+
 namespace gooseberryturn::target {
 
 namespace asio = boost::asio;
@@ -121,8 +123,7 @@
       this->socket, this->read_buffer, this->parser,
       [self](const error_code& error, std::size_t /*size*/) {
         if (self->FinishOnError(error) ||
-            self->FinishOnError(
-                link::CheckTransferCoding<false>(self->parser.get()))) {
+            self->FinishOnError(link::CheckHead(self->parser.get()))) {
           return;
         }
         self->has_head = true;
--- a/tests/answer_readers.h
+++ b/tests/answer_readers.h
@@ -34,7 +34,8 @@
 /// What a target does with its connection once it has sent its answer.
 enum class Ending : std::uint8_t { kLeaveOpen, kClose };
 
-/// A target that answers its request with fixed bytes.
+/// A target that answers requests with fixed bytes, each on a connection of its
+/// own.
 class FixedTarget {
  public:
   FixedTarget(boost::asio::io_context& context, std::string answer,
@@ -43,6 +44,14 @@
         socket(context),
         answer(std::move(answer)),
         ending(ending) {
+    this->Accept();
+  }
+  [[nodiscard]] Endpoint endpoint() const {
+    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+  }
+
+ private:
+  void Accept() {
     this->acceptor.async_accept(this->socket,
                                 [this](const boost::system::error_code& error) {
                                   if (!error) {
@@ -50,11 +59,6 @@
                                   }
                                 });
   }
-  [[nodiscard]] Endpoint endpoint() const {
-    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
-  }
-
- private:
   void AwaitRequest() {
     this->socket.async_read_some(
         boost::asio::buffer(this->request),
@@ -64,6 +68,7 @@
                              ignored);
           if (this->ending == Ending::kClose) {
             this->socket.close(ignored);
+            this->Accept();
           }
         });
   }
@@ -127,6 +132,7 @@
 struct AgentReading {
   std::optional<Result<void>> result;
   int heads = 0;
+  int status = 0;  ///< Of the last head.
   std::string body;
 };
 
@@ -139,8 +145,9 @@
       std::make_shared<target::Exchange>(context, target.endpoint(),
                                          target::Request{},
                                          Clock::now() + 2 * kReadLimit);
-  exchange->on_head = [&reading](const target::ResponseHead&) {
+  exchange->on_head = [&reading](const target::ResponseHead& head) {
     reading.heads += 1;
+    reading.status = head.status;
   };
   exchange->on_body = [&reading](std::string_view bytes) {
     reading.body += bytes;
--- a/tests/platform_fake_target.h
+++ b/tests/platform_fake_target.h
@@ -121,6 +121,16 @@
     this->retry_after = text;
   }
 
+  /// Answers requests of callers with the bytes of `new_script` from then on,
+  /// as soon as their head has arrived, and ends their connections. The script
+  /// gets the lines of a head that make an answer the target's own.
+  void SetScript(std::function<std::string(const std::string&)> new_script,
+                 bool is_reset) {
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->script = std::move(new_script);
+    this->resets_scripted = is_reset;
+  }
+
   /// Sends nothing at all for `time`, and goes on then: no answer, no event, no
   /// report and no announcement.
   void FallSilent(std::chrono::milliseconds time) {
@@ -212,6 +222,7 @@
         0;  ///< The run that accepted it; kNoRun while the target is down.
   };
   static constexpr int kNoRun = -1;
+  static constexpr std::uint64_t kMaxBodyBytes = 8U * 1024U * 1024U;
   static constexpr char kAttemptIdHeader[] = "X-Gooseberryturn-Attempt-Id";
 
   [[nodiscard]] bool IsDown() const {
@@ -262,11 +273,19 @@
     boost::beast::flat_buffer buffer;
     error_code error;
     while (!error && !this->is_stopped) {
-      Request request;
-      http::read(connection.socket, buffer, request, error);
+      http::request_parser<http::string_body> parser;
+      parser.body_limit(kMaxBodyBytes);
+      http::read_header(connection.socket, buffer, parser, error);
+      if (!error && this->SendScripted(connection, parser.get())) {
+        return;
+      }
+      if (!error) {
+        http::read(connection.socket, buffer, parser, error);
+      }
       if (error) {
         return;
       }
+      const Request request = parser.release();
       this->RecordArrival(request);
       if (!this->MayWrite(connection)) {
         this->RecordFate(request, Arrival::Fate::kDropped);
@@ -293,6 +312,26 @@
     }
   }
 
+  /// Answers with the script, if there is one for the request, whose body is
+  /// not read.
+  bool SendScripted(Connection& connection, const Request& request) {
+    const std::string id(request[kAttemptIdHeader]);
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (!this->script || id.empty()) {
+      return false;
+    }
+    this->runs.push_back(id);
+    const std::string answer = this->script(
+        std::string(kAttemptIdHeader) + ": " + id +
+        "\r\nX-Gooseberryturn-Server-Seal: seal-" + this->id + "\r\n");
+    error_code ignored;
+    asio::write(connection.socket, asio::buffer(answer), ignored);
+    connection.socket.set_option(
+        asio::socket_base::linger(this->resets_scripted, 0), ignored);
+    connection.socket.close(ignored);
+    return true;
+  }
+
   /// Called with the mutex held.
   [[nodiscard]] std::string GroupAndEpoch() const {
     return this->state.empty()
@@ -555,6 +594,8 @@
   std::set<std::string> in_progress;
   std::set<std::string> interrupted;
   std::string retry_after;
+  std::function<std::string(const std::string&)> script;  ///< Empty if none.
+  bool resets_scripted = false;
   std::map<std::string, std::string> last_headers;
   std::string group;
   std::string model;
--- a/tests/request_executor_test.cc
+++ b/tests/request_executor_test.cc
@@ -90,6 +90,7 @@
                  stream->EnableManualFlowControl();
                  stream->on_frame = [this](FrameType type,
                                            std::string_view payload) {
+                   this->heads += type == FrameType::kMessage ? 1 : 0;
                    if (type == FrameType::kEnd) {
                      this->end = protocol::Decode<protocol::AnswerEnd>(payload);
                    }
@@ -154,6 +155,7 @@
   link::Listener listener;
   link::ChannelPool channels;
   std::shared_ptr<link::Stream> run;  ///< The entry's side of the request.
+  int heads = 0;                      ///< Heads of answers that the entry got.
   std::optional<protocol::AnswerEnd> end;
 };
 
@@ -247,3 +249,17 @@
   BOOST_TEST(executor.end.has_value());
   BOOST_TEST(!executor.executor.HasUnsentAnswer(Clock::now()));
 }
+
+// The entry got it as an answer, and passed it on.
+BOOST_AUTO_TEST_CASE(an_answer_whose_status_is_none_does_not_reach_the_entry) {
+  Executor executor;
+  executor.HandOver();
+  executor.Run();
+  executor.Received();
+  executor.Answer("HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok");
+  executor.Run();
+  BOOST_TEST(executor.heads == 0);
+  BOOST_REQUIRE(executor.end.has_value());
+  BOOST_TEST((executor.end->error.reason == Reason::kTargetFailed));
+  BOOST_TEST((executor.end->error.outcome == Outcome::kUnknown));
+}
