A part that a reset cut during the upload is not a complete answer

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being sent. The caller got that part as a complete answer. A close with most of the upload unread has the same effect: the kernel sends a reset.

Cause: a socket reports a reset once. TargetConnection writes and reads at the same time, and a write that is ready is performed before a read, so the write met the reset. It lets a failed write pass once something was sent, since an answer may be on its way; the next read then returned 0 bytes, which is how an orderly end reads, and an answer that only the end of the connection delimits counted as whole.

Fix: TargetConnection remembers that its write has met a reset, and an answer that needs the end of the connection is then cut (502 for what may not be repeated, another try for the rest). A write that fails with broken_pipe is no such case: the target had ended its side in order before the reset arrived, or the read has reported the reset itself. is_write_begun, which nothing read, goes.

Links between processes close on any error or end, and an answer there needs its digest.

--- a/include/gooseberryturn/direct/target_connection.h
+++ b/include/gooseberryturn/direct/target_connection.h
@@ -117,7 +117,7 @@
   bool connected = false;
   bool reusable = false;
   bool is_written = false;
-  bool is_write_begun = false;
+  bool is_reset = false;  ///< As the write of the request has found.
   bool is_paused = false;
   bool is_read_due = false;  ///< A read was skipped while paused.
   bool is_skipping_answer = false;
--- a/src/direct/target_connection.cc
+++ b/src/direct/target_connection.cc
@@ -64,7 +64,7 @@
   this->hooks = std::move(next_hooks);
   this->reusable = false;
   this->is_written = false;
-  this->is_write_begun = false;
+  this->is_reset = false;
   this->is_paused = false;
   this->is_read_due = false;
   this->has_skipped_answer = false;
@@ -128,7 +128,6 @@
 }
 
 void TargetConnection::Write() {
-  this->is_write_begun = true;
   const std::shared_ptr<TargetConnection> self = this->shared_from_this();
   asio::async_write(
       this->socket, asio::buffer(this->request),
@@ -141,6 +140,10 @@
           self->is_written = true;
           return;
         }
+        // The socket reports a reset once: a write that has met it hides it
+        // from the read, which ends as if the target had closed in order. A
+        // reset after such an orderly end fails the write with broken_pipe.
+        self->is_reset = error != asio::error::broken_pipe;
         // An answer may already be arriving and is then read to its end. If
         // nothing was sent or received, none will come.
         if (sent == 0 && !self->parser->got_some()) {
@@ -253,6 +256,12 @@
 }
 
 void TargetConnection::Finish() {
+  // A write that is ready is performed, and its handler called, before a read,
+  // so a reset that only the write has met is known by now.
+  if (this->is_reset && this->parser->need_eof()) {
+    this->End(ExchangeEnd::kCut, "body: the connection was reset");
+    return;
+  }
   if (this->is_skipping_answer) {
     this->has_skipped_answer = true;
     this->ReadHead();
--- a/tests/platform_broken_answer_test.cc
+++ b/tests/platform_broken_answer_test.cc
@@ -16,6 +16,8 @@
 
 constexpr int kOk = 200;
 constexpr int kBadGateway = 502;
+/// More than the kernel takes for a target that reads nothing.
+constexpr std::size_t kUploadBytes = 4U * 1024U * 1024U;
 
 /// An entry with one target, which is given a script once it has served.
 class Scripted {
@@ -73,9 +75,44 @@
           return "HTTP/1.1 " + status + " Odd\r\n" + lines +
                  "Content-Length: 4\r\n\r\nbody";
         },
-        false);
+        ScriptEnd::kClose);
     scripted.CheckRefused("/safe/1", "safe-" + status);
     scripted.CheckRefused("/unsafe/1", "unsafe-" + status);
     BOOST_TEST(scripted.Runs("unsafe-" + status) == 1);
   }
 }
+
+// The target reads nothing of the upload behind its head.
+BOOST_AUTO_TEST_CASE(no_caller_gets_a_part_that_a_reset_cut_as_an_answer) {
+  Scripted scripted(85, kUploadBytes);
+  for (const ScriptEnd end : {ScriptEnd::kReset, ScriptEnd::kClose}) {
+    scripted.target.SetScript(
+        [](const std::string& lines) {
+          return "HTTP/1.1 200 OK\r\n" + lines + "\r\npart";
+        },
+        end);
+    const std::string how = end == ScriptEnd::kReset ? "reset" : "close";
+    scripted.CheckRefused("/safe/1", "safe-" + how);
+    scripted.CheckRefused("/unsafe/1", "unsafe-" + how);
+    BOOST_TEST(scripted.Runs("unsafe-" + how) == 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_early_whole_answer_to_an_upload_reaches_its_caller) {
+  Scripted scripted(86, kUploadBytes);
+  for (const std::string path : {"/safe/1", "/unsafe/1"}) {
+    scripted.target.SetScript(
+        [](const std::string& lines) {
+          return "HTTP/1.1 200 OK\r\n" + lines +
+                 "Content-Length: 5\r\n\r\nwhole";
+        },
+        ScriptEnd::kReset);
+    scripted.CheckTaken(path, path + "length", "whole");
+    scripted.target.SetScript(
+        [](const std::string& lines) {
+          return "HTTP/1.1 200 OK\r\n" + lines + "\r\nwhole";
+        },
+        ScriptEnd::kEndThenClose);
+    scripted.CheckTaken(path, path + "end", "whole");
+  }
+}
--- a/tests/platform_fake_target.h
+++ b/tests/platform_fake_target.h
@@ -36,6 +36,11 @@
   kFailResumed       ///< The same, and answers 500 to what is resumed.
 };
 
+/// How a target ends the connection behind an answer of its script. Where it
+/// has not read all of the request, the kernel resets the connection at a
+/// close.
+enum class ScriptEnd { kReset, kClose, kEndThenClose };
+
 /// A request that arrived at a target.
 struct Arrival {
   enum class Fate {
@@ -125,10 +130,10 @@
   /// as soon as their head has arrived, and ends their connections. The script
   /// gets the lines of a head that make an answer the target's own.
   void SetScript(std::function<std::string(const std::string&)> new_script,
-                 bool is_reset) {
+                 ScriptEnd end) {
     const std::lock_guard<std::mutex> guard(this->mutex);
     this->script = std::move(new_script);
-    this->resets_scripted = is_reset;
+    this->script_end = end;
   }
 
   /// Sends nothing at all for `time`, and goes on then: no answer, no event, no
@@ -326,8 +331,13 @@
         "\r\nX-Gooseberryturn-Server-Seal: seal-" + this->id + "\r\n");
     error_code ignored;
     asio::write(connection.socket, asio::buffer(answer), ignored);
+    if (this->script_end == ScriptEnd::kEndThenClose) {
+      connection.socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
     connection.socket.set_option(
-        asio::socket_base::linger(this->resets_scripted, 0), ignored);
+        asio::socket_base::linger(this->script_end == ScriptEnd::kReset, 0),
+        ignored);
     connection.socket.close(ignored);
     return true;
   }
@@ -595,7 +605,7 @@
   std::set<std::string> interrupted;
   std::string retry_after;
   std::function<std::string(const std::string&)> script;  ///< Empty if none.
-  bool resets_scripted = false;
+  ScriptEnd script_end = ScriptEnd::kClose;
   std::map<std::string, std::string> last_headers;
   std::string group;
   std::string model;
