Entries with agents check the status of what they are told to pass on

What callers could see: the status 000 of a target, of an agent that runs an earlier build, or out of the log, where an earlier build has kept it as the answer of a request that may run only once; a resend got it again, marked as replayed.

Cause: the entry takes the status of an AnswerHead, and of a kept answer, as it comes.

Fix: an answer's head without a final status (200 to 599) ends the attempt as one whose outcome is unknown; so does the answer that an agent remembers for an attempt, which is settled as unknown. A stored answer without one is not replayed: 502, outcome unknown, because such an answer tells nothing of the run.

Statuses 299, 418 and 599 are passed on and replayed as before.

--- a/include/gooseberryturn/entry/request_flow.h
+++ b/include/gooseberryturn/entry/request_flow.h
@@ -121,8 +121,11 @@
   [[nodiscard]] protocol::Settle MakeSettle(
       std::uint64_t attempt_id, Outcome outcome,
       const protocol::KeptAnswer& answer) const;
+  /// Stores that nobody knows the outcome of the attempt in `holder`, and
+  /// refuses the request; `error` is why its state was needed.
+  void SettleUnknown(const protocol::ClaimReply& holder, const Error& error);
   /// Sends a stored answer to the caller, or a refusal when it was too long to
-  /// keep. `is_replay` marks the answer as replayed.
+  /// keep or is no answer. `is_replay` marks the answer as replayed.
   void SendKeptAnswer(const protocol::KeptAnswer& answer, bool is_replay);
   // End of the request.
   void Refuse(Error error);
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "gooseberryturn/control/command.h"
+#include "gooseberryturn/core/http_status.h"
 #include "gooseberryturn/core/id.h"
 #include "gooseberryturn/observe/log.h"
 #include "gooseberryturn/protocol/codec.h"
@@ -263,10 +264,14 @@
 void RequestFlow::OnHead(std::string_view payload) {
   const std::optional<protocol::AnswerHead> decoded =
       protocol::Decode<protocol::AnswerHead>(payload);
-  if (decoded.has_value()) {
-    this->answer_head = *decoded;
-    this->answer_verifier.Begin();
+  if (!decoded.has_value() || !IsFinalHttpStatus(decoded->status)) {
+    this->OnAttemptFailed(this->MakeError(Reason::kTargetFailed, Step::kRelay,
+                                          Outcome::kUnknown,
+                                          "the head of the answer is invalid"));
+    return;
   }
+  this->answer_head = *decoded;
+  this->answer_verifier.Begin();
 }
 
 void RequestFlow::OnChunk(std::string_view payload) {
--- a/src/entry/request_flow_claims.cc
+++ b/src/entry/request_flow_claims.cc
@@ -1,6 +1,7 @@
 #include <optional>
 #include <utility>
 
+#include "gooseberryturn/core/http_status.h"
 #include "gooseberryturn/entry/request_flow.h"
 #include "gooseberryturn/protocol/codec.h"
 
@@ -178,24 +179,32 @@
       break;
     case protocol::AttemptState::kFinished: {
       const protocol::KeptAnswer answer = reply.answer;
+      if (!IsFinalHttpStatus(answer.status)) {
+        this->SettleUnknown(holder, error);
+        return;
+      }
       this->RecordOutcome(
           this->MakeSettle(holder.attempt, Outcome::kRan, answer),
           Clock::now() + kSettleTimeout,
           [this, answer] { this->SendKeptAnswer(answer, true); });
       break;
     }
-    case protocol::AttemptState::kUnknown: {
-      const Error refusal = {Reason::kOutcomeUnknown, Step::kHandOver,
-                             Outcome::kUnknown, holder.host, ToString(error)};
-      this->RecordOutcome(this->MakeSettle(holder.attempt, Outcome::kUnknown,
-                                           protocol::KeptAnswer{}),
-                          Clock::now() + kSettleTimeout,
-                          [this, refusal] { this->Refuse(refusal); });
+    case protocol::AttemptState::kUnknown:
+      this->SettleUnknown(holder, error);
       break;
-    }
   }
 }
 
+void RequestFlow::SettleUnknown(const protocol::ClaimReply& holder,
+                                const Error& error) {
+  const Error refusal = {Reason::kOutcomeUnknown, Step::kHandOver,
+                         Outcome::kUnknown, holder.host, ToString(error)};
+  this->RecordOutcome(this->MakeSettle(holder.attempt, Outcome::kUnknown,
+                                       protocol::KeptAnswer{}),
+                      Clock::now() + kSettleTimeout,
+                      [this, refusal] { this->Refuse(refusal); });
+}
+
 protocol::Settle RequestFlow::MakeSettle(
     std::uint64_t attempt_id, Outcome outcome,
     const protocol::KeptAnswer& answer) const {
@@ -236,6 +245,12 @@
                   "the request ran, but its answer was too long to keep"});
     return;
   }
+  if (!IsFinalHttpStatus(answer.status)) {
+    // Stored by a build that passed such answers of targets on.
+    this->Refuse({Reason::kOutcomeUnknown, Step::kReply, Outcome::kUnknown,
+                  std::string(), "the stored answer has no valid status"});
+    return;
+  }
   this->context.metrics.Add(observe::Metric::kAnswers);
   this->context.metrics.Observe(observe::Timing::kRequest,
                                 Clock::now() - this->started_at);
--- a/tests/request_flow_test.cc
+++ b/tests/request_flow_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE request_flow
 #include "gooseberryturn/entry/request_flow.h"
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -45,13 +46,14 @@
   return {"127.0.0.1", acceptor.local_endpoint().port()};
 }
 
-config::Service OrderService(milliseconds deadline = kDeadline) {
+config::Service OrderService(milliseconds deadline = kDeadline,
+                             bool is_idempotent = false) {
   config::Service service;
   service.name = "orders";
   service.kind = config::ServiceKind::kPlain;
   service.limits.in_flight = 8;
   service.limits.cold_in_flight = 8;
-  service.routes = {{"/order", false, deadline.count()}};
+  service.routes = {{"/order", is_idempotent, deadline.count()}};
   return service;
 }
 
@@ -93,13 +95,16 @@
   void GrantClaim() {
     protocol::ClaimReply reply;
     reply.verdict = protocol::ClaimVerdict::kGranted;
+    this->AnswerClaim(reply);
+  }
+  void AnswerClaim(const protocol::ClaimReply& reply) {
     link::Reply(*this->claim, reply);
     this->Turn();
   }
-  void SendAnswer() {
+  void SendAnswer(int status = 200) {
     this->run->Send(protocol::EncodeFrame(
         FrameType::kMessage,
-        protocol::Encode(protocol::AnswerHead{200, "text/plain"})));
+        protocol::Encode(protocol::AnswerHead{status, "text/plain"})));
     this->SendEnd(Error{});
   }
   void SendEnd(const Error& error) {
@@ -117,6 +122,7 @@
   link::Listener listener;
   std::shared_ptr<link::Stream> claim;
   std::shared_ptr<link::Stream> run;
+  protocol::AttemptReply attempt;  ///< The answer to each query.
   int hand_overs = 0;
   int settled = 0;
   std::optional<protocol::Settle> settle;  ///< The last one.
@@ -154,7 +160,7 @@
     link::Reply(*stream, protocol::SettleReply{true, true});
   }
   void OnAttemptQuery(const std::shared_ptr<link::Stream>& stream) {
-    link::Reply(*stream, protocol::AttemptReply{});
+    link::Reply(*stream, this->attempt);
   }
 
   bool has_sent_view = false;
@@ -164,7 +170,7 @@
 /// An entry with one caller, whose request starts a flow.
 class Entry {
  public:
-  explicit Entry(milliseconds deadline = kDeadline)
+  explicit Entry(milliseconds deadline = kDeadline, bool is_idempotent = false)
       : peers(FreeEndpoint()),
         channels(context),
         view_client(context, this->channels, {this->peers.endpoint},
@@ -194,10 +200,10 @@
     const std::shared_ptr<CallerSession> session =
         std::make_shared<CallerSession>(this->acceptor.accept(), limits,
                                         this->metrics);
-    session->on_request = [this, deadline](
+    session->on_request = [this, deadline, is_idempotent](
                               const std::shared_ptr<CallerSession>& from,
                               const CallerRequest& request) {
-      const config::Service service = OrderService(deadline);
+      const config::Service service = OrderService(deadline, is_idempotent);
       const std::shared_ptr<RequestFlow> flow = std::make_shared<RequestFlow>(
           FlowContext{this->context, this->channels, this->view_client,
                       this->chooser, this->retry_budgets, this->metrics},
@@ -225,11 +231,19 @@
   }
   /// Sends the request and runs both loops until its claim has arrived.
   void SendRequest() {
-    error_code ignored;
-    asio::write(this->caller, asio::buffer(kRequest, sizeof(kRequest) - 1),
-                ignored);
+    this->WriteRequest();
     this->TurnUntil([this] { return this->peers.claim != nullptr; });
   }
+  /// Sends the request and runs both loops until the agent has it.
+  void HandOver(bool is_claimed) {
+    if (is_claimed) {
+      this->SendRequest();
+      this->peers.GrantClaim();
+    } else {
+      this->WriteRequest();
+    }
+    this->TurnUntil([this] { return this->peers.hand_overs == 1; });
+  }
   void SleepPastDeadline() {
     std::this_thread::sleep_until(this->started_at + kDeadline + kMargin);
   }
@@ -260,6 +274,13 @@
   tcp::socket caller;
   TimePoint started_at;
   int finished = 0;
+
+ private:
+  void WriteRequest() {
+    error_code ignored;
+    asio::write(this->caller, asio::buffer(kRequest, sizeof(kRequest) - 1),
+                ignored);
+  }
 };
 
 int CountAnswers(const std::string& text) {
@@ -271,6 +292,27 @@
   return count;
 }
 
+/// Checks that the caller got a refusal which leaves open whether its request
+/// ran.
+void CheckOutcomeUnknown(Entry& entry) {
+  const std::string text = entry.ReadAll();
+  BOOST_TEST(text.substr(0, 12) == "HTTP/1.1 502");
+  BOOST_TEST(CountAnswers(text) == 1);
+  BOOST_TEST(text.find("\"unknown\"") != std::string::npos, text);
+  BOOST_TEST(entry.finished == 1);
+}
+
+/// A stored answer that an earlier build took from its target.
+protocol::KeptAnswer StoredAnswer(int status) {
+  protocol::KeptAnswer answer;
+  answer.status = status;
+  answer.body = "stored";
+  return answer;
+}
+
+/// Statuses that no answer has.
+constexpr std::array<int, 5> kNoStatuses = {-1, 0, 99, 103, 600};
+
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(an_outcome_that_arrives_in_time_is_answered) {
@@ -345,3 +387,73 @@
   BOOST_TEST((entry.peers.settle->outcome == Outcome::kNotRun));
   BOOST_TEST(entry.finished == 1);
 }
+
+// An agent of an earlier build passes such answers on.
+BOOST_AUTO_TEST_CASE(an_agents_answer_without_a_status_is_no_answer) {
+  for (const int status : kNoStatuses) {
+    Entry entry(kTestTimeout);
+    entry.HandOver(true);
+    entry.peers.attempt.state = protocol::AttemptState::kUnknown;
+    entry.peers.SendAnswer(status);
+    CheckOutcomeUnknown(entry);
+    BOOST_REQUIRE(entry.peers.settle.has_value());
+    BOOST_TEST((entry.peers.settle->outcome == Outcome::kUnknown));
+  }
+}
+
+// It may be repeated, but no other group is there.
+BOOST_AUTO_TEST_CASE(an_agents_answer_without_a_status_is_not_relayed) {
+  for (const int status : kNoStatuses) {
+    Entry entry(kDeadline, true);
+    entry.HandOver(false);
+    entry.peers.SendAnswer(status);
+    entry.TurnUntil([&entry] { return entry.finished == 1; });
+    const std::string text = entry.ReadAll();
+    BOOST_TEST(text.substr(0, 10) == "HTTP/1.1 5", text);
+    BOOST_TEST(CountAnswers(text) == 1);
+    BOOST_TEST(text.find("\"unknown\"") != std::string::npos, text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_attempts_answer_without_a_status_is_no_answer) {
+  for (const int status : kNoStatuses) {
+    Entry entry(kTestTimeout);
+    entry.HandOver(true);
+    entry.peers.attempt.state = protocol::AttemptState::kFinished;
+    entry.peers.attempt.answer = StoredAnswer(status);
+    entry.peers.SendEnd({Reason::kLinkLost, Step::kRelay, Outcome::kUnknown,
+                         std::string(), "lost"});
+    CheckOutcomeUnknown(entry);
+    BOOST_REQUIRE(entry.peers.settle.has_value());
+    BOOST_TEST((entry.peers.settle->outcome == Outcome::kUnknown));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_stored_answer_without_a_status_is_not_replayed) {
+  for (const int status : kNoStatuses) {
+    Entry entry(kTestTimeout);
+    entry.SendRequest();
+    protocol::ClaimReply reply;
+    reply.verdict = protocol::ClaimVerdict::kFinished;
+    reply.answer = StoredAnswer(status);
+    entry.peers.AnswerClaim(reply);
+    CheckOutcomeUnknown(entry);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_with_an_unusual_status_is_taken) {
+  for (const int status : {299, 418, 599}) {
+    const std::string line = "HTTP/1.1 " + std::to_string(status);
+    Entry entry(kTestTimeout);
+    entry.HandOver(true);
+    entry.peers.SendAnswer(status);
+    BOOST_TEST(entry.ReadAll().substr(0, line.size()) == line);
+    Entry replaying(kTestTimeout);
+    replaying.SendRequest();
+    protocol::ClaimReply reply;
+    reply.verdict = protocol::ClaimVerdict::kFinished;
+    reply.answer = StoredAnswer(status);
+    replaying.peers.AnswerClaim(reply);
+    BOOST_TEST(replaying.ReadAll().substr(0, line.size()) == line);
+  }
+}
