An interim answer is not the answer for agents and for orders either

What callers could see: a target behind an agent sent 103 (Early Hints) before its answer, and the caller got status 103 without a body as the answer; the one that followed was dropped. An order or a call between hosts was answered the same way; an order then counted as one that the target refuses.

Cause: the same as for status 000, a status that is no answer's is taken for one. Boost.Beast takes an interim answer for a whole message; only TargetConnection read on behind it.

Fix: link::IsInterim stands beside CheckHead, and target::Exchange and the reader of orders read the next head, up to 8 times as TargetConnection does. What follows an interim answer is checked like a first head.

--- a/include/gooseberryturn/core/http_status.h
+++ b/include/gooseberryturn/core/http_status.h
@@ -13,8 +13,8 @@
   return status >= kFirstHttpStatus && status <= kLastHttpStatus;
 }
 
-/// \brief True for the status of an answer; one of an interim answer is not
-/// final.
+/// \brief True for the status of an answer; one of an interim answer (1xx),
+/// which comes before it, is not final.
 [[nodiscard]] constexpr bool IsFinalHttpStatus(int status) noexcept {
   return IsHttpStatus(status) && status >= kFirstFinalHttpStatus;
 }
--- a/include/gooseberryturn/direct/target_connection.h
+++ b/include/gooseberryturn/direct/target_connection.h
@@ -122,7 +122,7 @@
   bool is_read_due = false;  ///< A read was skipped while paused.
   bool is_skipping_answer = false;
   bool has_skipped_answer = false;
-  int interim_heads = 0;          ///< Of this exchange.
+  int interim_answers = 0;        ///< Of this exchange.
   std::size_t skipped_bytes = 0;  ///< Of this exchange.
   TimePoint idle_deadline;
 };
--- a/include/gooseberryturn/link/message_head.h
+++ b/include/gooseberryturn/link/message_head.h
@@ -11,6 +11,9 @@
 
 namespace gooseberryturn::link {
 
+/// Interim answers to one request.
+inline constexpr int kMaxInterimAnswers = 8;
+
 /// \brief Checks the head of a request. Every reader of requests calls it
 /// before it uses the request. \returns An error of CheckTransferCoding.
 [[nodiscard]] inline boost::system::error_code CheckHead(
@@ -32,6 +35,14 @@
   return CheckTransferCoding<false>(head);
 }
 
+/// \brief True if the answer to the request is still to come. Boost.Beast takes
+/// an interim answer for a whole one. RFC 9110, section 15.2.
+/// \param head A head that CheckHead has found right.
+[[nodiscard]] inline bool IsInterim(
+    const boost::beast::http::header<false, boost::beast::http::fields>& head) {
+  return !IsFinalHttpStatus(static_cast<int>(head.result_int()));
+}
+
 }  // namespace gooseberryturn::link
 
 #endif  // GOOSEBERRYTURN_LINK_MESSAGE_HEAD_H_
--- a/include/gooseberryturn/target/exchange.h
+++ b/include/gooseberryturn/target/exchange.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -80,6 +81,8 @@
   /// Sends the request, unless its deadline has passed or `may_send` objects.
   void Write();
   void ReadHead();
+  /// Waits for the next head if this one is interim.
+  void OnHead();
   void ReadBody();
   void Finish(Result<void> result);
   /// Ends the exchange when `error` is set.
@@ -95,7 +98,8 @@
   TimePoint deadline;
   boost::beast::http::request<boost::beast::http::string_body> http_request;
   link::ReadBuffer read_buffer;
-  Parser parser;
+  std::optional<Parser> parser;
+  int interim_answers = 0;
   std::array<char, kBodyBufferBytes> body_buffer;
   bool has_started_sending = false;
   bool is_paused = false;
--- a/src/direct/async_http.cc
+++ b/src/direct/async_http.cc
@@ -4,10 +4,12 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <optional>
 #include <utility>
 
 #include "gooseberryturn/direct/http_server_session.h"
 #include "gooseberryturn/link/listener.h"
+#include "gooseberryturn/link/message_head.h"
 #include "gooseberryturn/link/message_reader.h"
 #include "header_text.h"
 
@@ -101,19 +103,34 @@
 
   void Read() {
     const std::shared_ptr<ClientSession> self = this->shared_from_this();
-    this->parser.body_limit(kMaxAnswerBytes);
-    link::ReadMessage<false>(this->socket, this->buffer, this->parser,
+    this->parser.emplace();
+    this->parser->body_limit(kMaxAnswerBytes);
+    link::ReadMessage<false>(this->socket, this->buffer, *this->parser,
                              this->share, [self](const error_code& error) {
                                if (error) {
                                  self->Fail(Outcome::kUnknown, error);
                                } else {
-                                 self->Finish(self->TakeResponse());
+                                 self->OnAnswer();
                                }
                              });
   }
 
+  void OnAnswer() {
+    if (!link::IsInterim(this->parser->get())) {
+      this->Finish(this->TakeResponse());
+      return;
+    }
+    this->interim_answers += 1;
+    if (this->interim_answers > link::kMaxInterimAnswers) {
+      this->Finish(tl::make_unexpected(MakeError(this->peer, Outcome::kUnknown,
+                                                 "too many interim answers")));
+    } else {
+      this->Read();
+    }
+  }
+
   HttpResponse TakeResponse() {
-    http::response<http::string_body> response = this->parser.release();
+    http::response<http::string_body> response = this->parser->release();
     HttpResponse taken{static_cast<int>(response.result_int()), "",
                        std::move(response.body())};
     for (const http::fields::value_type& field : response) {
@@ -152,7 +169,8 @@
   link::ReadBuffer buffer;
   http::request<http::string_body> request;
   ByteShare share;  ///< Without a budget: answers are short and few.
-  http::response_parser<http::string_body> parser;
+  std::optional<http::response_parser<http::string_body>> parser;
+  int interim_answers = 0;
 };
 
 }  // namespace
--- a/src/direct/target_connection.cc
+++ b/src/direct/target_connection.cc
@@ -24,8 +24,6 @@
 /// Body limit that is never reached; Boost 1.74 treats boost::none as a limit
 /// that is always exceeded.
 constexpr std::uint64_t kNoLimit = std::uint64_t{1} << 40U;
-/// Interim answers (status 1xx) to one request.
-constexpr int kMaxInterimHeads = 8;
 /// Body of an answer to an earlier request that is read and dropped.
 constexpr std::size_t kMaxSkippedBytes = 256U * 1024U;
 constexpr std::string_view kTimeoutField = "timeout=";
@@ -68,7 +66,7 @@
   this->is_paused = false;
   this->is_read_due = false;
   this->has_skipped_answer = false;
-  this->interim_heads = 0;
+  this->interim_answers = 0;
   this->skipped_bytes = 0;
   if (this->connected) {
     error_code ignored;
@@ -179,9 +177,9 @@
 
 void TargetConnection::OnHead() {
   const ResponseHead& head = this->parser->get().base();
-  if (head.result_int() >= 100 && head.result_int() < 200) {
-    this->interim_heads += 1;
-    if (this->interim_heads > kMaxInterimHeads) {
+  if (link::IsInterim(head)) {
+    this->interim_answers += 1;
+    if (this->interim_answers > link::kMaxInterimAnswers) {
       this->End(ExchangeEnd::kInvalid, "too many interim answers");
     } else {
       this->ReadHead();
--- a/src/target/exchange.cc
+++ b/src/target/exchange.cc
@@ -28,9 +28,7 @@
       timer(context),
       target(std::move(target)),
       request(std::move(request)),
-      deadline(deadline) {
-  this->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-}
+      deadline(deadline) {}
 
 Error Exchange::MakeError(Reason reason, const std::string& message) const {
   const Outcome outcome =
@@ -118,37 +116,53 @@
 }
 
 void Exchange::ReadHead() {
+  this->parser.emplace();
+  this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   const std::shared_ptr<Exchange> self = this->shared_from_this();
   http::async_read_header(
-      this->socket, this->read_buffer, this->parser,
+      this->socket, this->read_buffer, *this->parser,
       [self](const error_code& error, std::size_t /*size*/) {
         if (self->FinishOnError(error) ||
-            self->FinishOnError(link::CheckHead(self->parser.get()))) {
+            self->FinishOnError(link::CheckHead(self->parser->get()))) {
           return;
         }
-        self->has_head = true;
-        const http::response_header<>& head = self->parser.get();
-        self->on_head({static_cast<int>(head.result_int()),
-                       std::string(head[http::field::content_type]),
-                       std::string(head["X-Boot"])});
-        self->ReadBody();
+        self->OnHead();
       });
 }
 
+void Exchange::OnHead() {
+  const http::response_header<>& head = this->parser->get();
+  if (link::IsInterim(head)) {
+    this->interim_answers += 1;
+    if (this->interim_answers > link::kMaxInterimAnswers) {
+      this->Finish(tl::make_unexpected(
+          this->MakeError(Reason::kTargetFailed, "too many interim answers")));
+    } else {
+      this->ReadHead();
+    }
+    return;
+  }
+  this->has_head = true;
+  this->on_head({static_cast<int>(head.result_int()),
+                 std::string(head[http::field::content_type]),
+                 std::string(head["X-Boot"])});
+  this->ReadBody();
+}
+
 void Exchange::ReadBody() {
   if (this->is_done || this->is_paused || this->is_reading || !this->has_head) {
     return;
   }
-  if (this->parser.is_done()) {
+  if (this->parser->is_done()) {
     this->Finish({});
     return;
   }
   this->is_reading = true;
-  this->parser.get().body().data = this->body_buffer.data();
-  this->parser.get().body().size = this->body_buffer.size();
+  this->parser->get().body().data = this->body_buffer.data();
+  this->parser->get().body().size = this->body_buffer.size();
   const std::shared_ptr<Exchange> self = this->shared_from_this();
   http::async_read_some(
-      this->socket, this->read_buffer, this->parser,
+      this->socket, this->read_buffer, *this->parser,
       [self](error_code error, std::size_t /*size*/) {
         self->is_reading = false;
         if (error == http::error::need_buffer) {
@@ -158,7 +172,7 @@
           return;
         }
         const std::size_t size =
-            self->body_buffer.size() - self->parser.get().body().size;
+            self->body_buffer.size() - self->parser->get().body().size;
         if (size > 0) {
           self->on_body(std::string_view(self->body_buffer.data(), size));
         }
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -147,6 +147,37 @@
   }
 }
 
+// It says that the answer is still to come.
+BOOST_AUTO_TEST_CASE(an_interim_answer_is_not_the_answer) {
+  const std::string interim(kInterimHead);
+  for (const std::string& before : {interim, interim + interim}) {
+    for (AnswerPlan plan : EachFraming("HTTP/1.1 404 Not Found")) {
+      plan.text.insert(0, before);
+      CheckTaken(plan, 404);
+    }
+    for (AnswerPlan plan : EachFraming("HTTP/1.1 000 Odd")) {
+      plan.text.insert(0, before);
+      CheckRefused(plan);
+    }
+  }
+  const AnswerPlan cut = {"nothing else", interim, Ending::kClose};
+  BOOST_TEST((ReadTargetAnswer(cut.text, cut.ending).end ==
+              direct::ExchangeEnd::kCut));
+  CheckRefusedByOrder(cut);
+  CheckRefusedByAgent(cut);
+}
+
+BOOST_AUTO_TEST_CASE(interim_answers_without_end_are_refused) {
+  std::string many;
+  for (int count = 0; count < 100; ++count) {
+    many += kInterimHead;
+  }
+  for (AnswerPlan plan : EachFraming("HTTP/1.1 200 OK")) {
+    plan.text.insert(0, many);
+    CheckRefused(plan);
+  }
+}
+
 // Its body says that the target is ready.
 BOOST_AUTO_TEST_CASE(a_broken_answer_does_not_show_a_healthy_target) {
   const std::string body = R"({"boot":"b1","ready":true})";
