--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -118,6 +118,23 @@
   return output;
 }
 
+/// Lines of a head in which the name of a field is none.
+std::vector<std::string> LinesWithoutName() {
+  std::vector<std::string> lines = {"Bad Name: 1\r\n",
+                                    "Bad\tName: 1\r\n",
+                                    "Name : 1\r\n",
+                                    "Name\t: 1\r\n",
+                                    ": 1\r\n",
+                                    "Name\r\n",
+                                    "Content-Length : 2\r\n",
+                                    "Transfer-Encoding : chunked\r\n"};
+  for (const char byte : {'\x00', '\x01', '\x0b', '\x1f', '\x7f'}) {
+    lines.push_back("Bad" + std::string(1, byte) + "Name: 1\r\n");
+    lines.push_back(std::string(1, byte) + "Name: 1\r\n");
+  }
+  return lines;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(an_answer_whose_status_is_none_is_invalid) {
@@ -178,6 +195,41 @@
   }
 }
 
+// The line would be passed on, or would change where the body ends.
+BOOST_AUTO_TEST_CASE(a_field_whose_name_is_none_makes_an_answer_invalid) {
+  for (const std::string& line : LinesWithoutName()) {
+    for (AnswerPlan plan : EachFraming("HTTP/1.1 200 OK")) {
+      plan.name += ", " + line;
+      AnswerPlan first = plan;
+      first.text.insert(first.text.find("\r\n") + 2, line);
+      CheckRefused(first);
+      plan.text.insert(plan.text.find("\r\n\r\n") + 2, line);
+      CheckRefused(plan);
+    }
+  }
+  for (AnswerPlan plan : EachFraming("HTTP/1.1 200 OK")) {
+    plan.name += ", first line after a blank";
+    plan.text.insert(plan.text.find("\r\n") + 2, " Name: 1\r\n");
+    CheckRefused(plan);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_trailer_whose_name_is_none_makes_an_answer_invalid) {
+  for (const std::string& line : LinesWithoutName()) {
+    const std::string text =
+        "HTTP/1.1 200 OK\r\n" + std::string(kAttemptLine) +
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + line + "\r\n";
+    BOOST_TEST_CONTEXT(line) {
+      const TargetReading target = ReadTargetAnswer(text);
+      BOOST_TEST((target.end == direct::ExchangeEnd::kInvalid));
+      BOOST_TEST(!target.is_reusable);
+      CheckRefusedByOrder({line, text});
+      const AgentReading agent = ReadAgentAnswer(text);
+      BOOST_TEST((agent.result.has_value() && !agent.result->has_value()));
+    }
+  }
+}
+
 // Its body says that the target is ready.
 BOOST_AUTO_TEST_CASE(a_broken_answer_does_not_show_a_healthy_target) {
   const std::string body = R"({"boot":"b1","ready":true})";
--- a/tests/platform_broken_answer_test.cc
+++ b/tests/platform_broken_answer_test.cc
@@ -116,3 +116,21 @@
     scripted.CheckTaken(path, path + "end", "whole");
   }
 }
+
+BOOST_AUTO_TEST_CASE(no_caller_gets_an_answer_with_a_field_without_a_name) {
+  Scripted scripted(87, 4);
+  int number = 0;
+  for (const std::string line : {"Bad Name: 1", "Bad\x01Name: 1",
+                                 "Bad\x7fName: 1", "Content-Length : 2"}) {
+    scripted.target.SetScript(
+        [line](const std::string& lines) {
+          return "HTTP/1.1 200 OK\r\n" + lines + line +
+                 "\r\nContent-Length: 4\r\n\r\nbody";
+        },
+        ScriptEnd::kClose);
+    number += 1;
+    scripted.CheckRefused("/safe/1", "safe-" + std::to_string(number));
+    scripted.CheckRefused("/unsafe/1", "unsafe-" + std::to_string(number));
+    BOOST_TEST(scripted.Runs("unsafe-" + std::to_string(number)) == 1);
+  }
+}
