gooseberryturnctl takes no broken answer

What operators could see: a control host, or what answers at its address, sent a status such as 007 or 999, a chunked answer without its last chunk, an answer without a length that a reset cut, or "Content-Length : 2" with a blank; the command ended with 0 as if a leader had answered, and a change with status 200 as accepted.

Cause: cxxtools' HTTP client checks neither the status nor how a chunked or an unframed body ends, and takes a blank behind a field's name; it tells its caller nothing of it.

Fix: gooseberryturnctl reads answers with link::ReadAnswer, the reader that orders and calls between hosts use, with the limits of time it had (1 s to connect, 10 s for the answer). ReadAnswer is that reader's loop over interim answers, moved from SendHttpRequest. An answer that is broken counts as no answer: the next control host is asked, and after the usual 15 s the command ends with 5 and says why.

Four sound ones (length, chunks, end of the connection, behind an interim answer) are taken as before.

--- a/include/gooseberryturn/link/message_reader.h
+++ b/include/gooseberryturn/link/message_reader.h
@@ -8,7 +8,9 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <utility>
 
 #include "gooseberryturn/core/byte_budget.h"
@@ -93,6 +95,54 @@
       .ReadHead();
 }
 
+namespace detail {
+
+/// The read of one answer and of the interim ones before it.
+struct AnswerRead {
+  void Read() {
+    this->parser.emplace();
+    this->parser->body_limit(this->max_body_bytes);
+    ReadMessage<false>(
+        this->socket, this->buffer, *this->parser, this->share,
+        [read = *this](const boost::system::error_code& error) mutable {
+          if (error || !IsInterim(read.parser->get())) {
+            read.on_read(error);
+            return;
+          }
+          read.interim_answers += 1;
+          if (read.interim_answers > kMaxInterimAnswers) {
+            read.on_read(boost::beast::http::error::bad_status);
+          } else {
+            read.Read();
+          }
+        });
+  }
+
+  boost::asio::ip::tcp::socket& socket;
+  ReadBuffer& buffer;
+  std::optional<MessageParser<false>>& parser;
+  std::uint64_t max_body_bytes;
+  ByteShare& share;
+  OnMessageRead on_read;
+  int interim_answers = 0;
+};
+
+}  // namespace detail
+
+/// \brief Reads the answer to a request with its body, behind interim answers.
+///
+/// \details As ReadMessage, which reads each of them. More than
+/// kMaxInterimAnswers end the read with `bad_status`.
+/// \param parser Holds the answer; it is made anew for each message.
+inline void ReadAnswer(boost::asio::ip::tcp::socket& socket, ReadBuffer& buffer,
+                       std::optional<MessageParser<false>>& parser,
+                       std::uint64_t max_body_bytes, ByteShare& share,
+                       OnMessageRead on_read) {
+  detail::AnswerRead{socket,         buffer, parser,
+                     max_body_bytes, share,  std::move(on_read)}
+      .Read();
+}
+
 }  // namespace gooseberryturn::link
 
 #endif  // GOOSEBERRYTURN_LINK_MESSAGE_READER_H_
--- a/programs/ctl/api.cc
+++ b/programs/ctl/api.cc
@@ -1,18 +1,20 @@
 #include "api.h"
 
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/net/addrinfo.h>
-
+#include <boost/beast/http/verb.hpp>
 #include <chrono>
-#include <exception>
 #include <optional>
 #include <thread>
+#include <utility>
+
+#include "api_call.h"
 
 namespace gooseberryturn::ctl {
 
+namespace http = boost::beast::http;
+
 namespace {
 
+constexpr unsigned kHttpVersion = 11;
 constexpr int kMaxAttempts = 60;
 constexpr std::chrono::milliseconds kRetryInterval(250);
 
@@ -20,20 +22,20 @@
                       const std::string& path,
                       const cxxtools::QueryParams& query,
                       const std::string& body) {
-  cxxtools::http::Client client(
-      cxxtools::net::AddrInfo(host.address, host.port));
-  // cxxtools does not send Request::qparams, so the query goes into the URL.
   const std::string query_string = query.getUrl();
-  cxxtools::http::Request request(
-      query_string.empty() ? path : path + "?" + query_string);
-  request.method(method);
-  request.body() << body;
+  ApiCall::Request request(
+      http::string_to_verb(method),
+      query_string.empty() ? path : path + "?" + query_string, kHttpVersion);
+  request.body() = body;
+  ApiCall call(host, std::move(request));
+  const boost::system::error_code error = call.Run();
   ApiAnswer answer;
-  client.execute(request, cxxtools::Milliseconds(10'000),
-                 cxxtools::Milliseconds(1'000));
-  client.readBody();
-  answer.status = static_cast<int>(client.header().httpReturnCode());
-  answer.body = client.body();
+  if (error) {
+    answer.body = ToString(host) + ": " + error.message();
+    return answer;
+  }
+  answer.status = static_cast<int>(call.response().result_int());
+  answer.body = call.response().body();
   const tl::expected<config::JsonValue, config::Faults> tree =
       config::ParseJson(answer.body);
   if (tree.has_value()) {
@@ -78,23 +80,19 @@
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
     const Endpoint& host =
         control_hosts[static_cast<std::size_t>(attempt) % control_hosts.size()];
-    try {
-      ApiAnswer answer = SendRequest(host, method, path, query, body);
+    ApiAnswer answer = SendRequest(host, method, path, query, body);
+    if (IsFromLeader(answer)) {
+      return answer;
+    }
+    const std::optional<Endpoint> leader =
+        ParseEndpoint(GetText(answer.tree, "leader"));
+    if (leader.has_value()) {
+      answer = SendRequest(*leader, method, path, query, body);
       if (IsFromLeader(answer)) {
         return answer;
       }
-      const std::optional<Endpoint> leader =
-          ParseEndpoint(GetText(answer.tree, "leader"));
-      if (leader.has_value()) {
-        answer = SendRequest(*leader, method, path, query, body);
-        if (IsFromLeader(answer)) {
-          return answer;
-        }
-      }
-      last_answer = answer;
-    } catch (const std::exception& error) {
-      last_answer.body = ToString(host) + ": " + error.what();
     }
+    last_answer = answer;
     std::this_thread::sleep_for(kRetryInterval);
   }
   return last_answer;
--- a/src/direct/async_http.cc
+++ b/src/direct/async_http.cc
@@ -9,7 +9,6 @@
 
 #include "gooseberryturn/direct/http_server_session.h"
 #include "gooseberryturn/link/listener.h"
-#include "gooseberryturn/link/message_head.h"
 #include "gooseberryturn/link/message_reader.h"
 #include "header_text.h"
 
@@ -103,30 +102,14 @@
 
   void Read() {
     const std::shared_ptr<ClientSession> self = this->shared_from_this();
-    this->parser.emplace();
-    this->parser->body_limit(kMaxAnswerBytes);
-    link::ReadMessage<false>(this->socket, this->buffer, *this->parser,
-                             this->share, [self](const error_code& error) {
-                               if (error) {
-                                 self->Fail(Outcome::kUnknown, error);
-                               } else {
-                                 self->OnAnswer();
-                               }
-                             });
-  }
-
-  void OnAnswer() {
-    if (!link::IsInterim(this->parser->get())) {
-      this->Finish(this->TakeResponse());
-      return;
-    }
-    this->interim_answers += 1;
-    if (this->interim_answers > link::kMaxInterimAnswers) {
-      this->Finish(tl::make_unexpected(MakeError(this->peer, Outcome::kUnknown,
-                                                 "too many interim answers")));
-    } else {
-      this->Read();
-    }
+    link::ReadAnswer(this->socket, this->buffer, this->parser, kMaxAnswerBytes,
+                     this->share, [self](const error_code& error) {
+                       if (error) {
+                         self->Fail(Outcome::kUnknown, error);
+                       } else {
+                         self->Finish(self->TakeResponse());
+                       }
+                     });
   }
 
   HttpResponse TakeResponse() {
@@ -169,8 +152,7 @@
   link::ReadBuffer buffer;
   http::request<http::string_body> request;
   ByteShare share;  ///< Without a budget: answers are short and few.
-  std::optional<http::response_parser<http::string_body>> parser;
-  int interim_answers = 0;
+  std::optional<link::MessageParser<false>> parser;
 };
 
 }  // namespace
--- a/tests/answer_readers.h
+++ b/tests/answer_readers.h
@@ -32,7 +32,7 @@
 }
 
 /// What a target does with its connection once it has sent its answer.
-enum class Ending : std::uint8_t { kLeaveOpen, kClose };
+enum class Ending : std::uint8_t { kLeaveOpen, kClose, kReset };
 
 /// A target that answers requests with fixed bytes, each on a connection of its
 /// own.
@@ -66,7 +66,10 @@
           boost::system::error_code ignored;
           boost::asio::write(this->socket, boost::asio::buffer(this->answer),
                              ignored);
-          if (this->ending == Ending::kClose) {
+          if (this->ending != Ending::kLeaveOpen) {
+            this->socket.set_option(boost::asio::socket_base::linger(
+                                        this->ending == Ending::kReset, 0),
+                                    ignored);
             this->socket.close(ignored);
             this->Accept();
           }
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <cstdio>
+#include <cstdlib>
+#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
@@ -105,6 +107,34 @@
   return monitor.is_ready();
 }
 
+/// Exit code of gooseberryturnctl when it has tried for 15 s.
+constexpr int kNoControlHostAnswers = 5;
+
+/// Runs gooseberryturnctl once for each plan, all at the same time, against a
+/// control host that answers so.
+/// \returns The exit codes.
+std::vector<int> RunCtl(const std::vector<AnswerPlan>& plans) {
+  asio::io_context context;
+  std::vector<std::unique_ptr<FixedTarget>> hosts;
+  std::vector<std::FILE*> runs;
+  for (const AnswerPlan& plan : plans) {
+    hosts.push_back(
+        std::make_unique<FixedTarget>(context, plan.text, plan.ending));
+    const std::string command =
+        std::string(BINARY_ROOT) + "/gooseberryturnctl document --control " +
+        ToString(hosts.back()->endpoint()) + " 2>/dev/null";
+    runs.push_back(popen(command.c_str(), "r"));
+  }
+  std::thread serving([&context] { context.run(); });
+  std::vector<int> codes;
+  for (std::FILE* run : runs) {
+    codes.push_back(WEXITSTATUS(pclose(run)));
+  }
+  context.stop();
+  serving.join();
+  return codes;
+}
+
 /// What a program writes to its standard output.
 std::string OutputOf(const std::string& command) {
   std::FILE* pipe = popen(command.c_str(), "r");
@@ -256,3 +286,33 @@
   BOOST_TEST(output.find("\"refused\":0,") != std::string::npos, output);
   BOOST_TEST(output.find("\"broken\":0,") == std::string::npos, output);
 }
+
+BOOST_AUTO_TEST_CASE(gooseberryturnctl_takes_no_broken_answer) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string length = "Content-Length: 2\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n";
+  const std::vector<AnswerPlan> broken = {
+      {"007", "HTTP/1.1 007 Odd\r\n" + length + "\r\n{}", Ending::kClose},
+      {"999", "HTTP/1.1 999 Odd\r\n" + length + "\r\n{}", Ending::kClose},
+      {"blank in a name", ok + "Bad Name: 1\r\n" + length + "\r\n{}",
+       Ending::kClose},
+      {"blank behind a name", ok + "Content-Length : 2\r\n\r\n{}",
+       Ending::kClose},
+      {"part of a length", ok + "Content-Length: 9\r\n\r\n{}", Ending::kClose},
+      {"no last chunk", ok + chunked, Ending::kClose},
+      {"a reset", ok + "\r\n{}", Ending::kReset}};
+  const std::vector<AnswerPlan> sound = {
+      {"length", ok + length + "\r\n{}", Ending::kClose},
+      {"chunks", ok + chunked + "0\r\n\r\n", Ending::kClose},
+      {"end", ok + "\r\n{}", Ending::kClose},
+      {"interim", kInterimHead + ok + length + "\r\n{}", Ending::kClose}};
+  const std::vector<int> broken_codes = RunCtl(broken);
+  for (std::size_t number = 0; number < broken.size(); ++number) {
+    BOOST_TEST(broken_codes[number] == kNoControlHostAnswers,
+               broken[number].name);
+  }
+  const std::vector<int> sound_codes = RunCtl(sound);
+  for (std::size_t number = 0; number < sound.size(); ++number) {
+    BOOST_TEST(sound_codes[number] == 0, sound[number].name);
+  }
+}
