--- a/include/gooseberryturn/link/message_head.h
+++ b/include/gooseberryturn/link/message_head.h
@@ -15,7 +15,9 @@
 inline constexpr int kMaxInterimAnswers = 8;
 
 /// \brief Checks the head of a request. Every reader of requests calls it
-/// before it uses the request. \returns An error of CheckTransferCoding.
+/// before it uses the request.
+///
+/// \returns An error of CheckTransferCoding.
 [[nodiscard]] inline boost::system::error_code CheckHead(
     const boost::beast::http::header<true, boost::beast::http::fields>& head) {
   return CheckTransferCoding<true>(head);
--- a/include/gooseberryturn/link/transfer_coding.h
+++ b/include/gooseberryturn/link/transfer_coding.h
@@ -29,7 +29,7 @@
 }  // namespace detail
 
 /// \brief Checks the transfer coding of a message, which has no other than
-/// chunked. Readers of HTTP call it by CheckHead.
+/// chunked. Readers of HTTP call it through CheckHead.
 ///
 /// \details Boost.Beast takes a request whose last coding is not chunked to
 /// have no body, and drops codings before chunked. RFC 9112, sections 6.1 and
--- a/programs/ctl/api_call.cc
+++ b/programs/ctl/api_call.cc
@@ -22,7 +22,10 @@
 }  // namespace
 
 ApiCall::ApiCall(const Endpoint& host, Request request)
-    : socket(context), timer(context), host(host), request(std::move(request)) {
+    : socket(context),
+      timer(context.get_executor()),
+      host(host),
+      request(std::move(request)) {
   this->request.set(http::field::host, ToString(this->host));
   this->request.keep_alive(false);
   this->request.prepare_payload();
@@ -35,7 +38,7 @@
   if (bad_address) {
     return bad_address;
   }
-  this->SetTimeout(kConnectTimeout);
+  this->SetDeadline(Clock::now() + kConnectTimeout);
   this->socket.async_connect(remote, [this](const error_code& error) {
     error ? this->End(error) : this->Write();
   });
@@ -44,7 +47,7 @@
 }
 
 void ApiCall::Write() {
-  this->SetTimeout(kAnswerTimeout);
+  this->SetDeadline(Clock::now() + kAnswerTimeout);
   http::async_write(this->socket, this->request,
                     [this](const error_code& error, std::size_t /*size*/) {
                       error ? this->End(error) : this->Read();
@@ -57,13 +60,8 @@
                    [this](const error_code& error) { this->End(error); });
 }
 
-void ApiCall::SetTimeout(Duration time) {
-  this->timer.expires_after(time);
-  this->timer.async_wait([this](const error_code& error) {
-    if (!error) {
-      this->End(asio::error::timed_out);
-    }
-  });
+void ApiCall::SetDeadline(TimePoint deadline) {
+  this->timer.Set(deadline, [this] { this->End(asio::error::timed_out); });
 }
 
 void ApiCall::End(const error_code& error) {
@@ -73,7 +71,7 @@
   this->result = error;
   error_code ignored;
   this->socket.close(ignored);
-  this->timer.cancel();
+  this->timer.Cancel();
 }
 
 }  // namespace gooseberryturn::ctl
--- a/programs/ctl/api_call.h
+++ b/programs/ctl/api_call.h
@@ -3,7 +3,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/system/error_code.hpp>
@@ -12,6 +11,7 @@
 #include "gooseberryturn/core/byte_budget.h"
 #include "gooseberryturn/core/endpoint.h"
 #include "gooseberryturn/core/time.h"
+#include "gooseberryturn/link/deadline_timer.h"
 #include "gooseberryturn/link/message_reader.h"
 #include "gooseberryturn/link/read_buffer.h"
 
@@ -35,13 +35,13 @@
  private:
   void Write();
   void Read();
-  /// Ends the call after `time` from now.
-  void SetTimeout(Duration time);
+  /// Replaces the deadline at which the call ends.
+  void SetDeadline(TimePoint deadline);
   void End(const boost::system::error_code& error);
 
   boost::asio::io_context context;
   boost::asio::ip::tcp::socket socket;
-  boost::asio::steady_timer timer;
+  link::DeadlineTimer timer;
   Endpoint host;
   Request request;
   link::ReadBuffer buffer;
