Tests of broken answers wait for events, not for a time

upload_answer_test ran its loop for 30 ms to connect and counted turns while an upload was read, and a health check was given 100 ms: a machine that holds a process up for that long would have failed sound cases. They now wait until the connection is there, the request is sent, the next check begins, with the limit of 5 s that the other readers have. No check and no bound changed; all three files pass.

--- a/tests/answer_readers.h
+++ b/tests/answer_readers.h
@@ -50,11 +50,14 @@
     return {"127.0.0.1", this->acceptor.local_endpoint().port()};
   }
 
+  int connections = 0;  ///< Accepted until now.
+
  private:
   void Accept() {
     this->acceptor.async_accept(this->socket,
                                 [this](const boost::system::error_code& error) {
                                   if (!error) {
+                                    this->connections += 1;
                                     this->AwaitRequest();
                                   }
                                 });
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -2,7 +2,6 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
-#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <memory>
@@ -103,7 +102,10 @@
   const FixedTarget target(context, answer, Ending::kClose);
   target::Monitor monitor(context, target.endpoint(), false);
   monitor.Start();
-  context.run_for(std::chrono::milliseconds(100));
+  // The next check follows the end of the first one.
+  RunUntil(context, [&monitor, &target] {
+    return monitor.is_ready() || target.connections > 1;
+  });
   return monitor.is_ready();
 }
 
--- a/tests/upload_answer_test.cc
+++ b/tests/upload_answer_test.cc
@@ -123,6 +123,8 @@
   /// Starts an exchange whose request stays unsent for the most part.
   void StartAndAccept() {
     this->Start();
+    RunUntil(this->context,
+             [this] { return this->connection->is_connected(); });
     this->Run();
     this->target.Accept();
     BOOST_REQUIRE(!this->end.has_value());
@@ -298,12 +300,10 @@
   Upload upload;
   upload.StartAndAccept();
   upload.target.Send(UnframedAnswer());
-  for (int turn = 0; turn < 200 && !upload.connection->is_request_sent();
-       ++turn) {
+  RunUntil(upload.context, [&upload] {
     upload.target.Read();
-    upload.context.restart();
-    upload.context.run_for(milliseconds(1));
-  }
+    return upload.connection->is_request_sent();
+  });
   BOOST_REQUIRE(upload.connection->is_request_sent());
   upload.target.Read();
   upload.target.End(TargetEnd::kClose);
