Review: a planned replacement leaves the core without a spare for 3 s

Case review/6: a successor that has run for long stays a learner until the departed voter was silent for 3 s. One more loss in that time takes the majority for good.

--- /dev/null
+++ b/review/6/case.cc
@@ -0,0 +1,28 @@
+#include "../core_case2.h"
+
+/// A machine of the core is replaced as planned, then another one is lost.
+/// See claim.txt.
+using namespace review;  // NOLINT
+
+namespace {
+
+Verdict Run(Record& record) {
+  Machines machines(record);
+  if (!StartCore(machines, record) || !StartSuccessor(machines, record)) {
+    return Verdict::kCouldNotRun;
+  }
+  StopMachine3(machines, record);
+  SleepMs(1000);
+  if (!IsTroubled()) {
+    return JudgeRead(machines, record, {1, 2, 4});
+  }
+  LoseForGood(machines, record, 2, 5, {1, 2, 4}, 1000);
+  return JudgeRead(machines, record, {1, 4, 5});
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Record record(argc > 1 ? argv[1] : "record.txt");
+  return static_cast<int>(Run(record));
+}
