--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -11,7 +11,7 @@
   if (!StartCore(machines, record) || !StartSuccessor(machines, record)) {
     return Verdict::kCouldNotRun;
   }
-  StopMachine3(machines, record);
+  StopForGood(machines, record, 3);
   SleepMs(1000);
   if (!IsTroubled()) {
     return JudgeRead(machines, record, {1, 2, 4});
--- a/review/core_case2.h
+++ b/review/core_case2.h
@@ -68,12 +68,12 @@
   return true;
 }
 
-/// Machine 4, which is to take the place of machine 3, starts and has more than
-/// its time to catch up.
+/// Machine 4, which is to take the place of another one, starts and has more
+/// than its time to catch up.
 /// \returns False if that couldn't be done.
 inline bool StartSuccessor(Machines& machines, Record& record) {
   machines.StartControl(4, {1, 2, 3}, false);
-  record.Line("platform: machine 4 starts, the successor of 3, empty disk");
+  record.Line("platform: machine 4 starts as a successor, empty disk");
   SleepMs(kCatchUpMs);
   if (!IsReadBack(machines, {4}, record, true)) {
     record.Line("machine 4 didn't serve after its time to catch up");
@@ -82,11 +82,12 @@
   return true;
 }
 
-/// Machine 3 leaves as planned, with its disk.
-inline void StopMachine3(Machines& machines, Record& record) {
-  machines.Named("control-3").Stop(kGrace);
-  machines.RemoveDisk(3);
-  record.Line("platform: machine 3 got SIGTERM, has exited, is gone for good");
+/// Machine `number` leaves as planned, with its disk.
+inline void StopForGood(Machines& machines, Record& record, int number) {
+  machines.Named("control-" + std::to_string(number)).Stop(kGrace);
+  machines.RemoveDisk(number);
+  record.Line("platform: machine %d got SIGTERM, has exited, is gone for good",
+              number);
 }
 
 /// Machine `lost` is gone for good; its successor starts `pause_ms` later.
