A host without contact forgets its leader, and a leader without a quorum steps down

When the other one left as planned nobody took its place, and with the next loss no read of an acknowledged configuration was answered any more, for good.

Cause: the leader removes a learner that is silent for 3 s and cannot tell it. Node forgot its leader only when it stood for election, which a learner never does, so NeedsToJoin (till now inside ControlHost::RequestToJoin) found a member with a leader, for ever. The same cause in a leader that is replaced while it stands still: answers with a newer term go to members only, so it led on in its own eyes.

Fix: a node that may not stand for election forgets its leader after an election timeout without contact. A leader that had no acknowledgement of a quorum for two election timeouts steps down (check-quorum, Raft thesis 6.2). Whoever knows no leader asks to be added, as before. It works because it doesn't depend on a message to the host that was removed.

Disk moves from consensus_test.cc to memory_disk.h, unchanged.

--- a/include/gooseberryturn/consensus/node.h
+++ b/include/gooseberryturn/consensus/node.h
@@ -98,7 +98,8 @@
  public:
   Node(Options options, PersistentState stored, TimePoint now);
 
-  /// \brief Starts an election or sends heartbeats when they are due.
+  /// \brief Starts an election, sends heartbeats or drops a silent leader when
+  /// that is due.
   void Tick(TimePoint now);
   /// \brief Processes a message from a peer.
   void Receive(const Message& message, TimePoint now);
@@ -139,7 +140,8 @@
   /// newest heartbeat round that a quorum has acknowledged.
   [[nodiscard]] bool HasLease(TimePoint now) const;
   [[nodiscard]] NodeRole role() const noexcept { return this->current_role; }
-  /// \brief Id of the known leader, or 0.
+  /// \brief Id of the known leader; 0 if there is none, also once an election
+  /// timeout has passed without contact.
   [[nodiscard]] NodeId leader() const noexcept { return this->leader_id; }
   [[nodiscard]] Term term() const noexcept { return this->hard_state.term; }
   [[nodiscard]] Index commit_index() const noexcept { return this->commit; }
@@ -177,6 +179,11 @@
   /// (voters / kVotersPerSpread).
   static constexpr std::size_t kVotersPerSpread = 5;
 
+  /// A leader steps down after this many times
+  /// Options::election_timeout_max without a quorum; by then the others have
+  /// had time to elect another one.
+  static constexpr int kTimeoutsWithoutQuorum = 2;
+
   /// A heartbeat round and its send time.
   struct HeartbeatRound {
     std::uint64_t number = 0;
@@ -189,6 +196,14 @@
   void StartElection(TimePoint now, bool is_transfer = false);
   void BecomeLeader(TimePoint now);
   void ResetElectionTimer(TimePoint now);
+  /// Leader only: sends a heartbeat when it is due, or steps down.
+  void TickLeader(TimePoint now);
+  /// When the newest heartbeat round was sent that a quorum has acknowledged;
+  /// `now` for a quorum of one.
+  [[nodiscard]] std::optional<TimePoint> QuorumAckTime(TimePoint now) const;
+  /// Check-quorum (Raft thesis, 6.2): false once a quorum has acknowledged no
+  /// heartbeat for kTimeoutsWithoutQuorum.
+  [[nodiscard]] bool HasQuorumContact(TimePoint now) const;
   /// Upper bound of the random timeouts. It grows with the number of voters, so
   /// that the first two of many don't become candidates at about the same time
   /// and split the votes; the first one is hardly later for that.
@@ -259,6 +274,7 @@
   TimePoint last_leader_contact;
   TimePoint election_deadline;
   TimePoint next_heartbeat_at;
+  TimePoint elected_at;    ///< As the leader of this term.
   TimePoint current_time;  ///< Time of the last Tick or Receive.
   std::set<NodeId> votes;
   std::map<NodeId, Progress> progress;
--- a/include/gooseberryturn/direct/quorum_planner.h
+++ b/include/gooseberryturn/direct/quorum_planner.h
@@ -12,6 +12,12 @@
 
 namespace gooseberryturn::direct {
 
+/// \brief True if a host that doesn't lead has to ask to be added to the
+/// quorum: it isn't in its own copy of the membership, or hears from no leader.
+/// That copy may be outdated: a host that was silent for too long is removed
+/// without being notified.
+[[nodiscard]] bool NeedsToJoin(const consensus::Node& node);
+
 /// \brief State on which a quorum change is decided.
 struct QuorumInput {
   const consensus::Membership& membership;
--- a/src/consensus/node.cc
+++ b/src/consensus/node.cc
@@ -214,6 +214,17 @@
   if (this->lease_term == this->hard_state.term && now < this->lease_until) {
     return true;
   }
+  const std::optional<TimePoint> acked_at = this->QuorumAckTime(now);
+  if (!acked_at.has_value()) {
+    return false;
+  }
+  this->lease_term = this->hard_state.term;
+  this->lease_until = *acked_at + this->settings.election_timeout_min -
+                      this->settings.max_clock_drift;
+  return now < this->lease_until;
+}
+
+std::optional<TimePoint> Node::QuorumAckTime(TimePoint now) const {
   std::vector<TimePoint> ack_times;
   for (const Peer& peer : this->members.peers) {
     if (!peer.is_voter) {
@@ -229,14 +240,17 @@
     }
   }
   if (ack_times.size() < this->members.Quorum()) {
-    return false;
+    return std::nullopt;
   }
   std::sort(ack_times.begin(), ack_times.end(), std::greater<>());
-  const TimePoint quorum_ack_time = ack_times[this->members.Quorum() - 1];
-  this->lease_term = this->hard_state.term;
-  this->lease_until = quorum_ack_time + this->settings.election_timeout_min -
-                      this->settings.max_clock_drift;
-  return now < this->lease_until;
+  return ack_times[this->members.Quorum() - 1];
+}
+
+bool Node::HasQuorumContact(TimePoint now) const {
+  const TimePoint contact_at = std::max(
+      this->elected_at, this->QuorumAckTime(now).value_or(this->elected_at));
+  return now < contact_at +
+                   kTimeoutsWithoutQuorum * this->settings.election_timeout_max;
 }
 
 Index Node::MatchIndex(NodeId peer) const {
--- a/src/consensus/node_election.cc
+++ b/src/consensus/node_election.cc
@@ -49,15 +49,30 @@
 void Node::Tick(TimePoint now) {
   this->current_time = now;
   if (this->current_role == NodeRole::kLeader) {
-    if (now >= this->next_heartbeat_at) {
-      this->BroadcastHeartbeat(now);
-    }
+    this->TickLeader(now);
+    return;
+  }
+  if (now < this->election_deadline) {
     return;
   }
   const bool is_eligible =
       this->members.IsVoter(this->settings.id) && this->CanVote();
-  if (is_eligible && now >= this->election_deadline) {
+  if (is_eligible) {
     this->StartPreVote(now);
+  } else {
+    // A learner that was removed gets no more messages, not even about that.
+    this->leader_id = 0;
+  }
+}
+
+void Node::TickLeader(TimePoint now) {
+  if (!this->HasQuorumContact(now)) {
+    this->BecomeFollower(this->hard_state.term, 0);
+    this->ResetElectionTimer(now);
+    return;
+  }
+  if (now >= this->next_heartbeat_at) {
+    this->BroadcastHeartbeat(now);
   }
 }
 
@@ -153,6 +168,7 @@
 void Node::BecomeLeader(TimePoint now) {
   this->current_role = NodeRole::kLeader;
   this->leader_id = this->settings.id;
+  this->elected_at = now;
   this->heartbeat_rounds.clear();
   this->progress.clear();
   for (const Peer& peer : this->members.peers) {
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -241,12 +241,7 @@
 // -------------------------------------------------------------- not leading
 
 void ControlHost::RequestToJoin(TimePoint now) {
-  // This host's copy of the membership may be outdated: a host that was silent
-  // for too long is removed without being notified.
-  const bool is_member =
-      this->driver->node().membership().Find(this->id) != nullptr &&
-      this->driver->Leader() != nullptr;
-  if (is_member || now < this->next_join_request_at) {
+  if (!NeedsToJoin(this->driver->node()) || now < this->next_join_request_at) {
     return;
   }
   this->next_join_request_at = now + kJoinRequestInterval;
--- a/src/direct/quorum_planner.cc
+++ b/src/direct/quorum_planner.cc
@@ -20,6 +20,12 @@
 
 }  // namespace
 
+bool NeedsToJoin(const consensus::Node& node) {
+  const consensus::Membership& membership = node.membership();
+  return membership.Find(node.options().id) == nullptr ||
+         membership.Find(node.leader()) == nullptr;
+}
+
 void QuorumPlanner::StartLeading(const consensus::Membership& membership,
                                  TimePoint now) {
   this->last_heard_at.clear();
--- a/tests/consensus_test.cc
+++ b/tests/consensus_test.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "gooseberryturn/consensus/node.h"
+#include "memory_disk.h"
 
 namespace {
 
@@ -19,28 +20,6 @@
 
 constexpr Duration kStep = std::chrono::milliseconds(10);
 
-/// In-memory storage of one host.
-struct Disk {
-  PersistentState stored;
-  std::uint64_t id = 0;
-
-  void Save(const Ready& ready) {
-    if (ready.hard_state.has_value()) {
-      this->stored.hard_state = *ready.hard_state;
-    }
-    if (ready.snapshot.has_value()) {
-      this->stored.snapshot = *ready.snapshot;
-      this->stored.entries.clear();
-    }
-    for (const Entry& entry : ready.entries) {
-      std::vector<Entry>& log = this->stored.entries;
-      const Index first = this->stored.snapshot.index + 1;
-      log.resize(std::min<std::size_t>(log.size(), entry.index - first));
-      log.push_back(entry);
-    }
-  }
-};
-
 /// Simulated cluster whose network can lose, duplicate and reorder messages.
 /// Checks that no index has two committed entries, no term has two leaders and
 /// no two nodes hold the lease.
