Tests: each fleet has addresses of its own

Seen: platform_duty_test failed once in a run of all tests, three at a time ("cannot listen: Address already in use" at 127.146.0.1 in its control hosts' logs). Cause: platform_duty_test, a case of platform_crash_test and one of platform_control_test used the same network number, 146, and ran at the same time; five other cases of platform_crash_test shared theirs (140 to 144) with platform_control_test.

Change: platform_duty_test uses 149, platform_crash_test 150 to 156.

--- a/tests/platform_crash_test.cc
+++ b/tests/platform_crash_test.cc
@@ -224,20 +224,20 @@
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(requests_with_a_crashing_part_end_target_after_target) {
-  CheckCrashingPart(140, true, "first:40,", [](CrashingFleet&) {});
+  CheckCrashingPart(151, true, "first:40,", [](CrashingFleet&) {});
 }
 
 BOOST_AUTO_TEST_CASE(a_crashing_part_that_comes_first_and_resets_is_found) {
-  CheckCrashingPart(141, false, "", [](CrashingFleet&) {});
+  CheckCrashingPart(152, false, "", [](CrashingFleet&) {});
 }
 
 BOOST_AUTO_TEST_CASE(a_crash_that_ends_streams_inside_an_event_is_found) {
   CheckCrashingPart(
-      146, false, "first:40,", [](CrashingFleet&) {}, true);
+      150, false, "first:40,", [](CrashingFleet&) {}, true);
 }
 
 BOOST_AUTO_TEST_CASE(a_new_leader_finds_a_crashing_part_too) {
-  CheckCrashingPart(142, true, "first:40,", [](CrashingFleet& scene) {
+  CheckCrashingPart(153, true, "first:40,", [](CrashingFleet& scene) {
     for (int number = 1; number <= 3; ++number) {
       if (Get(scene.fleet.ControlEndpoint(number), "/metrics")
               .Contains("gooseberryturn_is_leader 1")) {
@@ -249,7 +249,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_entry_that_was_restarted_knows_a_crashing_part) {
-  CheckCrashingPart(143, true, "first:40,", [](CrashingFleet& scene) {
+  CheckCrashingPart(154, true, "first:40,", [](CrashingFleet& scene) {
     scene.fleet.entries[1]->Kill();
     scene.fleet.entries[1]->Start();
   });
@@ -257,7 +257,7 @@
 
 BOOST_AUTO_TEST_CASE(targets_that_crash_for_other_reasons_cost_no_part) {
   std::vector<Outcome> sound;
-  CrashingFleet scene(144);
+  CrashingFleet scene(155);
   scene.CrashOn("", true);
   for (int caller = 0; caller < 4; ++caller) {
     scene.SendOften(
@@ -286,7 +286,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_entry_without_a_leader_holds_nothing_for_long) {
-  CrashingFleet scene(145);
+  CrashingFleet scene(156);
   // A sound part is in progress at a target that crashes: it is held.
   std::thread caller([&scene] {
     (void)scene.Send(0, "new:40,own1:9", std::string(kLongStream));
--- a/tests/platform_duty_test.cc
+++ b/tests/platform_duty_test.cc
@@ -25,7 +25,7 @@
 
 namespace {
 
-constexpr int kNet = 146;
+constexpr int kNet = 149;
 constexpr std::int64_t kWindowMs = 2000;
 constexpr milliseconds kLeaseTime(1000);
 
