Late copies of orders bring no dissolved group back

Cause: the leader kept the epochs of dissolved groups and took every target with such an epoch for free, whatever it announced since (IsReleased, AdoptAnnouncedGroups, ReleaseOrphans). An answered order to leave says nothing of older copies on their way, and the fence of all orders of a term was the same, the term. A member that left in place of an unreachable head came back the same way, while the leader's clock ran on.

Fix: an order to leave raises the fence of its target, so that an engine refuses copies of what was sent before. Where a group comes back all the same (a restart clears the fences; an engine may check none), an announcement of its head that is newer than its leave says so: the group is adopted or dissolved again, its members aren't free, and no group is formed from them. A member that is back is ordered to leave again and the clock starts anew. Answers to orders of an earlier fence are dropped. Nothing waits for the longest delay of a copy.

The fake engines of planned_fleet.h are stricter: they check fences and the highest epoch of a run, and a head takes 300 ms to open.

--- a/include/gooseberryturn/direct/dialect.h
+++ b/include/gooseberryturn/direct/dialect.h
@@ -52,7 +52,9 @@
   std::uint64_t epoch = 0;
   std::string model;
   std::vector<std::string> members;
-  std::uint64_t fence = 0;  ///< Term of the leader that sends it.
+  /// Fencing number: an engine refuses an order whose fence is lower than one
+  /// that it has seen. See GroupPlanner::FenceOf.
+  std::uint64_t fence = 0;
 };
 
 /// \brief An engine's answer to an order.
--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -66,7 +66,11 @@
 /// - a member is assigned to another group only after the head of its previous
 ///   group has closed, has broken, or has certainly ended;
 /// - group names and epochs are never reused: an epoch contains the leader's
-///   term.
+///   term;
+/// - an order to leave raises the fence of the target that it goes to, so that
+///   copies of earlier orders that arrive later bring no group back. Where one
+///   comes back all the same, as the target restarted or checks no fences, what
+///   its head announces then counts for more than that it had left.
 class GroupPlanner {
  public:
   /// \brief Starts a term with the groups that earlier leaders recorded.
@@ -153,6 +157,13 @@
   static constexpr double kPreTrafficLoadFactor = 0.1;
 
  private:
+  /// Names an announcement of a target: later ones of the same run have a
+  /// higher sequence.
+  struct AnnouncementMark {
+    std::int64_t start_time_ms = 0;
+    std::uint64_t sequence = 0;
+  };
+
   /// A group and the state of the orders for it.
   struct Group {
     GroupView view;
@@ -168,7 +179,19 @@
     bool may_be_adopted = false;
     /// When a member left, after which the head breaks by itself.
     std::optional<TimePoint> member_left_at;
+    std::string left_member;  ///< The one that left, if one did.
+    /// Its last announcement before the next plan.
+    std::optional<AnnouncementMark> left_as;
     int unanswered_head_leaves = 0;
+    /// Targets whose fence an order to leave has raised in this phase.
+    std::set<std::string> fenced;
+  };
+
+  /// A dissolved group.
+  struct ClosedGroup {
+    std::string head;
+    AnnouncementMark closed_as;  ///< The head's last announcement before.
+    bool may_be_open = false;    ///< The head may have been ordered to open.
   };
 
   /// A model to copy from the weight store to a host.
@@ -264,6 +287,24 @@
   void AdvanceDissolving(Group& group, const PlanInput& input,
                          PlannedActions& actions, TimePoint now);
   void SetPhase(Group& group, GroupPhase phase);
+  /// Records that the group is dissolved, whose members are free then.
+  void RecordClosed(const Group& group, const PlanInput& input);
+  /// The last announcement of a target; of the first run if it is not known.
+  [[nodiscard]] static AnnouncementMark MarkOf(const std::string& id,
+                                               const PlanInput& input);
+  /// True if the target has announced itself after `mark`.
+  [[nodiscard]] static bool IsNewer(const TargetRecord& record,
+                                    const AnnouncementMark& mark);
+  /// True if the target announces a dissolved group that has not come back.
+  [[nodiscard]] bool IsOfClosedGroup(const TargetRecord& record,
+                                     const PlanInput& input) const;
+  /// True if the target announces a dissolved group whose head may be serving
+  /// again: late copies of orders to join and to open brought it back.
+  [[nodiscard]] bool IsOfRevivedGroup(const TargetRecord& record,
+                                      const PlanInput& input) const;
+  /// Starts to wait again when the member whose leave is to break the head is
+  /// back in the group.
+  void CheckLeftMember(Group& group, const PlanInput& input);
   void ProbeMembers(const Group& group, const PlanInput& input,
                     PlannedActions& actions, TimePoint now);
   /// True when the target is no longer registered or has restarted.
@@ -452,6 +493,14 @@
                                    const ModelProfile& model) const;
   [[nodiscard]] Order MakeOrder(OrderKind kind, const Group& group,
                                 const std::string& target) const;
+  /// An order to leave, which raises the fence of the target once a phase.
+  [[nodiscard]] Order MakeLeave(Group& group, const std::string& target);
+  /// Fencing number of the orders to `target`: the term, then the number of
+  /// times that it was raised.
+  [[nodiscard]] std::uint64_t FenceOf(const std::string& target) const;
+  void RaiseFence(const std::string& target) {
+    this->raised_fences[target] += 1;
+  }
 
   std::uint64_t term = 0;           ///< Of this leader.
   std::uint64_t formed_groups = 0;  ///< In this term.
@@ -468,8 +517,10 @@
   std::unordered_map<std::string, StagingInProgress>
       stagings;               ///< By target id.
   TimePoint next_staging_at;  ///< See kStagingIntervalPerTarget.
-  std::map<std::string, Reservation> reservations;  ///< By fabric domain.
-  std::set<std::uint64_t> closed_epochs;            ///< Of dissolved groups.
+  std::map<std::string, Reservation> reservations;     ///< By fabric domain.
+  std::map<std::uint64_t, ClosedGroup> closed_groups;  ///< By epoch.
+  std::unordered_map<std::string, std::uint64_t>
+      raised_fences;  ///< By target id; see FenceOf.
   /// Members of unknown groups, with the time at which they were found.
   std::unordered_map<std::string, TimePoint> orphans;
   ModelLoadLimiter load_limiter;
--- a/src/direct/group_planner.cc
+++ b/src/direct/group_planner.cc
@@ -22,6 +22,10 @@
 /// no probe is dead, also if no entry sends it requests.
 constexpr double kDeadHeartbeats = 3.5;
 
+/// Fences reserved for each term. Fences stay exact as JSON numbers (53 bits)
+/// up to a term of two million.
+constexpr std::uint64_t kFencesPerTerm = 1ULL << 32U;
+
 }  // namespace
 
 // ------------------------------------------------------------------- inputs
@@ -81,6 +85,17 @@
 
 void GroupPlanner::HandleOrderOutcome(const Order& order, OrderOutcome outcome,
                                       TimePoint now) {
+  // An answer to a copy of before an order to leave: it says nothing of now.
+  if (order.fence != this->FenceOf(order.target)) {
+    const auto staging = this->stagings.find(order.target);
+    const bool is_refused_copy =
+        order.kind == OrderKind::kStage && outcome == OrderOutcome::kStale &&
+        staging != this->stagings.end() && staging->second.model == order.model;
+    if (is_refused_copy) {
+      this->stagings.erase(staging);  // It is ordered again.
+    }
+    return;
+  }
   const auto found = this->groups.find(order.group);
   if (found == this->groups.end()) {
     return;
@@ -110,6 +125,7 @@
         group.is_head_closed = outcome != OrderOutcome::kStale;
       } else if (is_accepted && !group.member_left_at.has_value()) {
         group.member_left_at = now;
+        group.left_member = order.target;
       }
       break;
     case OrderKind::kClose:
@@ -136,7 +152,7 @@
   order.target = target;
   order.group = group.view.name;
   order.epoch = group.view.epoch;
-  order.fence = this->term;
+  order.fence = this->FenceOf(target);
   if (kind == OrderKind::kJoin) {
     order.model = group.view.model;
     order.members = group.view.members;
@@ -144,6 +160,19 @@
   return order;
 }
 
+Order GroupPlanner::MakeLeave(Group& group, const std::string& target) {
+  if (group.fenced.insert(target).second) {
+    this->RaiseFence(target);
+  }
+  return this->MakeOrder(OrderKind::kLeave, group, target);
+}
+
+std::uint64_t GroupPlanner::FenceOf(const std::string& target) const {
+  const auto raised = this->raised_fences.find(target);
+  return this->term * kFencesPerTerm +
+         (raised == this->raised_fences.end() ? 0 : raised->second);
+}
+
 void GroupPlanner::SetPhase(Group& group, GroupPhase phase) {
   LogEvent(Level::kInfo, "", "group_phase",
            {{"group", group.view.name},
@@ -154,6 +183,7 @@
   group.view.phase = phase;
   group.resend_at.clear();
   group.acknowledged.clear();
+  group.fenced.clear();
   this->change_count += 1;
 }
 
@@ -288,7 +318,7 @@
       this->group_by_target.erase(id);
     }
     if (!group.may_be_adopted) {
-      this->closed_epochs.insert(group.view.epoch);
+      this->RecordClosed(group, input);
     }
     LogEvent(Level::kInfo, "", "group_dissolved", {{"group", entry->first}});
     entry = this->groups.erase(entry);
--- a/src/direct/group_planner_phases.cc
+++ b/src/direct/group_planner_phases.cc
@@ -65,9 +65,10 @@
     }
     const EngineReport& report = record->view.engine;
     const bool is_member = BelongsTo(report, group.view);
+    has_failed |= this->IsOfRevivedGroup(*record, input);
     if (is_member && report.membership->state == MemberState::kReady) {
       ready += 1;
-    } else if (now >= group.resend_at[id] && !is_member &&
+    } else if (!has_failed && now >= group.resend_at[id] && !is_member &&
                group.acknowledged.count(id) == 0) {
       group.resend_at[id] = now + kOrderResendInterval;
       actions.orders.push_back(this->MakeOrder(OrderKind::kJoin, group, id));
@@ -160,6 +161,25 @@
   }
 }
 
+void GroupPlanner::CheckLeftMember(Group& group, const PlanInput& input) {
+  if (group.left_member.empty()) {
+    return;
+  }
+  if (!group.left_as.has_value()) {
+    group.left_as = MarkOf(group.left_member, input);
+    return;
+  }
+  const TargetRecord* record = input.registry.Find(group.left_member);
+  const bool is_back = record != nullptr && IsNewer(*record, *group.left_as) &&
+                       BelongsTo(record->view.engine, group.view);
+  if (is_back) {
+    group.fenced.erase(group.left_member);
+    group.left_member.clear();
+    group.left_as.reset();
+    group.member_left_at.reset();
+  }
+}
+
 void GroupPlanner::AdvanceDissolving(Group& group, const PlanInput& input,
                                      PlannedActions& actions, TimePoint now) {
   const std::string& head = group.view.members.front();
@@ -168,6 +188,7 @@
   if (this->HasMemberEnded(group, head, input)) {
     group.is_head_closed = true;
   }
+  this->CheckLeftMember(group, input);
   const bool is_broken =
       group.member_left_at.has_value() &&
       now >= *group.member_left_at + input.member_loss_timeout + kBreakMargin;
@@ -176,7 +197,7 @@
   }
   if (now >= group.resend_at[head]) {
     group.resend_at[head] = now + kOrderResendInterval;
-    actions.orders.push_back(this->MakeOrder(OrderKind::kLeave, group, head));
+    actions.orders.push_back(this->MakeLeave(group, head));
   }
   // A head that cannot be reached breaks by itself once a member has left.
   const bool is_unreachable = group.unanswered_head_leaves > 0 ||
@@ -192,7 +213,7 @@
     has_member = true;
     if (now >= group.resend_at[id]) {
       group.resend_at[id] = now + kOrderResendInterval;
-      actions.orders.push_back(this->MakeOrder(OrderKind::kLeave, group, id));
+      actions.orders.push_back(this->MakeLeave(group, id));
     }
   }
   if (!has_member) {
--- a/src/direct/group_planner_staging.cc
+++ b/src/direct/group_planner_staging.cc
@@ -242,7 +242,7 @@
       order.kind = OrderKind::kStage;
       order.target = staging.target;
       order.model = staging.model->name;
-      order.fence = this->term;
+      order.fence = this->FenceOf(staging.target);
       actions.orders.push_back(order);
       this->stagings[staging.target] = {
           staging.model->name,
--- a/tests/direct_group_planner_test.cc
+++ b/tests/direct_group_planner_test.cc
@@ -13,6 +13,20 @@
 using namespace gooseberryturn;          // NOLINT
 using namespace gooseberryturn::direct;  // NOLINT
 
+namespace {
+
+/// The next run of an engine.
+FakeEngine Restarted(const FakeEngine& engine, std::int64_t now) {
+  FakeEngine restarted;
+  restarted.id = engine.id;
+  restarted.domain = engine.domain;
+  restarted.start_time_ms = now;
+  restarted.staged = engine.staged;
+  return restarted;
+}
+
+}  // namespace
+
 BOOST_AUTO_TEST_CASE(groups_of_both_models_form_before_traffic) {
   PlannedFleet fleet(1);
   fleet.AddDomain("a", 10);
@@ -492,6 +506,104 @@
   BOOST_TEST(fleet.probes - before <= 10U * (2 + 6000 / 600));
 }
 
+// review/9: late copies of the orders to join and to open brought a dissolved
+// group back, and its members were joined to another one while it served.
+// PlannedFleet fails the test at such a join.
+BOOST_AUTO_TEST_CASE(late_copies_of_orders_bring_no_dissolved_group_back) {
+  for (const bool checks_fences : {true, false}) {
+    for (std::int64_t delay_ms = 6000; delay_ms <= 12'000; delay_ms += 500) {
+      BOOST_TEST_CONTEXT("delay " << delay_ms << ", fences " << checks_fences) {
+        PlannedFleet fleet(1);
+        fleet.checks_fences = checks_fences;
+        fleet.late_first_copies = {OrderKind::kJoin, OrderKind::kOpen};
+        fleet.first_copy_delay_ms = delay_ms;
+        fleet.AddDomain("a", 2);
+        while (fleet.CountOpen(kSmall) == 0 && fleet.now < 8000) {
+          fleet.Run(fleet.now + 50);
+        }
+        BOOST_REQUIRE(fleet.CountOpen(kSmall) == 1U);
+        fleet.late_first_copies.clear();
+        const std::string member =
+            fleet.planner.Groups().front().members.back();
+        fleet.engines[member].is_partitioned = true;
+        fleet.Run(fleet.now + 10'000);
+        fleet.engines[member].is_partitioned = false;
+        fleet.Run(fleet.now + 20'000);
+        BOOST_TEST(fleet.CountOpen(kSmall) == 1U);
+      }
+    }
+  }
+}
+
+// The same by way of a member: its head is cut off, the member leaves so that
+// the head breaks, and a late copy of its join brings it back before that.
+BOOST_AUTO_TEST_CASE(late_join_of_a_member_that_left_breaks_no_count) {
+  for (std::int64_t delay_ms = 3000; delay_ms <= 12'000; delay_ms += 250) {
+    BOOST_TEST_CONTEXT("delay " << delay_ms) {
+      PlannedFleet fleet(1);
+      fleet.checks_fences = false;
+      fleet.late_first_copies = {OrderKind::kJoin};
+      fleet.first_copy_delay_ms = delay_ms;
+      fleet.AddDomain("a", 2);
+      while (fleet.CountOpen(kSmall) == 0 && fleet.now < 8000) {
+        fleet.Run(fleet.now + 50);
+      }
+      BOOST_REQUIRE(fleet.CountOpen(kSmall) == 1U);
+      fleet.late_first_copies.clear();
+      const std::string head = fleet.planner.Groups().front().members.front();
+      fleet.engines[head].is_partitioned = true;
+      fleet.Run(fleet.now + 25'000);
+      fleet.engines[head].is_partitioned = false;
+      fleet.Run(fleet.now + 10'000);
+      BOOST_TEST(fleet.CountOpen(kSmall) == 1U);
+    }
+  }
+}
+
+// Late copies of half of all orders, of each kind, beside cuts of 10 s, crashes
+// of 4.5 s and changes of the leader (review/9/further-day.toml).
+BOOST_AUTO_TEST_CASE(invariants_hold_under_late_copies_of_all_orders) {
+  for (std::uint64_t seed = 200; seed < 260; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      PlannedFleet fleet(seed);
+      std::mt19937_64 random(seed);
+      fleet.AddDomain("a", 10);
+      fleet.AddDomain("b", 7);
+      fleet.Run(4000);
+      fleet.has_traffic = true;
+      fleet.late_order_fraction = 0.5;
+      std::map<std::string, std::int64_t> cut_until;
+      std::map<std::string, std::int64_t> down_until;
+      std::uint64_t term = 1;
+      while (fleet.now < 90'000) {
+        for (auto& entry : fleet.engines) {
+          FakeEngine& engine = entry.second;
+          engine.is_partitioned = fleet.now < cut_until[entry.first];
+          if (engine.is_dead && fleet.now >= down_until[entry.first]) {
+            engine = Restarted(engine, fleet.now);
+          }
+        }
+        const bool is_cut_due = fleet.now % 5500 < 500;
+        const bool is_crash_due = fleet.now % 8000 < 500;
+        for (auto& entry : fleet.engines) {
+          if (is_cut_due && random() % 100 < 22) {
+            cut_until[entry.first] = fleet.now + 10'000;
+          }
+          if (is_crash_due && random() % 100 < 17) {
+            entry.second.is_dead = true;
+            down_until[entry.first] = fleet.now + 4500;
+          }
+        }
+        if (random() % 40 == 0) {
+          term += 1;
+          fleet.ChangeLeader(term, fleet.planner.Groups());
+        }
+        fleet.Run(fleet.now + 500);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(invariants_hold_under_random_faults) {
   for (std::uint64_t seed = 100; seed < 140; ++seed) {
     BOOST_TEST_CONTEXT("seed " << seed) {
@@ -516,12 +628,7 @@
             break;
           case 2:
             if (engine->second.is_dead) {  // It restarts.
-              FakeEngine restarted;
-              restarted.id = engine->second.id;
-              restarted.domain = engine->second.domain;
-              restarted.start_time_ms = fleet.now;
-              restarted.staged = engine->second.staged;
-              engine->second = restarted;
+              engine->second = Restarted(engine->second, fleet.now);
             }
             break;
           case 3:
--- a/tests/planned_fleet.h
+++ b/tests/planned_fleet.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -21,6 +22,8 @@
 inline constexpr char kService[] = "engines";
 inline constexpr char kLarge[] = "large";
 inline constexpr char kSmall[] = "small";
+/// Time that a ready head takes to open.
+inline constexpr std::int64_t kFormMs = 300;
 
 inline TimePoint At(std::int64_t ms) { return TimePoint(Milliseconds(ms)); }
 
@@ -53,6 +56,9 @@
   std::optional<Membership> membership;
   std::vector<std::string> members;  ///< As named by the join order.
   std::int64_t ready_at = 0;
+  std::int64_t open_at = 0;         ///< A ready head opens then; 0 for never.
+  std::uint64_t highest_epoch = 0;  ///< Seen by this run.
+  std::uint64_t highest_fence = 0;  ///< Seen by this run.
   /// When the head of an incomplete group breaks; negative for complete groups.
   std::int64_t break_at = -1;
 };
@@ -142,6 +148,11 @@
   std::map<std::string, std::uint32_t> in_flight_work;  ///< By head.
   std::size_t probes = 0;
   double late_order_fraction = 0;  ///< Executed late, without an answer.
+  /// The first copies of orders of these kinds are executed late, with the
+  /// delay `first_copy_delay_ms`.
+  std::set<OrderKind> late_first_copies;
+  std::int64_t first_copy_delay_ms = 9000;
+  bool checks_fences = true;  ///< Engines refuse orders with a lower fence.
 
  private:
   void Announce(FakeEngine& engine) {
@@ -198,6 +209,13 @@
         this->was_ready.insert({engine.id, engine.membership->epoch});
         this->ready_since[{engine.id, engine.membership->epoch}] = this->now;
       }
+      const bool opens = engine.membership.has_value() &&
+                         engine.membership->state == MemberState::kReady &&
+                         engine.open_at > 0 && this->now >= engine.open_at;
+      if (opens) {
+        engine.membership->state = MemberState::kOpen;
+        engine.open_at = 0;
+      }
       this->BreakIncompleteGroup(engine);
       this->Announce(engine);
     }
@@ -267,10 +285,9 @@
                                        At(this->now));
       return;
     }
-    std::uniform_real_distribution<double> uniform(0, 1);
-    if (uniform(this->random) < this->late_order_fraction) {
-      std::uniform_int_distribution<std::int64_t> delay(2000, 12'000);
-      this->late_orders.push_back({this->now + delay(this->random), order});
+    const std::optional<std::int64_t> delay_ms = this->DelayOf(order);
+    if (delay_ms.has_value()) {
+      this->late_orders.push_back({this->now + *delay_ms, order});
       this->planner.HandleOrderOutcome(order, OrderOutcome::kNoAnswer,
                                        At(this->now));
       return;
@@ -279,6 +296,22 @@
     this->planner.HandleOrderOutcome(order, outcome, At(this->now));
   }
 
+  /// Delay of an order that is executed late; nothing for others.
+  std::optional<std::int64_t> DelayOf(const Order& order) {
+    const bool is_first_copy =
+        this->late_first_copies.count(order.kind) > 0 &&
+        this->sent.insert({order.target, order.group, order.kind}).second;
+    if (is_first_copy) {
+      return this->first_copy_delay_ms;
+    }
+    std::uniform_real_distribution<double> uniform(0, 1);
+    if (uniform(this->random) >= this->late_order_fraction) {
+      return std::nullopt;
+    }
+    std::uniform_int_distribution<std::int64_t> delay(2000, 12'000);
+    return delay(this->random);
+  }
+
   void ExecuteLateOrders() {
     std::vector<std::pair<std::int64_t, Order>> remaining;
     for (const std::pair<std::int64_t, Order>& entry : this->late_orders) {
@@ -293,6 +326,10 @@
   }
 
   OrderOutcome Execute(const Order& order, FakeEngine& engine) {
+    if (this->checks_fences && order.fence < engine.highest_fence) {
+      return OrderOutcome::kStale;
+    }
+    engine.highest_fence = std::max(engine.highest_fence, order.fence);
     const bool is_same = engine.membership.has_value() &&
                          engine.membership->group == order.group &&
                          engine.membership->epoch == order.epoch;
@@ -300,14 +337,11 @@
       case OrderKind::kJoin:
         return this->Join(order, engine, is_same);
       case OrderKind::kOpen:
-        if (!is_same || engine.membership->state == MemberState::kJoining) {
-          return OrderOutcome::kConflict;
-        }
-        engine.membership->state = MemberState::kOpen;
-        return OrderOutcome::kBegun;
+        return Open(engine, is_same, this->now);
       case OrderKind::kLeave:
         if (is_same) {
           engine.membership.reset();
+          engine.open_at = 0;
         }
         return OrderOutcome::kDone;
       case OrderKind::kStage:
@@ -319,15 +353,29 @@
     return OrderOutcome::kConflict;
   }
 
-  OrderOutcome Join(const Order& order, FakeEngine& engine, bool is_same) {
-    if (is_same) {
+  static OrderOutcome Open(FakeEngine& head, bool is_same, std::int64_t now) {
+    if (is_same && head.membership->state == MemberState::kOpen) {
       return OrderOutcome::kDone;
     }
-    if (engine.membership.has_value() &&
-        order.epoch < engine.membership->epoch) {
+    if (!is_same || head.membership->state != MemberState::kReady) {
+      return OrderOutcome::kConflict;
+    }
+    if (head.open_at == 0) {
+      head.open_at = now + kFormMs;
+    }
+    return OrderOutcome::kBegun;
+  }
+
+  OrderOutcome Join(const Order& order, FakeEngine& engine, bool is_same) {
+    if (order.epoch < engine.highest_epoch) {
       return OrderOutcome::kStale;
     }
+    if (is_same) {
+      return OrderOutcome::kDone;
+    }
     this->CheckHeadNotOpen(engine);
+    engine.highest_epoch = order.epoch;
+    engine.open_at = 0;
     const bool has_staged =
         std::find(engine.staged.begin(), engine.staged.end(), order.model) !=
         engine.staged.end();
@@ -388,6 +436,7 @@
   Registry registry;
   std::mt19937_64 random;
   std::vector<std::pair<std::int64_t, Order>> late_orders;
+  std::set<std::tuple<std::string, std::string, OrderKind>> sent;
   std::set<std::pair<std::string, std::uint64_t>> was_ready;
   std::map<std::pair<std::string, std::uint64_t>, std::int64_t> ready_since;
 };
