With agents, a control host that does not answer is not promoted

What operators could see: `gooseberryturnctl control promote` accepted a learner that had died, as its match index was at the end of a log that stands still.

Fix: promote needs an acknowledged heartbeat of the last election timeout (Node::IsInContact), and says "the host does not answer" without one.

--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -392,10 +392,12 @@
     const consensus::Index behind =
         node.log().LastIndex() - node.MatchIndex(id);
     peer->is_voter = true;
-    fault = behind == 0 && node.MatchIndex(id) >= node.commit_index()
-                ? ""
-                : "the host is " + std::to_string(behind) +
-                      " entries behind; try again when it caught up";
+    if (!node.IsInContact(id, Clock::now())) {
+      fault = "the host does not answer; try again when it runs";
+    } else if (behind != 0 || node.MatchIndex(id) < node.commit_index()) {
+      fault = "the host is " + std::to_string(behind) +
+              " entries behind; try again when it caught up";
+    }
   } else if (action == "remove") {
     for (auto it = next.peers.begin(); it != next.peers.end(); ++it) {
       if (it->id == id) {
--- a/tests/control_process_test.cc
+++ b/tests/control_process_test.cc
@@ -166,6 +166,42 @@
   BOOST_TEST((change.status == 200 || change.status == 202));
 }
 
+// The fault of review/7 with agents: a learner that had died was made a voter,
+// as it had caught up and the log stood still.
+BOOST_AUTO_TEST_CASE(a_control_host_that_does_not_answer_is_not_promoted) {
+  Fleet fleet(138);
+  fleet.StartControlHosts();
+  fleet.ApplyDocument(DocumentWithNote("kept"), 0);
+  fleet.StartControlHost(4, false);
+  const std::string add =
+      "/v1/control?action=add&id=4&link=" + ToString(fleet.ControlLink(4)) +
+      "&http=" + ToString(fleet.ControlHttp(4));
+  BOOST_TEST(fleet.CallOperatorApi("POST", add).status == 200);
+  // Once all have caught up nothing is written to the log any more.
+  BOOST_REQUIRE(Eventually([&] {
+    const std::string status = fleet.GetStatus();
+    std::size_t caught_up = 0;
+    for (std::size_t at = status.find("\"entries_behind\":0");
+         at != std::string::npos;
+         at = status.find("\"entries_behind\":0", at + 1)) {
+      caught_up += 1;
+    }
+    return caught_up == 4U;
+  }));
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  fleet.GetProcess("control-4").Kill();
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  const Answer promoted =
+      fleet.CallOperatorApi("POST", "/v1/control?action=promote&id=4");
+  BOOST_TEST(promoted.status == 400);
+  BOOST_TEST(promoted.Contains("does not answer"));
+  fleet.GetProcess("control-4").Start();
+  BOOST_TEST(Eventually([&] {
+    return fleet.CallOperatorApi("POST", "/v1/control?action=promote&id=4")
+               .status == 200;
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(faulty_document_is_rejected_as_a_whole) {
   Fleet fleet(17);
   fleet.StartControlHosts();
