Dissolved groups have a module, tests share their set-up, a stop keeps to grace_s

The wait of a control host that leaves had a limit of its own (3 s after at most 2 s for callers), but none that follows bounds.grace_s.

Change: DissolvedGroups keeps the groups that were dissolved and tells which came back; GroupPlanner asks it, with the same decisions. FormGroupOfTwo, Cut and StartWithLearners in the tests, with the same steps and bounds. QuorumLeave::Start takes the latest time, half a second before the grace period ends.

--- a/include/gooseberryturn/direct/control_host.h
+++ b/include/gooseberryturn/direct/control_host.h
@@ -99,6 +99,8 @@
   /// kCallTimeout, so that its answer still reaches a host that forwarded the
   /// call.
   static constexpr Duration kCommitTimeout = std::chrono::milliseconds(700);
+  /// A planned stop is over this long before the grace period ends.
+  static constexpr Duration kLeaveMargin = std::chrono::milliseconds(500);
   /// Longest time that a planned stop waits for connections of callers.
   static constexpr Duration kLeaveTimeout = std::chrono::milliseconds(2000);
   static constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
@@ -364,6 +366,7 @@
   ConfigurationHistory configuration_history;
   PendingCalls pending_calls;     ///< Handled as the leader.
   std::function<void()> on_left;  ///< Empty unless leaving.
+  TimePoint leave_deadline;       ///< See kLeaveMargin.
   QuorumLeave quorum_leave;
   bool has_stopped_serving = false;  ///< `server` has stopped.
   std::uint64_t parsed_version = 0;  ///< Of `configuration`.
--- a/include/gooseberryturn/direct/group_planner.h
+++ b/include/gooseberryturn/direct/group_planner.h
@@ -12,6 +12,7 @@
 #include "gooseberryturn/core/time.h"
 #include "gooseberryturn/direct/configuration.h"
 #include "gooseberryturn/direct/dialect.h"
+#include "gooseberryturn/direct/dissolved_groups.h"
 #include "gooseberryturn/direct/model_demand.h"
 #include "gooseberryturn/direct/model_load_limiter.h"
 #include "gooseberryturn/direct/registry.h"
@@ -157,13 +158,6 @@
   static constexpr double kPreTrafficLoadFactor = 0.1;
 
  private:
-  /// Names an announcement of a target: later ones of the same run have a
-  /// higher sequence.
-  struct AnnouncementMark {
-    std::int64_t start_time_ms = 0;
-    std::uint64_t sequence = 0;
-  };
-
   /// A group and the state of the orders for it.
   struct Group {
     GroupView view;
@@ -187,13 +181,6 @@
     std::set<std::string> fenced;
   };
 
-  /// A dissolved group.
-  struct ClosedGroup {
-    std::string head;
-    AnnouncementMark closed_as;  ///< The head's last announcement before.
-    bool may_be_open = false;    ///< The head may have been ordered to open.
-  };
-
   /// A model to copy from the weight store to a host.
   struct Staging {
     std::string target;  ///< Id of the target on the host.
@@ -287,21 +274,6 @@
   void AdvanceDissolving(Group& group, const PlanInput& input,
                          PlannedActions& actions, TimePoint now);
   void SetPhase(Group& group, GroupPhase phase);
-  /// Records that the group is dissolved, whose members are free then.
-  void RecordClosed(const Group& group, const PlanInput& input);
-  /// The last announcement of a target; of the first run if it is not known.
-  [[nodiscard]] static AnnouncementMark MarkOf(const std::string& id,
-                                               const PlanInput& input);
-  /// True if the target has announced itself after `mark`.
-  [[nodiscard]] static bool IsNewer(const TargetRecord& record,
-                                    const AnnouncementMark& mark);
-  /// True if the target announces a dissolved group that has not come back.
-  [[nodiscard]] bool IsOfClosedGroup(const TargetRecord& record,
-                                     const PlanInput& input) const;
-  /// True if the target announces a dissolved group whose head may be serving
-  /// again: late copies of orders to join and to open brought it back.
-  [[nodiscard]] bool IsOfRevivedGroup(const TargetRecord& record,
-                                      const PlanInput& input) const;
   /// Starts to wait again when the member whose leave is to break the head is
   /// back in the group.
   void CheckLeftMember(Group& group, const PlanInput& input);
@@ -517,8 +489,8 @@
   std::unordered_map<std::string, StagingInProgress>
       stagings;               ///< By target id.
   TimePoint next_staging_at;  ///< See kStagingIntervalPerTarget.
-  std::map<std::string, Reservation> reservations;     ///< By fabric domain.
-  std::map<std::uint64_t, ClosedGroup> closed_groups;  ///< By epoch.
+  std::map<std::string, Reservation> reservations;  ///< By fabric domain.
+  DissolvedGroups dissolved_groups;
   std::unordered_map<std::string, std::uint64_t>
       raised_fences;  ///< By target id; see FenceOf.
   /// Members of unknown groups, with the time at which they were found.
--- a/include/gooseberryturn/direct/quorum_leave.h
+++ b/include/gooseberryturn/direct/quorum_leave.h
@@ -16,7 +16,8 @@
 /// kLeaderlessTimeout.
 class QuorumLeave {
  public:
-  void Start(TimePoint now);
+  /// \param latest When the host has to go in any case.
+  void Start(TimePoint now, TimePoint latest);
   [[nodiscard]] bool is_started() const noexcept { return this->is_leaving; }
   /// \brief Records the answer to a request.
   void HandleAnswer(LeaveState state, TimePoint now);
--- a/src/direct/control_host.cc
+++ b/src/direct/control_host.cc
@@ -144,6 +144,8 @@
 void ControlHost::Leave(std::function<void()> on_done) {
   LogEvent(Level::kInfo, "", "leaving");
   this->on_left = std::move(on_done);
+  this->leave_deadline =
+      Clock::now() + this->settings.grace_period - kLeaveMargin;
   this->server.Stop(Clock::now() + kLeaveTimeout, [this] {
     this->has_stopped_serving = true;
     this->FinishLeaveIfReady();
@@ -158,7 +160,7 @@
   }
   const TimePoint now = Clock::now();
   if (!this->quorum_leave.is_started()) {
-    this->quorum_leave.Start(now);
+    this->quorum_leave.Start(now, this->leave_deadline);
     // Among several that leave, leadership would go back and forth.
     this->driver->Abstain();
   }
--- a/src/direct/group_planner.cc
+++ b/src/direct/group_planner.cc
@@ -318,7 +318,9 @@
       this->group_by_target.erase(id);
     }
     if (!group.may_be_adopted) {
-      this->RecordClosed(group, input);
+      this->dissolved_groups.Record(group.view.epoch,
+                                    group.view.members.front(),
+                                    group.may_be_open, input.registry);
     }
     LogEvent(Level::kInfo, "", "group_dissolved", {{"group", entry->first}});
     entry = this->groups.erase(entry);
--- a/src/direct/group_planner_adoption.cc
+++ b/src/direct/group_planner_adoption.cc
@@ -10,70 +10,18 @@
 using observe::Level;
 using observe::LogEvent;
 
-// --------------------------------------------------------- dissolved groups
-
-GroupPlanner::AnnouncementMark GroupPlanner::MarkOf(const std::string& id,
-                                                    const PlanInput& input) {
-  const TargetRecord* record = input.registry.Find(id);
-  return record == nullptr
-             ? AnnouncementMark()
-             : AnnouncementMark{record->view.start_time_ms, record->sequence};
-}
-
-bool GroupPlanner::IsNewer(const TargetRecord& record,
-                           const AnnouncementMark& mark) {
-  return record.view.start_time_ms != mark.start_time_ms ||
-         record.sequence > mark.sequence;
-}
-
-void GroupPlanner::RecordClosed(const Group& group, const PlanInput& input) {
-  const std::string& head = group.view.members.front();
-  this->closed_groups[group.view.epoch] = {head, MarkOf(head, input),
-                                           group.may_be_open};
-}
-
-bool GroupPlanner::IsOfRevivedGroup(const TargetRecord& record,
-                                    const PlanInput& input) const {
-  const std::optional<Membership>& membership = record.view.engine.membership;
-  const auto closed = membership.has_value()
-                          ? this->closed_groups.find(membership->epoch)
-                          : this->closed_groups.end();
-  if (closed == this->closed_groups.end() || !closed->second.may_be_open) {
-    return false;
-  }
-  const TargetRecord* head = input.registry.Find(closed->second.head);
-  if (head == nullptr || !head->view.engine.membership.has_value() ||
-      !IsNewer(*head, closed->second.closed_as)) {
-    return false;
-  }
-  const Membership& of_head = *head->view.engine.membership;
-  return of_head.epoch == membership->epoch && of_head.rank == 0 &&
-         (of_head.state == MemberState::kReady ||
-          of_head.state == MemberState::kOpen ||
-          of_head.state == MemberState::kClosing);
-}
-
-bool GroupPlanner::IsOfClosedGroup(const TargetRecord& record,
-                                   const PlanInput& input) const {
-  const std::optional<Membership>& membership = record.view.engine.membership;
-  return membership.has_value() &&
-         this->closed_groups.count(membership->epoch) > 0 &&
-         !this->IsOfRevivedGroup(record, input);
-}
-
-// ----------------------------------------------------------------- adoption
-
 void GroupPlanner::AdoptAnnouncedGroups(const PlanInput& input, TimePoint now) {
   // Members of each unrecorded group by rank, as they announced themselves.
   std::map<std::string, std::map<std::size_t, std::string>> members_by_rank;
   for (const std::pair<const std::string, TargetRecord>& entry :
        input.registry.targets()) {
     const EngineReport& report = entry.second.view.engine;
-    const bool is_member = report.membership.has_value() &&
-                           report.membership->state != MemberState::kNone &&
-                           !this->IsOfClosedGroup(entry.second, input) &&
-                           this->group_by_target.count(entry.first) == 0 &&
-                           !entry.second.is_unconfirmed;
+    const bool is_member =
+        report.membership.has_value() &&
+        report.membership->state != MemberState::kNone &&
+        !this->dissolved_groups.IsDissolved(entry.second, input.registry) &&
+        this->group_by_target.count(entry.first) == 0 &&
+        !entry.second.is_unconfirmed;
     if (is_member) {
       members_by_rank[report.membership->group][report.membership->rank] =
           entry.first;
@@ -138,10 +86,11 @@
        input.registry.targets()) {
     const std::optional<Membership>& membership =
         entry.second.view.engine.membership;
-    const bool is_orphan = membership.has_value() && membership->rank != 0 &&
-                           membership->state != MemberState::kNone &&
-                           this->group_by_target.count(entry.first) == 0 &&
-                           !this->IsOfClosedGroup(entry.second, input);
+    const bool is_orphan =
+        membership.has_value() && membership->rank != 0 &&
+        membership->state != MemberState::kNone &&
+        this->group_by_target.count(entry.first) == 0 &&
+        !this->dissolved_groups.IsDissolved(entry.second, input.registry);
     if (!is_orphan) {
       this->orphans.erase(entry.first);
     } else if (this->orphans.insert({entry.first, now}).second) {
--- a/src/direct/group_planner_forming.cc
+++ b/src/direct/group_planner_forming.cc
@@ -59,7 +59,7 @@
                               const PlanInput& input, TimePoint now) const {
   const std::optional<Membership>& membership = record.view.engine.membership;
   if (!membership.has_value() || membership->state == MemberState::kNone ||
-      this->IsOfClosedGroup(record, input)) {
+      this->dissolved_groups.IsDissolved(record, input.registry)) {
     return true;
   }
   if (membership->rank == 0) {
--- a/src/direct/group_planner_phases.cc
+++ b/src/direct/group_planner_phases.cc
@@ -65,7 +65,7 @@
     }
     const EngineReport& report = record->view.engine;
     const bool is_member = BelongsTo(report, group.view);
-    has_failed |= this->IsOfRevivedGroup(*record, input);
+    has_failed |= this->dissolved_groups.IsRevived(*record, input.registry);
     if (is_member && report.membership->state == MemberState::kReady) {
       ready += 1;
     } else if (!has_failed && now >= group.resend_at[id] && !is_member &&
@@ -166,11 +166,12 @@
     return;
   }
   if (!group.left_as.has_value()) {
-    group.left_as = MarkOf(group.left_member, input);
+    group.left_as = LastAnnouncement(input.registry, group.left_member);
     return;
   }
   const TargetRecord* record = input.registry.Find(group.left_member);
-  const bool is_back = record != nullptr && IsNewer(*record, *group.left_as) &&
+  const bool is_back = record != nullptr &&
+                       HasAnnouncedSince(*record, *group.left_as) &&
                        BelongsTo(record->view.engine, group.view);
   if (is_back) {
     group.fenced.erase(group.left_member);
--- a/src/direct/quorum_leave.cc
+++ b/src/direct/quorum_leave.cc
@@ -1,11 +1,13 @@
 #include "gooseberryturn/direct/quorum_leave.h"
 
+#include <algorithm>
+
 namespace gooseberryturn::direct {
 
-void QuorumLeave::Start(TimePoint now) {
+void QuorumLeave::Start(TimePoint now, TimePoint latest) {
   this->is_leaving = true;
   this->is_settled = false;
-  this->deadline = now + kTimeout;
+  this->deadline = std::min(now + kTimeout, latest);
   this->leaderless_deadline = now + kLeaderlessTimeout;
   this->next_request_at = now;
 }
--- a/tests/core_fleet.h
+++ b/tests/core_fleet.h
@@ -89,7 +89,7 @@
   /// Stops a host as planned; it is down when it has left the quorum.
   void Stop(consensus::NodeId id) {
     CoreHost& host = this->hosts.at(id);
-    host.leave.Start(this->now);
+    host.leave.Start(this->now, this->now + QuorumLeave::kTimeout);
     host.node->Abstain();
   }
   void Kill(consensus::NodeId id) { this->hosts.at(id).node = nullptr; }
--- a/tests/core_membership_test.cc
+++ b/tests/core_membership_test.cc
@@ -25,6 +25,21 @@
   return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
 }
 
+/// Runs until the first voters have a leader, and adds hosts that catch up.
+void StartWithLearners(CoreFleet& fleet, int count) {
+  BOOST_REQUIRE(fleet.CommitsWithin(kRecoveryTime));
+  for (int learner = 0; learner < count; ++learner) {
+    fleet.StartNew();
+  }
+  fleet.Run(kCatchUpTime);
+}
+
+/// The same with one host.
+consensus::NodeId StartWithLearner(CoreFleet& fleet) {
+  StartWithLearners(fleet, 1);
+  return fleet.hosts.rbegin()->first;
+}
+
 /// Stops a host and runs until it is down.
 void StopAndWait(CoreFleet& fleet, consensus::NodeId id) {
   fleet.Stop(id);
@@ -41,9 +56,7 @@
 BOOST_AUTO_TEST_CASE(learner_that_was_removed_while_frozen_joins_again) {
   for (const bool keeps_messages : {false, true}) {
     CoreFleet fleet(1);
-    BOOST_REQUIRE(fleet.CommitsWithin(kRecoveryTime));
-    const consensus::NodeId successor = fleet.StartNew();
-    fleet.Run(kCatchUpTime);
+    const consensus::NodeId successor = StartWithLearner(fleet);
     BOOST_REQUIRE((fleet.Membership().Find(successor) != nullptr));
     fleet.Freeze(successor);
     fleet.Run(seconds(4));
@@ -67,9 +80,7 @@
 BOOST_AUTO_TEST_CASE(leader_that_was_removed_while_frozen_joins_again) {
   for (const bool keeps_messages : {false, true}) {
     CoreFleet fleet(2);
-    BOOST_REQUIRE(fleet.CommitsWithin(kRecoveryTime));
-    fleet.StartNew();
-    fleet.Run(kCatchUpTime);
+    StartWithLearners(fleet, 1);
     const consensus::NodeId old_leader = fleet.Leader();
     fleet.Freeze(old_leader);
     fleet.Run(seconds(7));
@@ -102,11 +113,7 @@
 BOOST_AUTO_TEST_CASE(hosts_that_left_as_planned_have_no_vote) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     CoreFleet fleet(seed);
-    BOOST_REQUIRE(fleet.CommitsWithin(kRecoveryTime));
-    for (int successor = 0; successor < 3; ++successor) {
-      fleet.StartNew();
-    }
-    fleet.Run(kCatchUpTime);
+    StartWithLearners(fleet, 3);
     for (const consensus::NodeId id : {1U, 2U, 3U}) {
       StopAndWait(fleet, id);
       BOOST_TEST((fleet.Membership().Find(id) == nullptr));
@@ -121,9 +128,7 @@
 BOOST_AUTO_TEST_CASE(successor_votes_before_the_host_that_it_replaces_goes) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     CoreFleet fleet(seed);
-    BOOST_REQUIRE(fleet.CommitsWithin(kRecoveryTime));
-    const consensus::NodeId successor = fleet.StartNew();
-    fleet.Run(kCatchUpTime);
+    const consensus::NodeId successor = StartWithLearner(fleet);
     StopAndWait(fleet, 3);
     BOOST_TEST(fleet.Membership().IsVoter(successor));
     BOOST_TEST(fleet.Membership().VoterCount() == 3U);
@@ -140,11 +145,7 @@
 BOOST_AUTO_TEST_CASE(hosts_that_leave_at_once_have_no_vote) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     CoreFleet fleet(seed);
-    BOOST_REQUIRE(fleet.CommitsWithin(kRecoveryTime));
-    for (int successor = 0; successor < 3; ++successor) {
-      fleet.StartNew();
-    }
-    fleet.Run(kCatchUpTime);
+    StartWithLearners(fleet, 3);
     for (const consensus::NodeId id : {1U, 2U, 3U}) {
       fleet.Stop(id);
     }
@@ -162,9 +163,7 @@
 BOOST_AUTO_TEST_CASE(learner_that_died_becomes_no_voter) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     CoreFleet fleet(seed);
-    BOOST_REQUIRE(fleet.CommitsWithin(kRecoveryTime));
-    const consensus::NodeId learner = fleet.StartNew();
-    fleet.Run(kCatchUpTime);
+    const consensus::NodeId learner = StartWithLearner(fleet);
     fleet.Kill(3);
     fleet.Run(Milliseconds(1500));
     fleet.Kill(learner);
@@ -182,11 +181,7 @@
 BOOST_AUTO_TEST_CASE(rolling_restart_ends_with_three_voters) {
   for (const int spares : {0, 1, 2}) {
     CoreFleet fleet(4);
-    BOOST_REQUIRE(fleet.CommitsWithin(kRecoveryTime));
-    for (int spare = 0; spare < spares; ++spare) {
-      fleet.StartNew();
-    }
-    fleet.Run(kCatchUpTime);
+    StartWithLearners(fleet, spares);
     for (const consensus::NodeId id : {1U, 2U, 3U}) {
       StopAndWait(fleet, id);
       fleet.Run(seconds(1));
--- a/tests/direct_group_planner_test.cc
+++ b/tests/direct_group_planner_test.cc
@@ -25,6 +25,24 @@
   return restarted;
 }
 
+/// Forms the only group of the fleet; later orders are not late any more.
+void FormGroupOfTwo(PlannedFleet& fleet) {
+  fleet.AddDomain("a", 2);
+  while (fleet.CountOpen(kSmall) == 0 && fleet.now < 8000) {
+    fleet.Run(fleet.now + 50);
+  }
+  BOOST_REQUIRE(fleet.CountOpen(kSmall) == 1U);
+  fleet.late_first_copies.clear();
+}
+
+/// Partitions an engine from the leader for some time.
+void Cut(PlannedFleet& fleet, const std::string& engine,
+         std::int64_t length_ms) {
+  fleet.engines[engine].is_partitioned = true;
+  fleet.Run(fleet.now + length_ms);
+  fleet.engines[engine].is_partitioned = false;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(groups_of_both_models_form_before_traffic) {
@@ -517,17 +535,8 @@
         fleet.checks_fences = checks_fences;
         fleet.late_first_copies = {OrderKind::kJoin, OrderKind::kOpen};
         fleet.first_copy_delay_ms = delay_ms;
-        fleet.AddDomain("a", 2);
-        while (fleet.CountOpen(kSmall) == 0 && fleet.now < 8000) {
-          fleet.Run(fleet.now + 50);
-        }
-        BOOST_REQUIRE(fleet.CountOpen(kSmall) == 1U);
-        fleet.late_first_copies.clear();
-        const std::string member =
-            fleet.planner.Groups().front().members.back();
-        fleet.engines[member].is_partitioned = true;
-        fleet.Run(fleet.now + 10'000);
-        fleet.engines[member].is_partitioned = false;
+        FormGroupOfTwo(fleet);
+        Cut(fleet, fleet.planner.Groups().front().members.back(), 10'000);
         fleet.Run(fleet.now + 20'000);
         BOOST_TEST(fleet.CountOpen(kSmall) == 1U);
       }
@@ -544,16 +553,8 @@
       fleet.checks_fences = false;
       fleet.late_first_copies = {OrderKind::kJoin};
       fleet.first_copy_delay_ms = delay_ms;
-      fleet.AddDomain("a", 2);
-      while (fleet.CountOpen(kSmall) == 0 && fleet.now < 8000) {
-        fleet.Run(fleet.now + 50);
-      }
-      BOOST_REQUIRE(fleet.CountOpen(kSmall) == 1U);
-      fleet.late_first_copies.clear();
-      const std::string head = fleet.planner.Groups().front().members.front();
-      fleet.engines[head].is_partitioned = true;
-      fleet.Run(fleet.now + 25'000);
-      fleet.engines[head].is_partitioned = false;
+      FormGroupOfTwo(fleet);
+      Cut(fleet, fleet.planner.Groups().front().members.front(), 25'000);
       fleet.Run(fleet.now + 10'000);
       BOOST_TEST(fleet.CountOpen(kSmall) == 1U);
     }
