--- a/tests/direct_group_planner_test.cc
+++ b/tests/direct_group_planner_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE direct_group_planner
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
 #include <map>
 #include <random>
 #include <set>
@@ -15,6 +16,11 @@
 
 namespace {
 
+std::uint64_t Setting(const char* name, std::uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
 /// The next run of an engine.
 FakeEngine Restarted(const FakeEngine& engine, std::int64_t now) {
   FakeEngine restarted;
@@ -564,7 +570,9 @@
 // Late copies of half of all orders, of each kind, beside cuts of 10 s, crashes
 // of 4.5 s and changes of the leader (review/9/further-day.toml).
 BOOST_AUTO_TEST_CASE(invariants_hold_under_late_copies_of_all_orders) {
-  for (std::uint64_t seed = 200; seed < 260; ++seed) {
+  const std::uint64_t first = Setting("GOOSEBERRYTURN_SEED", 200);
+  const std::uint64_t count = Setting("GOOSEBERRYTURN_RUNS", 60);
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
     BOOST_TEST_CONTEXT("seed " << seed) {
       PlannedFleet fleet(seed);
       std::mt19937_64 random(seed);
