--- a/include/gooseberryturn/direct/quorum_leave.h
+++ b/include/gooseberryturn/direct/quorum_leave.h
@@ -9,19 +9,19 @@
 namespace gooseberryturn::direct {
 
 /// \brief Decides when a control host that is being stopped asks the leader to
-/// remove it from the quorum, and when it may go.
+/// remove it from the quorum, and when it may exit.
 ///
-/// \details It goes once its removal is committed or the leader keeps it as a
-/// member. It goes anyway after kTimeout, or when no leader has answered for
+/// \details It exits once its removal is committed or the leader keeps it as a
+/// member. It exits anyway after kTimeout, or when no leader has answered for
 /// kLeaderlessTimeout.
 class QuorumLeave {
  public:
-  /// \param latest When the host has to go in any case.
+  /// \param latest When the host has to exit in any case.
   void Start(TimePoint now, TimePoint latest);
   [[nodiscard]] bool is_started() const noexcept { return this->is_leaving; }
   /// \brief Records the answer to a request.
   void HandleAnswer(LeaveState state, TimePoint now);
-  /// \brief True if the host may go.
+  /// \brief True if the host may exit.
   [[nodiscard]] bool IsDone(TimePoint now) const;
   /// \brief True if a request is due now; the next one is due after
   /// kRequestInterval.
--- a/src/direct/group_planner.cc
+++ b/src/direct/group_planner.cc
@@ -85,7 +85,7 @@
 
 void GroupPlanner::HandleOrderOutcome(const Order& order, OrderOutcome outcome,
                                       TimePoint now) {
-  // An answer to a copy of before an order to leave: it says nothing of now.
+  // The order was sent before a later order to leave; its answer is outdated.
   if (order.fence != this->FenceOf(order.target)) {
     const auto staging = this->stagings.find(order.target);
     const bool is_refused_copy =
